--- /dev/null
+++ b/packages/agent/src/cicadabank/agent/__init__.py
@@ -0,0 +1,18 @@
+"""The process beside a target, and the same logic for targets without one."""
+
+from cicadabank.agent.errors import AgentError, OrderRefusedError
+from cicadabank.agent.internal.app import agent_running, run_agent
+from cicadabank.agent.internal.core import AgentCore, View
+from cicadabank.agent.internal.driver import RunnerDriver
+from cicadabank.agent.internal.requests import minion_outcome
+
+__all__ = [
+    "AgentCore",
+    "AgentError",
+    "OrderRefusedError",
+    "RunnerDriver",
+    "View",
+    "agent_running",
+    "minion_outcome",
+    "run_agent",
+]
--- /dev/null
+++ b/packages/agent/src/cicadabank/agent/internal/core.py
@@ -0,0 +1,337 @@
+"""The agent's decisions: epochs, leases and the last check before a start.
+
+Pure but for the state it owns: orders and time in, replies and actions out.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from cicadabank.agent.errors import OrderRefusedError
+from cicadabank.decisions import digest_of
+from cicadabank.wire import control_pb2
+
+ENDED = frozenset({"done", "failed", "stopped"})
+STARTED_REMEMBERED = 10_000
+
+
+class View(NamedTuple):
+    """The configuration as far as a target needs it.
+
+    Attributes
+    ----------
+    seen_s : float
+        When this was surely so, on the agent's own clock.
+    """
+
+    version: int = 0
+    domain_out: bool = False
+    seen_s: float = float("-inf")
+
+
+class MemberTask:
+    """A gang's member on this target."""
+
+    __slots__ = (
+        "accelerators",
+        "answer",
+        "answer_object",
+        "attempt",
+        "begin_s",
+        "checkpoint",
+        "epoch",
+        "expires_s",
+        "reason",
+        "run_s",
+        "start_open_until_s",
+        "started",
+        "state",
+        "tasks",
+    )
+
+    def __init__(self, attempt: str, epoch: int, tasks: int, accelerators: int):
+        self.attempt = attempt
+        self.epoch = epoch
+        self.tasks = tasks
+        self.accelerators = accelerators
+        self.state = "reserved"
+        self.started = False
+        self.expires_s = 0.0
+        self.begin_s = 0.0  # when its start delay ends
+        self.start_open_until_s = (
+            0.0  # until then a start without reply may take effect
+        )
+        self.answer = b""
+        self.answer_object = ""
+        self.reason = ""
+        self.checkpoint = ""
+        self.run_s = 0.0
+
+    def report(self) -> control_pb2.MemberReport:
+        """Return what the cell's holder is told of this member."""
+        return control_pb2.MemberReport(
+            attempt=self.attempt,
+            state=self.state,
+            answer=self.answer,
+            answer_object=self.answer_object,
+            reason=self.reason,
+            checkpoint=self.checkpoint,
+            run_s=self.run_s,
+            started=self.started,
+        )
+
+
+class AgentCore:
+    """Decides what may start on one worker.
+
+    Parameters
+    ----------
+    incarnation : str
+        Identifies this run of the agent; orders meant for an earlier one are refused.
+    accelerators : int
+        Accelerators of the worker.
+    freshness_s : float
+        Greatest age of the view under which a member is started.
+    """
+
+    def __init__(self, incarnation: str, accelerators: int, freshness_s: float):
+        self.incarnation = incarnation
+        self.accelerators = accelerators
+        self.freshness_s = freshness_s
+        self.epoch = 0
+        self.view = View()
+        self.lease_until_s = float("-inf")
+        self.leaving = False
+        self.members: dict[str, MemberTask] = {}
+        self._told: dict[str, str] = {}
+        self._full = True
+
+    def reserve(self, order: control_pb2.Reserve, now_s: float) -> None:
+        """Keep accelerators for a member until the reservation expires.
+
+        Raises
+        ------
+        OrderRefusedError
+            If the member must not or can't be reserved.
+        """
+        self._check_origin(order.epoch, order.incarnation)
+        self._check_view(now_s)
+        self._expire(now_s)
+        member = self.members.get(order.attempt)
+        if member is None:
+            busy = sum(
+                m.accelerators for m in self.members.values() if m.state not in ENDED
+            )
+            if busy + order.accelerators > self.accelerators:
+                raise OrderRefusedError(
+                    f"{busy} of {self.accelerators} accelerators are in use"
+                )
+            member = MemberTask(
+                order.attempt, order.epoch, order.tasks, order.accelerators
+            )
+            self.members[order.attempt] = member
+        if member.state == "reserved":
+            member.expires_s = now_s + order.ttl_s
+
+    def begin(self, order: control_pb2.Start, now_s: float) -> MemberTask | None:
+        """Let a reserved member leave the barrier; None if it has left already.
+
+        Raises
+        ------
+        OrderRefusedError
+            If the member must not start; it has not.
+        """
+        member = self.members.get(order.attempt)
+        if member is not None and member.started:
+            return None
+        self._check_origin(order.epoch, order.incarnation)
+        self._expire(now_s)
+        member = self.members.get(order.attempt)
+        if member is None:
+            raise OrderRefusedError("the reservation has expired or was released")
+        self._check_view(now_s)
+        member.state = "starting"
+        member.started = True
+        member.epoch = order.epoch
+        member.begin_s = now_s + order.delay_s
+        self.lease_until_s = max(self.lease_until_s, now_s + order.lease_duration_s)
+        return member
+
+    def start_bound_s(self, now_s: float) -> float:
+        """Return for how long from now a start is still covered by the view."""
+        return self.view.seen_s + self.freshness_s - now_s
+
+    def start_refused(self, attempt: str, reason: str) -> None:
+        """Note that the target itself refused a start, so the member did not start."""
+        member = self.members.get(attempt)
+        if member is not None:
+            member.started = False
+            member.state = "stopped"
+            member.reason = reason
+
+    def _check_origin(self, epoch: int, incarnation: str) -> None:
+        if incarnation != self.incarnation:
+            raise OrderRefusedError(
+                "the order is meant for an earlier run of this agent"
+            )
+        self.check_epoch(epoch)
+
+    def check_epoch(self, epoch: int) -> None:
+        """Refuse orders of a holder that was replaced.
+
+        And remember the newest epoch.
+        """
+        if epoch < self.epoch:
+            raise OrderRefusedError(f"the epoch {epoch} is below {self.epoch}")
+        self.epoch = epoch
+
+    def _check_view(self, now_s: float) -> None:
+        if self.leaving:
+            raise OrderRefusedError("the target is leaving")
+        if self.view.domain_out:
+            raise OrderRefusedError("the failure domain is out of service")
+        age_s = now_s - self.view.seen_s
+        if age_s > self.freshness_s:
+            raise OrderRefusedError(f"the view is older than {self.freshness_s} s")
+
+    def _expire(self, now_s: float) -> list[str]:
+        expired = [
+            m.attempt
+            for m in self.members.values()
+            if m.state == "reserved" and now_s > m.expires_s
+        ]
+        for attempt in expired:
+            del self.members[attempt]
+        return expired
+
+    def stopped(self, order: control_pb2.Stop) -> MemberTask | None:
+        """Take an order to stop; return the member that the target must stop, if any.
+
+        Raises
+        ------
+        OrderRefusedError
+            If the order comes from a holder that was replaced.
+        """
+        self.check_epoch(order.epoch)
+        member = self.members.get(order.attempt)
+        if member is None or member.state in ENDED:
+            return None
+        if member.state == "reserved":
+            del self.members[order.attempt]
+            return None
+        return member
+
+    def may_have_started(self, order: control_pb2.Stop) -> bool:
+        """Whether a member may have started here, at any time.
+
+        An agent that doesn't know an attempt can say that it never started only if
+        the attempt was reserved with this same run of the agent.
+        """
+        member = self.members.get(order.attempt)
+        if member is not None:
+            return member.started
+        return order.incarnation != self.incarnation
+
+    def take_usage(self, tasks: list, now_s: float) -> None:
+        """Take in what the runner says of its tasks, adopting those not known."""
+        for task in tasks:
+            member = self.members.get(task.attempt)
+            if member is None:
+                member = self._adopt(task)
+            if member.state == "reserved" or member.state in ENDED:
+                continue
+            member.run_s = task.run_s
+            member.checkpoint = task.checkpoint or member.checkpoint
+            if task.state in ENDED:
+                member.reason = task.reason
+                member.answer = task.answer
+                member.state = task.state
+            elif task.state == "running":
+                member.state = "running"
+
+    def _adopt(self, task) -> MemberTask:
+        member = MemberTask(task.attempt, task.epoch, 0, 0)
+        member.started = True
+        member.state = "starting"
+        self.members[task.attempt] = member
+        self.epoch = max(self.epoch, task.epoch)
+        return member
+
+    def lapsed(self, now_s: float) -> list[MemberTask]:
+        """Return the members to stop because the holder was not heard of in time."""
+        self._expire(now_s)
+        if now_s <= self.lease_until_s:
+            return []
+        return [m for m in self.members.values() if m.started and m.state not in ENDED]
+
+    def beat(self, info: control_pb2.TargetInfo) -> control_pb2.Beat:
+        """Return the next heartbeat: all members, or those that have changed."""
+        states = {m.attempt: m.state for m in self.members.values()}
+        changed = [
+            m
+            for m in self.members.values()
+            if self._full or self._told.get(m.attempt) != m.state
+        ]
+        return control_pb2.Beat(
+            target=info.name,
+            cell=info.cell,
+            incarnation=self.incarnation,
+            info=info if self._full else None,
+            full=self._full,
+            reports=[member.report() for member in changed],
+            digest=digest_of(states),
+            leaving=self.leaving,
+            config_version=self.view.version,
+            epoch=self.epoch,
+        )
+
+    def beat_answered(
+        self, beat: control_pb2.Beat, reply: control_pb2.BeatReply, sent_s: float
+    ) -> list[str]:
+        """Take in the holder's reply; return the attempts to stop and forget.
+
+        The lease and the view count from when the heartbeat was sent, since the reply
+        may have been long on its way.
+        """
+        if reply.epoch < self.epoch:
+            return []
+        self.epoch = reply.epoch
+        if reply.want_full:
+            self._full = True
+            return []
+        self.lease_until_s = max(self.lease_until_s, sent_s + reply.lease_duration_s)
+        self.take_view(
+            reply.config_version, reply.domain_out, sent_s - reply.view_age_s
+        )
+        if beat.full:
+            self._full = False
+            self._told = {}
+        self._told.update({report.attempt: report.state for report in beat.reports})
+        for attempt in reply.acknowledged:
+            self._told.pop(attempt, None)
+            member = self.members.get(attempt)
+            if member is not None and member.state in ENDED:
+                del self.members[attempt]
+        return list(reply.unknown)
+
+    def take_view(self, version: int, domain_out: bool, seen_s: float) -> None:
+        """Take in a view.
+
+        Versions never go back, and an older sight changes nothing.
+        """
+        if version < self.view.version or seen_s < self.view.seen_s:
+            return
+        self.view = View(version, domain_out, seen_s)
+
+    def push_out(self) -> None:
+        """Act at once on a failure domain's being taken out, before it is stored."""
+        self.view = self.view._replace(domain_out=True)
+
+    def tell_everything(self) -> None:
+        """Send a full report next, to a holder that may know nothing."""
+        self._full = True
+
+    def drop(self, attempt: str) -> None:
+        """Forget a member."""
+        self.members.pop(attempt, None)
+        self._told.pop(attempt, None)
--- /dev/null
+++ b/packages/agent/src/cicadabank/agent/internal/driver.py
@@ -0,0 +1,286 @@
+"""Carries the agent's decisions out on a worker's own interface.
+
+The same driver runs in an agent beside the worker, and in the entry that holds the
+cell of a worker without an agent.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+
+import grpc
+from cicadabank.agent.errors import OrderRefusedError
+from cicadabank.agent.internal.core import ENDED, AgentCore, MemberTask
+from cicadabank.tasks import clock_s, unix_s
+from cicadabank.wire import ChannelPool, control_pb2, targets_pb2, targets_pb2_grpc
+from loguru import logger
+
+RUNNER_TIMEOUT_S = 1.0
+CHECKPOINT_TIMEOUT_S = 2.0
+
+Reply = Callable[[control_pb2.OrderReply], None]
+Post = Callable[..., None]
+
+
+class RunnerDriver:
+    """Drives one worker's task runner; all methods run in the owner's task.
+
+    Parameters
+    ----------
+    core : AgentCore
+        The decisions, owned by the same task.
+    address : str
+        ``IP:port`` of the runner.
+    post : callable
+        Runs a callable in the owner's task.
+    keep_answer : callable, default=None
+        Stores a large answer and returns its object key.
+    """
+
+    def __init__(
+        self,
+        core: AgentCore,
+        address: str,
+        pool: ChannelPool,
+        post: Post,
+        keep_answer: Callable[[str, bytes], str] | None = None,
+        answer_inline_bytes: int = 32_768,
+    ):
+        self.core = core
+        self._address = address
+        self._pool = pool
+        self._post = post
+        self._keep_answer = keep_answer
+        self._inline_bytes = answer_inline_bytes
+        self._usage_pending = False
+        self._after_start: dict[str, list[Callable[[], None]]] = {}
+        self.usage_seen_s = float("-inf")
+        self.clock_ahead_s = 0.0
+
+    def _stub(self) -> targets_pb2_grpc.RunnerStub:
+        return targets_pb2_grpc.RunnerStub(self._pool.get(self._address))
+
+    def _call(
+        self, method: str, request, done: Callable, timeout_s: float = RUNNER_TIMEOUT_S
+    ):
+        """Call the runner; `done` gets the reply, or None, in the owner's task."""
+        future = getattr(self._stub(), method).future(request, timeout=timeout_s)
+        future.add_done_callback(lambda f: self._post(self._finish, f, done))
+
+    def _finish(self, future: grpc.Future, done: Callable) -> None:
+        error = None if future.cancelled() else future.exception()
+        if future.cancelled() or error is not None:
+            if error is not None and error.code() == grpc.StatusCode.DEADLINE_EXCEEDED:
+                self._pool.drop(self._address)
+            done(None)
+        else:
+            done(future.result())
+
+    def reserve(self, order: control_pb2.Reserve, reply: Reply) -> None:
+        """Reserve a member."""
+        try:
+            self.core.reserve(order, clock_s())
+        except OrderRefusedError as error:
+            reply(control_pb2.OrderReply(accepted=False, reason=error.message))
+            return
+        reply(control_pb2.OrderReply(accepted=True))
+
+    def start(self, order: control_pb2.Start, reply: Reply) -> None:
+        """Start a reserved member, checking the view at this very moment."""
+        now_s = clock_s()
+        try:
+            member = self.core.begin(order, now_s)
+        except OrderRefusedError as error:
+            started = order.attempt in self.core.members and bool(
+                self.core.members[order.attempt].started
+            )
+            reply(
+                control_pb2.OrderReply(
+                    accepted=False, reason=error.message, started=started
+                )
+            )
+            return
+        if member is None:
+            reply(control_pb2.OrderReply(accepted=True, started=True))
+            return
+        request = targets_pb2.TaskStart(
+            attempt=order.attempt,
+            tasks=member.tasks,
+            accelerators=member.accelerators,
+            epoch=order.epoch,
+            # The runner checks this bound on its own: this process may be paused
+            # between
+            # the check above and the runner's start.
+            not_after_unix_s=unix_s()
+            + self.clock_ahead_s
+            + self.core.start_bound_s(now_s),
+            delay_s=order.delay_s,
+            lease_duration_s=max(0.0, self.core.lease_until_s - now_s),
+            payload=order.payload,
+            checkpoint=order.checkpoint,
+        )
+        member.start_open_until_s = now_s + self.core.start_bound_s(now_s)
+        self._after_start[order.attempt] = []
+        self._call("Start", request, partial(self._started, member, reply))
+
+    def _started(
+        self, member: MemberTask, reply: Reply, answer: targets_pb2.TaskStarted | None
+    ) -> None:
+        if answer is not None:
+            member.start_open_until_s = 0.0
+        self._reply_started(member.attempt, reply, answer)
+        for waiting in self._after_start.pop(member.attempt, ()):
+            waiting()
+
+    def _reply_started(
+        self, attempt: str, reply: Reply, answer: targets_pb2.TaskStarted | None
+    ) -> None:
+        if answer is None:
+            reply(
+                control_pb2.OrderReply(
+                    accepted=False, started=True, reason="the runner did not answer"
+                )
+            )
+        elif answer.accepted:
+            reply(control_pb2.OrderReply(accepted=True, started=True))
+        else:
+            self.core.start_refused(attempt, answer.reason)
+            reply(control_pb2.OrderReply(accepted=False, reason=answer.reason))
+
+    def stop(self, order: control_pb2.Stop, reply: Reply) -> None:
+        """Stop a member, after a checkpoint if one is asked for."""
+        try:
+            member = self.core.stopped(order)
+        except OrderRefusedError as error:
+            reply(
+                control_pb2.OrderReply(
+                    accepted=False, reason=error.message, started=True
+                )
+            )
+            return
+        if member is None:
+            self._reply_stopped(order, reply)
+            return
+        if member.attempt in self._after_start:
+            # A stop must not overtake the start that is on its way to the runner.
+            self._after_start[member.attempt].append(partial(self.stop, order, reply))
+            return
+        ref = targets_pb2.TaskRef(attempt=member.attempt, epoch=self.core.epoch)
+        if order.checkpoint:
+            done = partial(self._checkpointed, order, member, reply)
+            self._call("Checkpoint", ref, done, CHECKPOINT_TIMEOUT_S)
+        else:
+            self._call("Stop", ref, partial(self._stopped, order, member, reply))
+
+    def _checkpointed(self, order, member: MemberTask, reply: Reply, answer) -> None:
+        if answer is not None and answer.checkpoint:
+            member.checkpoint = answer.checkpoint
+        ref = targets_pb2.TaskRef(attempt=member.attempt, epoch=self.core.epoch)
+        self._call("Stop", ref, partial(self._stopped, order, member, reply))
+
+    def _stopped(self, order, member: MemberTask, reply: Reply, answer) -> None:
+        now_s = clock_s()
+        if answer is None or now_s < member.start_open_until_s:
+            reply(
+                control_pb2.OrderReply(
+                    accepted=False,
+                    started=member.started,
+                    reason="the runner did not answer",
+                )
+            )
+            return
+        if now_s < member.begin_s:
+            member.started = False
+        if member.state not in ENDED:
+            member.state = "stopped"
+            member.reason = "stopped by order"
+        self._reply_stopped(order, reply)
+
+    def _reply_stopped(self, order: control_pb2.Stop, reply: Reply) -> None:
+        member = self.core.members.get(order.attempt)
+        checkpoint = member.checkpoint if member else ""
+        started = self.core.may_have_started(order)
+        reply(
+            control_pb2.OrderReply(
+                accepted=True, started=started, checkpoint=checkpoint
+            )
+        )
+
+    def stop_unknown(self, attempts: list[str]) -> None:
+        """Stop and forget attempts that the cell's holder doesn't know."""
+        for attempt in attempts:
+            logger.bind(attempt=attempt).info("stopped: unknown to the cell's holder")
+            self._stop_and_forget(attempt)
+
+    def _stop_and_forget(self, attempt: str) -> None:
+        ref = targets_pb2.TaskRef(attempt=attempt, epoch=self.core.epoch)
+
+        def forget(answer) -> None:
+            if answer is not None:
+                self.core.drop(attempt)
+                self.forget(attempt)
+
+        self._call("Stop", ref, forget)
+
+    def forget(self, attempt: str) -> None:
+        """Let the runner drop an ended attempt whose outcome is stored."""
+        ref = targets_pb2.TaskRef(attempt=attempt, epoch=self.core.epoch)
+        self._call("Forget", ref, lambda _: None)
+
+    def enforce_leases(self) -> None:
+        """Stop the members whose lease has lapsed."""
+        for member in self.core.lapsed(clock_s()):
+            logger.bind(attempt=member.attempt).warning("stopped: the lease has lapsed")
+            member.state = "stopped"
+            member.reason = "lease-lapsed"
+            ref = targets_pb2.TaskRef(attempt=member.attempt, epoch=self.core.epoch)
+            self._call("Stop", ref, lambda _: None)
+
+    def renew_leases(self) -> None:
+        """Pass the lease that is left on to the runner."""
+        running = [m.attempt for m in self.core.members.values() if m.started]
+        left_s = self.core.lease_until_s - clock_s()
+        if running and left_s > 0:
+            request = targets_pb2.LeaseRenewal(
+                attempts=running, lease_duration_s=left_s, epoch=self.core.epoch
+            )
+            self._call("Renew", request, lambda _: None)
+
+    def poll_usage(self) -> None:
+        """Ask the runner for the state of its tasks."""
+        if self._usage_pending:
+            return
+        self._usage_pending = True
+        asked_s = clock_s()
+        self._call("Usage", targets_pb2.Empty(), partial(self._take_usage, asked_s))
+
+    def _take_usage(
+        self, asked_s: float, report: targets_pb2.UsageReport | None
+    ) -> None:
+        self._usage_pending = False
+        if report is None:
+            return
+        self.usage_seen_s = asked_s
+        if report.clock_unix_s:
+            # Judged early rather than late: the clock was read after the question was
+            # sent.
+            self.clock_ahead_s = min(0.0, report.clock_unix_s - unix_s())
+        for task in report.tasks:
+            if len(task.answer) > self._inline_bytes and self._keep_answer is not None:
+                self._move_answer(task)
+        self.core.take_usage(list(report.tasks), clock_s())
+
+    def _move_answer(self, task: targets_pb2.TaskUsage) -> None:
+        member = self.core.members.get(task.attempt)
+        if member is not None and member.answer_object:
+            task.answer = b""
+            return
+        key = self._keep_answer(task.attempt, task.answer)
+        if member is not None and key:
+            member.answer_object = key
+            task.answer = b""
+        else:
+            # Not stored yet: the member is reported as running until its answer is
+            # safe.
+            task.state, task.answer = "running", b""
--- /dev/null
+++ b/packages/agent/src/cicadabank/agent/internal/health.py
@@ -0,0 +1,38 @@
+"""Health and readiness over HTTP."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from cicadabank.model import encode
+from cicadabank.tasks import QuietServer
+from circuits.web import Controller
+from circuits.web.dispatchers import Dispatcher
+
+
+class HealthController(Controller):
+    """Serves ``/healthz`` and ``/readyz``."""
+
+    def __init__(self, ready: Callable[[], bool]):
+        super().__init__()
+        self._ready = ready
+
+    def healthz(self, *_args, **_kwargs):
+        """Tell that the process runs its loop."""
+        return encode({"healthy": True}).decode()
+
+    def readyz(self, *_args, **_kwargs):
+        """Tell whether the process does its work."""
+        ready = self._ready()
+        if not ready:
+            self.response.status = 503
+        return encode({"ready": ready}).decode()
+
+
+def health_server(address: str, ready: Callable[[], bool]) -> QuietServer:
+    """Return a server for the health pages, to be registered with a task."""
+    host, _, port = address.rpartition(":")
+    server = QuietServer((host, int(port)))
+    Dispatcher(channel=server.channel).register(server)
+    HealthController(ready).register(server)
+    return server
--- /dev/null
+++ b/packages/agent/src/cicadabank/agent/internal/reporter.py
@@ -0,0 +1,124 @@
+"""Heartbeats to the entries: finding the cell's holder, and staying with it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+
+import grpc
+from cicadabank.tasks import clock_s
+from cicadabank.wire import ChannelPool, control_pb2, control_pb2_grpc
+
+BEAT_TIMEOUT_S = 1.5
+FAILURES_BEFORE_NEXT = 2
+
+TakeReply = Callable[[control_pb2.Beat, control_pb2.BeatReply, float], None]
+
+
+class Destination:
+    """One entry that is beaten to; at most one heartbeat is under way."""
+
+    def __init__(self, address: str, pool: ChannelPool, post: Callable):
+        self.address = address
+        self.failures = 0
+        self.busy = False
+        self._pool = pool
+        self._post = post
+
+    def send(self, beat: control_pb2.Beat, take: TakeReply) -> None:
+        """Send a heartbeat unless one is under way."""
+        if self.busy:
+            return
+        self.busy = True
+        stub = control_pb2_grpc.MembershipStub(self._pool.get(self.address))
+        future = stub.Report.future(beat, timeout=BEAT_TIMEOUT_S)
+        done = partial(self._done, beat, take, clock_s())
+        future.add_done_callback(lambda f: self._post(done, f))
+
+    def _done(self, beat, take: TakeReply, sent_s: float, future: grpc.Future) -> None:
+        self.busy = False
+        error = None if future.cancelled() else future.exception()
+        if future.cancelled() or error is not None:
+            self.failures += 1
+            if error is not None and error.code() == grpc.StatusCode.DEADLINE_EXCEEDED:
+                self._pool.drop(self.address)
+            return
+        self.failures = 0
+        take(beat, future.result(), sent_s)
+
+
+class HolderReporter:
+    """Beats to the one entry that holds the worker's cell.
+
+    Parameters
+    ----------
+    entries : tuple of str
+        Addresses that are tried in turn while the holder is not known.
+    moved : callable
+        Called when the destination changes; the next report must be full.
+    """
+
+    def __init__(
+        self,
+        entries: tuple[str, ...],
+        pool: ChannelPool,
+        post: Callable,
+        moved: Callable[[], None],
+    ):
+        self._entries = list(entries)
+        self._pool = pool
+        self._post = post
+        self._moved = moved
+        self._next = 0
+        self._at = Destination(self._entries[0], pool, post)
+
+    def send(self, beat: control_pb2.Beat, take: TakeReply) -> None:
+        """Send a heartbeat to the holder, or to the next entry if it is silent."""
+        if self._at.failures >= FAILURES_BEFORE_NEXT:
+            self._next = (self._next + 1) % len(self._entries)
+            self._go(self._entries[self._next])
+        self._at.send(beat, partial(self._take, take))
+
+    def _take(
+        self, take: TakeReply, beat, reply: control_pb2.BeatReply, sent_s: float
+    ) -> None:
+        for entry in reply.entries:
+            if entry not in self._entries:
+                self._entries.append(entry)
+        if reply.accepted:
+            take(beat, reply, sent_s)
+        elif reply.holder and reply.holder != self._at.address:
+            self._go(reply.holder)
+
+    def _go(self, address: str) -> None:
+        self._at = Destination(address, self._pool, self._post)
+        self._moved()
+
+
+class EveryEntryReporter:
+    """Beats to every live entry, since each of them routes to the minions."""
+
+    def __init__(self, entries: tuple[str, ...], pool: ChannelPool, post: Callable):
+        self._configured = set(entries)
+        self._pool = pool
+        self._post = post
+        self._at = {entry: Destination(entry, pool, post) for entry in entries}
+
+    def send(self, beat: control_pb2.Beat, take: TakeReply) -> None:
+        """Send a heartbeat to each entry."""
+        for destination in list(self._at.values()):
+            destination.send(beat, partial(self._take, take))
+
+    def _take(
+        self, take: TakeReply, beat, reply: control_pb2.BeatReply, sent_s: float
+    ) -> None:
+        for entry in reply.entries:
+            if entry not in self._at:
+                self._at[entry] = Destination(entry, self._pool, self._post)
+        # An entry that is gone is dropped; the configured ones are tried for ever.
+        for address, destination in list(self._at.items()):
+            gone = destination.failures >= 30 and address not in self._configured
+            if gone and address not in reply.entries:
+                del self._at[address]
+        if reply.accepted:
+            take(beat, reply, sent_s)
--- /dev/null
+++ b/packages/agent/src/cicadabank/agent/internal/requests.py
@@ -0,0 +1,106 @@
+"""Requests to a minion, as its agent passes them on."""
+
+from __future__ import annotations
+
+import threading
+from collections import OrderedDict
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import grpc
+from cicadabank.wire import ChannelPool, control_pb2, targets_pb2, targets_pb2_grpc
+
+REQUESTS_REMEMBERED = 100_000
+DEFAULT_TIMEOUT_S = 30.0
+
+
+class RequestGate:
+    """Lets requests through to the minion, and a non-idempotent one only once.
+
+    Used from the threads of the gRPC server, so its state has a lock of its own.
+    """
+
+    def __init__(self, address: str, pool: ChannelPool, incarnation: str):
+        self._address = address
+        self._pool = pool
+        self._incarnation = incarnation
+        self._lock = threading.Lock()
+        self._seen: OrderedDict[str, None] = OrderedDict()
+        self.in_flight = 0
+        self.leaving = False
+        self.domain_out = False
+
+    def handle(
+        self, request: control_pb2.MemberRequest, context
+    ) -> control_pb2.MemberAnswer:
+        """Run a request, or say why it was not run."""
+        reason = self._refusal(request)
+        if reason:
+            return _answer(request, "refused", reason=reason)
+        with self._counted():
+            return self._run(request, context)
+
+    def _refusal(self, request: control_pb2.MemberRequest) -> str:
+        with self._lock:
+            if self.leaving:
+                return "the target is leaving"
+            if self.domain_out:
+                return "the failure domain is out of service"
+            if request.incarnation and request.incarnation != self._incarnation:
+                return "the request is meant for an earlier run of this agent"
+            if not request.idempotent:
+                if request.request in self._seen:
+                    return "duplicate: the request was passed to the minion before"
+                self._seen[request.request] = None
+                if len(self._seen) > REQUESTS_REMEMBERED:
+                    self._seen.popitem(last=False)
+        return ""
+
+    @contextmanager
+    def _counted(self) -> Iterator[None]:
+        with self._lock:
+            self.in_flight += 1
+        try:
+            yield
+        finally:
+            with self._lock:
+                self.in_flight -= 1
+
+    def _run(
+        self, request: control_pb2.MemberRequest, context
+    ) -> control_pb2.MemberAnswer:
+        remaining_s = context.time_remaining()
+        stub = targets_pb2_grpc.MinionStub(self._pool.get(self._address))
+        call = targets_pb2.MinionRequest(
+            request=request.request,
+            workspace=request.workspace,
+            payload=request.payload,
+        )
+        try:
+            reply = stub.Handle(
+                call, timeout=min(remaining_s or DEFAULT_TIMEOUT_S, 3600.0)
+            )
+        except grpc.RpcError as error:
+            if error.code() == grpc.StatusCode.DEADLINE_EXCEEDED:
+                self._pool.drop(self._address)
+            return _answer(
+                request, "unknown", reason=f"the minion: {error.code().name.lower()}"
+            )
+        return minion_outcome(request, reply)
+
+
+def minion_outcome(
+    request, reply: targets_pb2.MinionAnswer
+) -> control_pb2.MemberAnswer:
+    """Turn a minion's answer into an outcome."""
+    if reply.request != request.request:
+        return _answer(request, "unknown", reason="the minion answered another request")
+    if not reply.error:
+        return _answer(request, "done", answer=reply.answer)
+    return _answer(request, "failed" if reply.ran else "refused", reason=reply.error)
+
+
+def _answer(request, outcome: str, answer: bytes = b"", reason: str = ""):
+    return control_pb2.MemberAnswer(
+        request=request.request, outcome=outcome, answer=answer, reason=reason
+    )
--- /dev/null
+++ b/packages/client/src/cicadabank/client/cli.py
@@ -0,0 +1,47 @@
+"""The command line `cicadabank`."""
+
+from __future__ import annotations
+
+import sys
+
+from cicadabank.client.internal import daemons, operators
+from cicadabank.client.internal.configuration import config_app
+from cicadabank.client.internal.exits import Exit
+from cicadabank.client.internal.reports import explain, report_app
+from cyclopts import App, CycloptsError
+
+app = App(
+    name="cicadabank",
+    help="Scheduler of multi-accelerator jobs under workspace guarantees.",
+    version="0.1.0",
+)
+for command in (
+    daemons.entry,
+    daemons.agent,
+    operators.apply,
+    operators.get,
+    operators.watch,
+    operators.delete,
+    operators.drain,
+    operators.restore,
+    operators.cancel,
+    operators.answer,
+    operators.request,
+    explain,
+):
+    app.command(command)
+for group in (daemons.stand_in_app, config_app, report_app):
+    app.command(group)
+app.register_install_completion_command()
+
+
+def main() -> None:
+    """Run the command line; usage errors end with the code for bad input."""
+    try:
+        app(exit_on_error=False, print_error=True)
+    except CycloptsError:
+        sys.exit(Exit.BAD_INPUT)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/client/src/cicadabank/client/errors.py
@@ -0,0 +1,41 @@
+"""Errors of the client."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from cicadabank.model import CicadabankError
+
+
+class ClientError(CicadabankError):
+    """Base of the client's faults."""
+
+    code = "client"
+
+
+class UnreachableError(ClientError):
+    """No entry answered."""
+
+    code = "unreachable"
+
+
+class ApiError(ClientError):
+    """An entry answered with an error.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    ran : str
+        Whether the job or request was run: ``no``, ``yes`` or ``unknown``.
+    job : str
+        Id of the record of a job that was refused.
+    """
+
+    def __init__(self, status: int, error: dict[str, Any]):
+        super().__init__(error.get("message", "no message"), error.get("action", ""))
+        self.code = error.get("code", "unknown")
+        self.status = status
+        self.ran = error.get("ran", "unknown")
+        self.winner = error.get("winner", "")
+        self.job = error.get("job", "")
--- /dev/null
+++ b/packages/client/src/cicadabank/client/internal/daemons.py
@@ -0,0 +1,74 @@
+"""Commands that run the processes."""
+
+from __future__ import annotations
+
+from cicadabank.client.internal.context import reported
+from cicadabank.client.internal.output import Output
+from cyclopts import App
+
+stand_in_app = App(name="stand-in", help="Run a stand-in, or switch its faults.")
+
+
+def entry(*, settings: str) -> None:
+    """Run an entry.
+
+    Parameters
+    ----------
+    settings
+        Settings file of the kind "entry".
+    """
+    from cicadabank.entry import run_entry
+    from cicadabank.settings import load
+
+    with reported(Output.TEXT):
+        run_entry(load(settings, "entry"))
+
+
+def agent(*, settings: str) -> None:
+    """Run the agent beside a target.
+
+    Parameters
+    ----------
+    settings
+        Settings file of the kind "agent".
+    """
+    from cicadabank.agent import run_agent
+    from cicadabank.settings import load
+
+    with reported(Output.TEXT):
+        run_agent(load(settings, "agent"))
+
+
+@stand_in_app.command
+def run(*, settings: str) -> None:
+    """Run a stand-in of the platform or of a target.
+
+    Parameters
+    ----------
+    settings
+        Settings file of the kind "stand-in".
+    """
+    from cicadabank.settings import load
+    from cicadabank.standin import run_stand_in
+
+    with reported(Output.TEXT):
+        run_stand_in(load(settings, "stand-in"))
+
+
+@stand_in_app.command
+def fault(address: str, name: str, value: float) -> None:
+    """Switch a fault of a running stand-in.
+
+    Parameters
+    ----------
+    address
+        IP:port of the stand-in.
+    name
+        down, slow_s, lose_answers, fail_all, usage_lag_s, silent or freeze_clock_s.
+    value
+        0 switches the fault off.
+    """
+    from cicadabank.standin import switch_fault
+
+    with reported(Output.TEXT):
+        switch_fault(address, name, value)
--- /dev/null
+++ b/packages/client/src/cicadabank/client/internal/http.py
@@ -0,0 +1,156 @@
+"""Calls to any of several entries."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import httpx
+from cicadabank.client.errors import ApiError, UnreachableError
+from cicadabank.model import new_id
+from tenacity import (
+    Retrying,
+    retry_if_exception_type,
+    stop_after_attempt,
+    wait_random_exponential,
+)
+
+CONNECT_TIMEOUT_S = 3.0
+ANSWER_TIMEOUT_S = 40.0
+TRIES_PER_ENTRY = 2
+
+
+class Client:
+    """Asks the entries in turn until one answers.
+
+    Calls that change something carry an Idempotency-Key or a version, so that asking
+    another entry after a lost answer is safe; a call that has neither is sent once.
+
+    Parameters
+    ----------
+    entries : list of str
+        Base addresses, such as ``http://10.0.0.1:8080``.
+    operator : str, default=""
+        Named in the record of each change.
+    """
+
+    def __init__(self, entries: list[str], operator: str = ""):
+        if not entries:
+            raise UnreachableError(
+                "no entry is named", "set --entry or CICADABANK_ENTRY"
+            )
+        self._entries = [entry.rstrip("/") for entry in entries]
+        headers = {"Operator": operator} if operator else {}
+        timeout = httpx.Timeout(ANSWER_TIMEOUT_S, connect=CONNECT_TIMEOUT_S)
+        self._http = httpx.Client(headers=headers, timeout=timeout, trust_env=False)
+
+    def __enter__(self) -> Client:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._http.close()
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        document: Any = None,
+        headers: dict[str, str] | None = None,
+        repeatable: bool = True,
+        **query: Any,
+    ) -> Any:
+        """Send a call and return the JSON of its answer.
+
+        Raises
+        ------
+        ApiError
+            If an entry answered with an error.
+        UnreachableError
+            If no entry answered.
+        """
+        tries = TRIES_PER_ENTRY * len(self._entries) if repeatable else 1
+        retrying = Retrying(
+            retry=retry_if_exception_type(httpx.TransportError),
+            stop=stop_after_attempt(tries),
+            wait=wait_random_exponential(0.05, 1.0),
+            reraise=True,
+        )
+        try:
+            for attempt in retrying:
+                with attempt:
+                    response = self._http.request(
+                        method,
+                        self._entries[0] + path,
+                        json=document,
+                        headers=headers,
+                        params={k: v for k, v in query.items() if v is not None},
+                    )
+                if attempt.retry_state.outcome and attempt.retry_state.outcome.failed:
+                    self._entries = [*self._entries[1:], self._entries[0]]
+        except httpx.TransportError as error:
+            raise UnreachableError(
+                f"no entry answered: {error}", "check the addresses given with --entry"
+            ) from error
+        return _read(response)
+
+    def submit(self, spec: dict[str, Any], key: str = "") -> dict[str, Any]:
+        """Send a job request; a key is made if none is given."""
+        headers = {"Idempotency-Key": key or new_id("key")}
+        return self.call("POST", "/v1/jobs", spec, headers)
+
+    def job(self, job: str) -> dict[str, Any]:
+        """Return a job's record."""
+        return self.call("GET", f"/v1/jobs/{job}")
+
+    def watch_job(
+        self, job: str, after_version: int, wait_s: float = 10.0
+    ) -> dict[str, Any]:
+        """Return a job's record once it is newer than a version, or after the wait."""
+        return self.call(
+            "GET", f"/v1/jobs/{job}", after_version=after_version, wait_s=wait_s
+        )
+
+    def wait_for_job(self, job: str, states: set[str]) -> dict[str, Any]:
+        """Return a job's record once it is in one of the states."""
+        version = 0
+        while True:
+            record = self.watch_job(job, version)
+            if record["state"] in states:
+                return record
+            version = record["version"]
+
+    def answer(self, job: str, workspace: str) -> dict[str, Any]:
+        """Return a job's whole answer."""
+        return self.call(
+            "GET", f"/v1/jobs/{job}/answer", headers={"Workspace": workspace}
+        )
+
+    def request(self, document: dict[str, Any], key: str = "") -> dict[str, Any]:
+        """Send a request to a minion; without a key it is sent once."""
+        headers = {"Idempotency-Key": key} if key else {}
+        repeatable = bool(key) or document.get("idempotent", True)
+        return self.call("POST", "/v1/requests", document, headers, repeatable)
+
+    def apply(
+        self, kind: str, fields: dict[str, Any], if_version: int | None = None
+    ) -> dict[str, Any]:
+        """Set a resource, if it still has the version that is given."""
+        name = resource_name(kind, fields)
+        headers = {"If-Match": str(if_version)} if if_version is not None else {}
+        return self.call("PUT", f"/v1/resources/{kind}/{name}", fields, headers)
+
+
+def resource_name(kind: str, fields: dict[str, Any]) -> str:
+    """Return the name under which a resource is stored."""
+    if kind == "guarantee":
+        return f"{fields.get('workspace', '')}.{fields.get('cell', '')}"
+    return str(fields.get("name", ""))
+
+
+def _read(response: httpx.Response) -> Any:
+    try:
+        document = response.json()
+    except ValueError:
+        document = {"error": {"code": "not-json", "message": response.text[:200]}}
+    if response.status_code >= 400:
+        raise ApiError(response.status_code, document.get("error", {}))
+    return document
--- /dev/null
+++ b/packages/client/src/cicadabank/client/internal/output.py
@@ -0,0 +1,59 @@
+"""What commands print: tables for people, JSON for programs."""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Sequence
+from datetime import UTC, datetime
+from enum import StrEnum
+from typing import Any
+
+from cicadabank.model import CicadabankError
+
+
+class Output(StrEnum):
+    """Form of a command's output."""
+
+    TEXT = "text"
+    JSON = "json"
+
+
+def print_json(document: Any) -> None:
+    """Print a document as JSON."""
+    print(json.dumps(document, indent=2, sort_keys=True))
+
+
+def print_table(columns: Sequence[str], rows: Sequence[Sequence[Any]]) -> None:
+    """Print rows under their columns' names."""
+    cells = [[str(c) for c in columns], *([str(v) for v in row] for row in rows)]
+    widths = [max(len(row[i]) for row in cells) for i in range(len(columns))]
+    for row in cells:
+        print(
+            "  ".join(
+                text.ljust(width) for text, width in zip(row, widths, strict=True)
+            ).rstrip()
+        )
+
+
+def print_error(error: CicadabankError, output: Output) -> None:
+    """Print an error, with what the reader can do."""
+    if output is Output.JSON:
+        document = {
+            "code": error.code,
+            "message": error.message,
+            "action": error.action,
+        }
+        for name in ("ran", "winner"):
+            if getattr(error, name, ""):
+                document[name] = str(getattr(error, name))
+        print(json.dumps({"error": document}, sort_keys=True), file=sys.stderr)
+    else:
+        print(f"error {error}", file=sys.stderr)
+
+
+def time_text(at_unix_s: float) -> str:
+    """Return a time as UTC text."""
+    if not at_unix_s:
+        return "-"
+    return datetime.fromtimestamp(at_unix_s, UTC).strftime("%Y-%m-%d %H:%M:%S")
--- /dev/null
+++ b/packages/decisions/src/cicadabank/decisions/__init__.py
@@ -0,0 +1,67 @@
+"""The scheduler's decisions: placement, guarantees, order, membership and routing.
+
+All of it is pure: state, event and time in, actions out.
+"""
+
+from cicadabank.decisions.internal.budget import RateLimit, RetryBudget
+from cicadabank.decisions.internal.core import CellCore
+from cicadabank.decisions.internal.estimates import EstimateBook
+from cicadabank.decisions.internal.fleet import Fleet, Need, Worker, WorkerInfo
+from cicadabank.decisions.internal.health import WorkerHealth
+from cicadabank.decisions.internal.homes import Home, Layout, lay_out, refusal_of
+from cicadabank.decisions.internal.messages import (
+    BeatAnswer,
+    BeatEvent,
+    CommitJob,
+    CommitStatus,
+    ConfigView,
+    OrderResult,
+    Record,
+    ReloadJob,
+    Report,
+    SendReserve,
+    SendStart,
+    SendStop,
+)
+from cicadabank.decisions.internal.placement import GangShape, nearest_possible, place
+from cicadabank.decisions.internal.routing import Minion, Router, Verdict
+from cicadabank.decisions.internal.state import CellTimings, digest_of
+from cicadabank.decisions.internal.victims import Borrower, choose_victims
+
+__all__ = [
+    "BeatAnswer",
+    "BeatEvent",
+    "Borrower",
+    "CellCore",
+    "CellTimings",
+    "CommitJob",
+    "CommitStatus",
+    "ConfigView",
+    "EstimateBook",
+    "Fleet",
+    "GangShape",
+    "Home",
+    "Layout",
+    "Minion",
+    "Need",
+    "OrderResult",
+    "RateLimit",
+    "Record",
+    "ReloadJob",
+    "Report",
+    "RetryBudget",
+    "Router",
+    "SendReserve",
+    "SendStart",
+    "SendStop",
+    "Verdict",
+    "Worker",
+    "WorkerHealth",
+    "WorkerInfo",
+    "choose_victims",
+    "digest_of",
+    "lay_out",
+    "nearest_possible",
+    "place",
+    "refusal_of",
+]
--- /dev/null
+++ b/packages/decisions/src/cicadabank/decisions/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation of the decisions; pure: state, event and time in, actions out."""
--- /dev/null
+++ b/packages/decisions/src/cicadabank/decisions/internal/attempts.py
@@ -0,0 +1,134 @@
+"""Attempts: one try at running a job's whole gang."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+from cicadabank.decisions.internal.fleet import Need
+from cicadabank.decisions.internal.messages import CommitJob
+from cicadabank.model import JobRow
+
+
+class Phase(StrEnum):
+    """Where an attempt is."""
+
+    CLAIMING = "claiming"  # borrowers are leaving its home
+    RESERVING = "reserving"
+    COMMITTING = "committing"
+    STARTING = "starting"
+    RUNNING = "running"
+    RECOVERING = "recovering"  # known from the table only, after a takeover
+    STOPPING = "stopping"
+    SAVING = "saving"  # its outcome is being stored
+
+
+class MemberState:
+    """One member of a gang, as the cell's holder knows it."""
+
+    __slots__ = (
+        "answer",
+        "answer_object",
+        "checkpoint",
+        "ended",
+        "incarnation",
+        "outcome",
+        "replied",
+        "run_s",
+        "started",
+        "stop_sent_s",
+        "tasks",
+        "worker",
+    )
+
+    def __init__(self, worker: str, tasks: int, incarnation: str):
+        self.worker = worker
+        self.tasks = tasks
+        self.incarnation = incarnation
+        self.replied = False
+        self.started = False
+        self.ended = False
+        self.outcome = ""  # done, failed, stopped, lost
+        self.answer = b""
+        self.answer_object = ""
+        self.checkpoint = ""
+        self.run_s = 0.0
+        self.stop_sent_s = -1.0
+
+
+class Attempt:
+    """A gang from its placement to its stored outcome."""
+
+    __slots__ = (
+        "committed",
+        "deadline_s",
+        "home",
+        "job",
+        "members",
+        "name",
+        "need",
+        "phase",
+        "reason",
+        "running_since_s",
+        "saved_s",
+        "with_checkpoint",
+    )
+
+    def __init__(
+        self, name: str, job: str, need: Need, members: list[MemberState], home: str
+    ):
+        self.name = name
+        self.job = job
+        self.need = need
+        self.members = {member.worker: member for member in members}
+        self.home = home
+        self.phase = Phase.RESERVING
+        self.committed = False
+        self.deadline_s = 0.0
+        self.running_since_s = 0.0
+        self.saved_s = 0.0
+        self.reason = ""
+        self.with_checkpoint = False
+
+    @property
+    def share(self) -> dict[str, int]:
+        """Accelerators by worker, of members that still hold them."""
+        return {
+            m.worker: m.tasks * self.need.accelerators
+            for m in self.members.values()
+            if not m.ended
+        }
+
+    @property
+    def started(self) -> bool:
+        """Whether any member may have started."""
+        return any(member.started for member in self.members.values())
+
+    @property
+    def all_ended(self) -> bool:
+        """Whether no member holds its accelerators any more."""
+        return all(member.ended for member in self.members.values())
+
+
+class JobEntry:
+    """A job that is not ended, with its row as last stored."""
+
+    __slots__ = (
+        "attempt",
+        "avoid",
+        "pending",
+        "queued_s",
+        "reloading",
+        "resolve_s",
+        "row",
+        "version",
+    )
+
+    def __init__(self, row: JobRow, version: int, now_s: float):
+        self.row = row
+        self.version = version
+        self.attempt = ""
+        self.queued_s = now_s
+        self.avoid: dict[str, float] = {}  # worker -> until
+        self.pending: CommitJob | None = None
+        self.reloading = False
+        self.resolve_s = 0.0  # when to read back a write whose answer was lost
--- /dev/null
+++ b/packages/decisions/src/cicadabank/decisions/internal/core.py
@@ -0,0 +1,285 @@
+"""The decisions of one cell as a state machine: events and time in, actions out."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import singledispatchmethod
+
+from cicadabank.decisions.internal import drains, gangs, membership, planner
+from cicadabank.decisions.internal.attempts import Attempt, JobEntry, MemberState, Phase
+from cicadabank.decisions.internal.fleet import Need
+from cicadabank.decisions.internal.messages import (
+    Action,
+    BeatAnswer,
+    BeatEvent,
+    CommitJob,
+    CommitStatus,
+    ConfigView,
+    OrderResult,
+    ReloadJob,
+    SendReserve,
+    SendStart,
+    SendStop,
+)
+from cicadabank.decisions.internal.outcomes import cancelled_row
+from cicadabank.decisions.internal.state import CellState, CellTimings
+from cicadabank.model import JobRow, JobState, new_id
+
+RESOLVE_PAUSE_S = 0.5
+
+
+class CellCore:
+    """Decides for one cell; does no input or output and reads no clock of its own.
+
+    Each method takes an event and the time in seconds of a monotonic clock. The
+    caller then carries out `take_actions`, and feeds the results back.
+
+    Parameters
+    ----------
+    cell : str
+        Name of the cell.
+    epoch : int
+        Epoch under which this holder took the cell.
+    now_s : float
+        Time of the takeover.
+    """
+
+    def __init__(
+        self,
+        cell: str,
+        epoch: int,
+        now_s: float,
+        timings: CellTimings | None = None,
+        clock_unix_s: Callable[[], float] = lambda: 0.0,
+        make_id: Callable[[str], str] = new_id,
+    ):
+        self.state = CellState(cell, timings or CellTimings(), clock_unix_s, make_id)
+        self.state.epoch = epoch
+        self.state.taken_over_s = now_s
+
+    def take_actions(self) -> list[Action]:
+        """Return the actions asked for since the last call."""
+        actions, self.state.out = self.state.out, []
+        for action in actions:
+            if isinstance(action, CommitJob) and action.job in self.state.jobs:
+                entry = self.state.jobs[action.job]
+                entry.pending = action
+                entry.resolve_s = float("inf")
+                entry.reloading = False
+        return actions
+
+    def load(self, rows: list[tuple[JobRow, int]], now_s: float) -> None:
+        """Take in all jobs of the cell that are not ended, after a takeover."""
+        for row, version in rows:
+            self.on_job(row, version, "", now_s)
+        self.state.loaded = True
+
+    def on_config(self, view: ConfigView, now_s: float) -> None:
+        """Take in the configuration."""
+        drains.on_config(self.state, view, now_s)
+
+    def on_beat(self, beat: BeatEvent, now_s: float) -> BeatAnswer:
+        """Take in a worker's heartbeat."""
+        return membership.on_beat(self.state, beat, now_s)
+
+    def on_tick(self, now_s: float) -> None:
+        """Act on what time alone brings about, and plan."""
+        state = self.state
+        membership.check_silence(state, now_s)
+        membership.check_unheard(state, now_s)
+        membership.check_deadlines(state, now_s)
+        drains.check_drains(state, now_s)
+        self._resolve_lost_answers(now_s)
+        if state.loaded and not state.fenced and not state.stopping:
+            planner.plan(state, now_s)
+
+    def _resolve_lost_answers(self, now_s: float) -> None:
+        for job, entry in self.state.jobs.items():
+            if entry.pending is not None and entry.resolve_s <= now_s:
+                entry.resolve_s = float("inf")
+                entry.reloading = True
+                self.state.out.append(ReloadJob(job))
+
+    def on_reload_failed(self, job: str, now_s: float) -> None:
+        """Note that a row could not be read.
+
+        It is tried again while a write is open.
+        """
+        entry = self.state.jobs.get(job)
+        if entry is not None:
+            entry.resolve_s = now_s + RESOLVE_PAUSE_S
+
+    def on_job(self, row: JobRow, version: int, operation: str, now_s: float) -> None:
+        """Take in a job's row as it stands in the table."""
+        entry = self.state.jobs.get(row.job)
+        if entry is None:
+            self._new_job(row, version, now_s)
+        elif entry.pending is not None:
+            # Its write is on the way; only a row read after that write says anything.
+            if entry.reloading:
+                self._resolve(entry, row, version, operation, now_s)
+        elif version > entry.version:
+            entry.row, entry.version = row, version
+            self._changed(entry, now_s)
+
+    def _new_job(self, row: JobRow, version: int, now_s: float) -> None:
+        if row.terminal:
+            return
+        entry = self.state.jobs[row.job] = JobEntry(row, version, now_s)
+        if row.state is JobState.RUNNING:
+            self._adopt(entry, now_s)
+        elif row.cancel_requested:
+            self._cancel(entry, now_s)
+        else:
+            self.state.enqueue(entry)
+
+    def _adopt(self, entry: JobEntry, now_s: float) -> None:
+        row, state = entry.row, self.state
+        spec = row.spec
+        need = Need(
+            spec.accelerators_per_task, spec.cores_per_task, spec.memory_mb_per_task
+        )
+        members = [MemberState(m.worker, m.tasks, m.incarnation) for m in row.members]
+        attempt = Attempt(row.attempt, row.job, need, members, "")
+        attempt.phase, attempt.committed = Phase.RECOVERING, True
+        attempt.deadline_s = now_s + state.timings.recovery_s
+        attempt.running_since_s = attempt.saved_s = now_s
+        for member in members:
+            member.started = True
+            if member.worker in state.fleet.workers:
+                state.fleet.book(member.worker, attempt.name, member.tasks, need)
+        state.attempts[attempt.name] = attempt
+        entry.attempt = attempt.name
+        state.usage[spec.workspace] = (
+            state.usage.get(spec.workspace, 0) + spec.accelerators
+        )
+        state.record(row.job, "adopted", "taken over from the table", attempt.name)
+        if row.cancel_requested:
+            gangs.stop(state, attempt, "cancelled", now_s)
+
+    def _changed(self, entry: JobEntry, now_s: float) -> None:
+        """Act on a row that somebody else has written: a request to cancel."""
+        attempt = self.state.attempts.get(entry.attempt)
+        if attempt is not None and attempt.phase in gangs.PRE_COMMIT_PHASES:
+            gangs.give_up(self.state, attempt, now_s, "its row has changed")
+            attempt = None
+        if entry.row.terminal:
+            self.state.dequeue(entry)
+            self.state.jobs.pop(entry.row.job, None)
+        elif entry.row.cancel_requested and attempt is None:
+            self._cancel(entry, now_s)
+        elif entry.row.cancel_requested and attempt.phase is not Phase.COMMITTING:
+            gangs.stop(self.state, attempt, "cancelled", now_s)
+
+    def _cancel(self, entry: JobEntry, now_s: float) -> None:
+        self.state.dequeue(entry)
+        row = cancelled_row(self.state, entry.row)
+        operation = f"cancel-{row.job}-{entry.version}"
+        self.state.out.append(CommitJob(row.job, row, entry.version, operation))
+
+    def on_commit(
+        self, commit: CommitJob, status: CommitStatus, version: int, now_s: float
+    ) -> None:
+        """Take in how the storing of a job's row ended."""
+        entry = self.state.jobs.get(commit.job)
+        if entry is None or entry.pending is None:
+            return
+        if entry.pending.operation != commit.operation:
+            return
+        if status is CommitStatus.FENCED:
+            self.state.fenced = True
+        elif status is CommitStatus.COMMITTED:
+            self._committed(entry, version, now_s)
+        else:
+            entry.resolve_s = (
+                now_s if status is CommitStatus.CONFLICT else now_s + RESOLVE_PAUSE_S
+            )
+
+    def _committed(self, entry: JobEntry, version: int, now_s: float) -> None:
+        pending, entry.pending = entry.pending, None
+        entry.reloading = False
+        entry.row, entry.version = pending.row, version
+        attempt = self.state.attempts.get(entry.attempt)
+        if attempt is None:
+            if entry.row.terminal:
+                self.state.record(entry.row.job, str(entry.row.state), entry.row.reason)
+                self.state.jobs.pop(entry.row.job, None)
+        elif attempt.phase is Phase.COMMITTING:
+            gangs.start(self.state, attempt, now_s)
+        elif attempt.phase is Phase.SAVING:
+            gangs.saved(self.state, attempt, entry, now_s)
+
+    def _resolve(
+        self, entry: JobEntry, row: JobRow, version: int, operation: str, now_s: float
+    ) -> None:
+        """Decide a write whose answer was lost.
+
+        Or that met another one, from the row.
+        """
+        pending = entry.pending
+        if operation == pending.operation:
+            self._committed(entry, version, now_s)
+            return
+        if version == entry.version:
+            # The write may still be on its way: only the same write, sent again, is
+            # safe.
+            self.state.out.append(pending)
+            return
+        entry.pending = None
+        entry.reloading = False
+        entry.row, entry.version = row, version
+        attempt = self.state.attempts.get(entry.attempt)
+        if attempt is None:
+            self._changed_back(entry, now_s)
+        elif attempt.phase is Phase.COMMITTING:
+            self._resolve_start(entry, attempt, now_s)
+        elif attempt.phase is Phase.SAVING:
+            gangs.save(self.state, attempt, now_s)
+
+    def _changed_back(self, entry: JobEntry, now_s: float) -> None:
+        if entry.row.state is JobState.QUEUED and not entry.row.cancel_requested:
+            self.state.enqueue(entry)
+        else:
+            self._changed(entry, now_s)
+
+    def _resolve_start(self, entry: JobEntry, attempt: Attempt, now_s: float) -> None:
+        if entry.row.attempt != attempt.name:
+            attempt.phase = Phase.RESERVING
+            gangs.give_up(
+                self.state, attempt, now_s, "its row changed before the commit"
+            )
+            self._changed(entry, now_s)
+            return
+        # Committed, and a request to cancel was written after it: nothing has started.
+        attempt.committed = True
+        attempt.phase = Phase.STARTING
+        gangs.stop(self.state, attempt, "cancelled", now_s)
+
+    def on_order_reply(
+        self,
+        order: SendReserve | SendStart | SendStop,
+        result: OrderResult,
+        now_s: float,
+    ) -> None:
+        """Take in an agent's reply to an order, or that none came."""
+        attempt = self.state.attempts.get(order.attempt)
+        if attempt is not None:
+            self._reply(order, attempt, result, now_s)
+
+    @singledispatchmethod
+    def _reply(
+        self, order, attempt: Attempt, result: OrderResult, now_s: float
+    ) -> None:
+        raise NotImplementedError(f"no reply is expected to {type(order).__name__}")
+
+    @_reply.register
+    def _(self, order: SendReserve, attempt, result, now_s) -> None:
+        gangs.on_reserve_reply(self.state, attempt, order.worker, result, now_s)
+
+    @_reply.register
+    def _(self, order: SendStart, attempt, result, now_s) -> None:
+        gangs.on_start_reply(self.state, attempt, order.worker, result, now_s)
+
+    @_reply.register
+    def _(self, order: SendStop, attempt, result, now_s) -> None:
+        gangs.on_stop_reply(self.state, attempt, order.worker, result, now_s)
--- /dev/null
+++ b/packages/decisions/src/cicadabank/decisions/internal/drains.py
@@ -0,0 +1,77 @@
+"""What happens to running gangs when operators take a failure domain out."""
+
+from __future__ import annotations
+
+from cicadabank.decisions.internal.attempts import Attempt, Phase
+from cicadabank.decisions.internal.gangs import stop
+from cicadabank.decisions.internal.messages import ConfigView
+from cicadabank.decisions.internal.placement import GangShape, place
+from cicadabank.decisions.internal.state import CellState
+
+CHECKPOINT_MARGIN_S = 3.0
+MOVES_AT_ONCE = 8
+
+
+def on_config(state: CellState, view: ConfigView, now_s: float) -> None:
+    """Take in a newer configuration; an older one is ignored."""
+    if view.version < state.view.version:
+        return
+    state.view = view
+    out = {name for name, domain in view.domains.items() if domain.out}
+    state.domain_out_s = {name: state.domain_out_s.get(name, now_s) for name in out}
+    for name in state.workers:
+        state.refresh_worker(name)
+    state.layout_stale = True
+    state.plan_due = True
+
+
+def check_drains(state: CellState, now_s: float) -> None:
+    """Move gangs out of domains whose time to stop is set.
+
+    A gang that can be checkpointed moves at once if other workers have room for it;
+    else it works on where it is until shortly before the domain's deadline, because
+    that is the only place where it can.
+    """
+    moved = 0
+    for domain, since_s in state.domain_out_s.items():
+        stop_after_s = state.view.domains[domain].stop_after_s
+        if not stop_after_s:
+            continue
+        deadline_s = since_s + stop_after_s
+        for attempt in _running_in(state, domain):
+            moved += _drain_one(state, attempt, domain, deadline_s, now_s, moved)
+
+
+def _running_in(state: CellState, domain: str) -> list[Attempt]:
+    return [
+        attempt
+        for attempt in state.attempts.values()
+        if attempt.phase is Phase.RUNNING
+        and any(
+            worker in state.fleet.workers
+            and state.fleet.workers[worker].info.domain == domain
+            for worker in attempt.share
+        )
+    ]
+
+
+def _drain_one(
+    state: CellState,
+    attempt: Attempt,
+    domain: str,
+    deadline_s: float,
+    now_s: float,
+    moved: int,
+) -> int:
+    spec = state.jobs[attempt.job].row.spec
+    reason = f"drain: failure domain {domain} is out"
+    if now_s >= deadline_s:
+        stop(state, attempt, reason, now_s, checkpoint=spec.checkpointable)
+    elif not spec.checkpointable:
+        return 0
+    elif now_s >= deadline_s - CHECKPOINT_MARGIN_S:
+        stop(state, attempt, reason, now_s, checkpoint=True)
+    elif moved < MOVES_AT_ONCE and place(state.fleet, GangShape.of(spec)):
+        stop(state, attempt, reason, now_s, checkpoint=True)
+        return 1
+    return 0
--- /dev/null
+++ b/packages/decisions/src/cicadabank/decisions/internal/fleet.py
@@ -0,0 +1,246 @@
+"""The workers of a cell and an index of their free accelerators.
+
+The index answers "the smallest hole that fits" in time logarithmic in the
+number of workers, so a placement's cost doesn't grow with the fleet.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from typing import NamedTuple
+
+from sortedcontainers import SortedDict, SortedList
+
+
+class WorkerInfo(NamedTuple):
+    """What a worker announces of itself."""
+
+    name: str
+    domain: str
+    rack: str
+    accelerators: int
+    cores: int = 1_000_000
+    memory_mb: int = 1_000_000_000
+
+
+class Need(NamedTuple):
+    """What one task of a gang takes on its worker."""
+
+    accelerators: int
+    cores: int = 0
+    memory_mb: int = 0
+
+
+class Worker:
+    """A worker's announced size and what is booked on it."""
+
+    __slots__ = (
+        "bookings",
+        "cores_free",
+        "free",
+        "homed",
+        "indexed",
+        "info",
+        "memory_free_mb",
+    )
+
+    def __init__(self, info: WorkerInfo):
+        self.info = info
+        self.free = info.accelerators
+        self.cores_free = info.cores
+        self.memory_free_mb = info.memory_mb
+        self.homed = 0
+        self.indexed = False
+        self.bookings: dict[str, tuple[int, Need]] = {}
+
+    def room_for(self, need: Need) -> int:
+        """Return how many tasks of this need fit into what is free."""
+        room = self.free // need.accelerators
+        if need.cores:
+            room = min(room, self.cores_free // need.cores)
+        if need.memory_mb:
+            room = min(room, self.memory_free_mb // need.memory_mb)
+        return max(0, room)
+
+
+class Rack:
+    """The workers of one rack that take new work."""
+
+    __slots__ = ("domain", "free", "name", "workers")
+
+    def __init__(self, domain: str, name: str):
+        self.domain = domain
+        self.name = name
+        self.free = 0
+        self.workers: set[str] = set()
+
+
+class Fleet:
+    """All workers of a cell; those that take new work are indexed.
+
+    A worker's index key holds its free accelerators, then those of its rack, then
+    its share that belongs to guarantees. The first key that fits is therefore the
+    tightest worker, in the most broken rack, least needed by a guarantee.
+    """
+
+    def __init__(self, infos: Iterable[WorkerInfo] = ()):
+        self.workers: dict[str, Worker] = {}
+        self._racks: dict[tuple[str, str], Rack] = {}
+        self._by_free: SortedDict = SortedDict()  # domain -> SortedList of worker keys
+        self._racks_by_free: SortedDict = (
+            SortedDict()
+        )  # domain -> SortedList of (free, rack)
+        self._domain_free: dict[str, int] = {}
+        for info in infos:
+            self.add(info)
+
+    def add(self, info: WorkerInfo, indexed: bool = True) -> Worker:
+        """Add a worker, or replace one whose size has changed."""
+        previous = self.workers.get(info.name)
+        if previous is not None:
+            if previous.info == info:
+                return previous
+            self.remove(info.name)
+        worker = Worker(info)
+        self.workers[info.name] = worker
+        if previous is not None:
+            for attempt, (tasks, need) in previous.bookings.items():
+                self._book(worker, attempt, tasks, need)
+        if indexed:
+            self.admit(info.name)
+        return worker
+
+    def remove(self, name: str) -> None:
+        """Forget a worker."""
+        self.exclude(name)
+        self.workers.pop(name, None)
+
+    def admit(self, name: str) -> None:
+        """Let a worker take new work."""
+        worker = self.workers[name]
+        if worker.indexed:
+            return
+        info = worker.info
+        rack = self._racks.setdefault(
+            (info.domain, info.rack), Rack(info.domain, info.rack)
+        )
+        self._unkey_rack(rack)
+        rack.workers.add(name)
+        rack.free += worker.free
+        self._domain_free[info.domain] = (
+            self._domain_free.get(info.domain, 0) + worker.free
+        )
+        worker.indexed = True
+        self._key_rack(rack)
+
+    def exclude(self, name: str) -> None:
+        """Give a worker no new work; what is booked on it stays."""
+        worker = self.workers.get(name)
+        if worker is None or not worker.indexed:
+            return
+        info = worker.info
+        rack = self._racks[(info.domain, info.rack)]
+        self._unkey_rack(rack)
+        rack.workers.discard(name)
+        rack.free -= worker.free
+        self._domain_free[info.domain] -= worker.free
+        worker.indexed = False
+        self._key_rack(rack)
+
+    def set_homed(self, homed: dict[str, int]) -> None:
+        """Set how many accelerators of each worker belong to guarantees."""
+        for name, worker in self.workers.items():
+            count = homed.get(name, 0)
+            if worker.homed != count:
+                self._rekey(worker, lambda w=worker, c=count: setattr(w, "homed", c))
+
+    def book(self, name: str, attempt: str, tasks: int, need: Need) -> None:
+        """Take room for an attempt's tasks on a worker."""
+        worker = self.workers[name]
+        if attempt not in worker.bookings:
+            self._rekey(worker, lambda: self._book(worker, attempt, tasks, need))
+
+    @staticmethod
+    def _book(worker: Worker, attempt: str, tasks: int, need: Need) -> None:
+        worker.bookings[attempt] = (tasks, need)
+        worker.free -= tasks * need.accelerators
+        worker.cores_free -= tasks * need.cores
+        worker.memory_free_mb -= tasks * need.memory_mb
+
+    def release(self, name: str, attempt: str) -> None:
+        """Give back what an attempt took on a worker."""
+        worker = self.workers.get(name)
+        if worker is None or attempt not in worker.bookings:
+            return
+        self._rekey(worker, lambda: self._release(worker, attempt))
+
+    @staticmethod
+    def _release(worker: Worker, attempt: str) -> None:
+        tasks, need = worker.bookings.pop(attempt)
+        worker.free += tasks * need.accelerators
+        worker.cores_free += tasks * need.cores
+        worker.memory_free_mb += tasks * need.memory_mb
+
+    def _rekey(self, worker: Worker, change) -> None:
+        if not worker.indexed:
+            change()
+            return
+        rack = self._racks[(worker.info.domain, worker.info.rack)]
+        before = worker.free
+        self._unkey_rack(rack)
+        change()
+        rack.free += worker.free - before
+        self._domain_free[worker.info.domain] += worker.free - before
+        self._key_rack(rack)
+
+    def _key(self, name: str, rack: Rack) -> tuple[int, int, int, str]:
+        worker = self.workers[name]
+        return (worker.free, rack.free, worker.homed, name)
+
+    def _unkey_rack(self, rack: Rack) -> None:
+        if not rack.workers:
+            return
+        by_free = self._by_free[rack.domain]
+        for name in rack.workers:
+            by_free.remove(self._key(name, rack))
+        self._racks_by_free[rack.domain].remove((rack.free, rack.name))
+
+    def _key_rack(self, rack: Rack) -> None:
+        if not rack.workers:
+            return
+        by_free = self._by_free.setdefault(rack.domain, SortedList())
+        for name in rack.workers:
+            by_free.add(self._key(name, rack))
+        self._racks_by_free.setdefault(rack.domain, SortedList()).add(
+            (rack.free, rack.name)
+        )
+
+    @property
+    def domains(self) -> list[str]:
+        """The failure domains that have workers, in order of their names."""
+        return [domain for domain, workers in self._by_free.items() if workers]
+
+    def domain_free(self, domain: str) -> int:
+        """Return the free accelerators of a domain's admitted workers."""
+        return self._domain_free.get(domain, 0)
+
+    def workers_from(self, domain: str, accelerators: int) -> Iterator[Worker]:
+        """Yield a domain's workers with at least this many free, tightest first."""
+        keys = self._by_free.get(domain, ())
+        for key in keys.irange((accelerators,)) if keys else ():
+            yield self.workers[key[3]]
+
+    def racks_from(self, domain: str, accelerators: int) -> Iterator[Rack]:
+        """Yield a domain's racks with at least this many free, tightest first."""
+        keys = self._racks_by_free.get(domain, ())
+        for _, name in keys.irange((accelerators,)) if keys else ():
+            yield self._racks[(domain, name)]
+
+    def racks_down(self, domain: str) -> Iterator[Rack]:
+        """Yield a domain's racks, the emptiest first."""
+        for _, name in reversed(self._racks_by_free.get(domain, ())):
+            yield self._racks[(domain, name)]
+
+    def largest_free_shape(self) -> int:
+        """Return the largest gang of one-accelerator tasks that fits in one domain."""
+        return max((self.domain_free(domain) for domain in self.domains), default=0)
--- /dev/null
+++ b/packages/decisions/src/cicadabank/decisions/internal/gangs.py
@@ -0,0 +1,315 @@
+"""The life of a gang: reserve everywhere, commit once, start together, end together."""
+
+from __future__ import annotations
+
+from cicadabank.decisions.internal.attempts import Attempt, JobEntry, MemberState, Phase
+from cicadabank.decisions.internal.fleet import Need
+from cicadabank.decisions.internal.messages import (
+    CommitJob,
+    OrderResult,
+    ReloadJob,
+    SendReserve,
+    SendStart,
+    SendStop,
+)
+from cicadabank.decisions.internal.outcomes import next_row
+from cicadabank.decisions.internal.state import CellState
+from cicadabank.model import JobState, Member, Ran
+
+REFUSED_WORKER_PAUSE_S = 1.0
+PRE_COMMIT_PHASES = (Phase.CLAIMING, Phase.RESERVING)
+
+
+def begin(
+    state: CellState,
+    entry: JobEntry,
+    members: list[Member],
+    home: str,
+    now_s: float,
+    cause: str,
+    claiming: bool = False,
+) -> Attempt:
+    """Book a placement and ask its workers to reserve it.
+
+    A claimed home is booked while its borrowers still run there: its workers' free
+    accelerators go below zero, so nobody else is placed on what the borrowers leave.
+    """
+    spec = entry.row.spec
+    need = Need(
+        spec.accelerators_per_task, spec.cores_per_task, spec.memory_mb_per_task
+    )
+    parts = [
+        MemberState(m.worker, m.tasks, state.workers[m.worker].incarnation)
+        for m in members
+    ]
+    attempt = Attempt(state.make_id("attempt"), entry.row.job, need, parts, home)
+    state.attempts[attempt.name] = attempt
+    entry.attempt = attempt.name
+    state.dequeue(entry)
+    workspace = spec.workspace
+    state.usage[workspace] = state.usage.get(workspace, 0) + spec.accelerators
+    for member in members:
+        state.fleet.book(member.worker, attempt.name, member.tasks, need)
+        state.refresh_worker(member.worker)
+    state.record(entry.row.job, "placed", cause, attempt.name)
+    if claiming:
+        attempt.phase = Phase.CLAIMING
+        attempt.deadline_s = now_s + state.timings.claim_timeout_s
+    else:
+        reserve(state, attempt, now_s)
+    return attempt
+
+
+def reserve(state: CellState, attempt: Attempt, now_s: float) -> None:
+    """Ask every worker of a gang to reserve its part."""
+    attempt.phase = Phase.RESERVING
+    attempt.deadline_s = now_s + state.timings.reserve_timeout_s
+    for member in attempt.members.values():
+        member.incarnation = state.workers[member.worker].incarnation
+        accelerators = member.tasks * attempt.need.accelerators
+        state.out.append(
+            SendReserve(
+                member.worker,
+                attempt.name,
+                member.tasks,
+                accelerators,
+                member.incarnation,
+            )
+        )
+
+
+def on_reserve_reply(
+    state: CellState, attempt: Attempt, worker: str, result: OrderResult, now_s: float
+) -> None:
+    """Commit the gang once every worker has reserved; give it up on any refusal."""
+    if attempt.phase is not Phase.RESERVING or worker not in attempt.members:
+        return
+    if not result.accepted:
+        give_up(
+            state, attempt, now_s, f"{worker} did not reserve: {result.reason}", worker
+        )
+        return
+    attempt.members[worker].replied = True
+    if not all(member.replied for member in attempt.members.values()):
+        return
+    attempt.phase = Phase.COMMITTING
+    commit_start(state, attempt)
+
+
+def commit_start(state: CellState, attempt: Attempt) -> None:
+    """Store that the gang starts, before any worker is told to."""
+    entry = state.jobs[attempt.job]
+    row = entry.row._replace(
+        state=JobState.RUNNING,
+        attempt=attempt.name,
+        attempts=entry.row.attempts + 1,
+        members=tuple(
+            Member(m.worker, m.tasks, m.incarnation) for m in attempt.members.values()
+        ),
+        ran=Ran.UNKNOWN if entry.row.ran is Ran.NO else entry.row.ran,
+        started_unix_s=entry.row.started_unix_s or state.clock_unix_s(),
+    )
+    kind = f"in home {attempt.home}" if attempt.home else "on free accelerators"
+    row = state.decided(row, "start", f"gang placed {kind}", attempt.name)
+    operation = f"start-{attempt.name}"
+    state.out.append(CommitJob(attempt.job, row, entry.version, operation))
+
+
+def start(state: CellState, attempt: Attempt, now_s: float) -> None:
+    """Tell every worker of a committed gang to start.
+
+    Members of a gang start after a delay. Until it has passed, a missing reply
+    can still be met by stopping the others before any of them has begun.
+    """
+    entry = state.jobs[attempt.job]
+    attempt.committed = True
+    attempt.phase = Phase.STARTING
+    attempt.deadline_s = now_s + state.timings.start_timeout_s
+    delay_s = state.timings.gang_start_delay_s if len(attempt.members) > 1 else 0.0
+    attempt.running_since_s = attempt.saved_s = now_s + delay_s
+    for member in attempt.members.values():
+        member.replied = False
+        member.started = True
+        state.out.append(
+            SendStart(
+                member.worker,
+                attempt.name,
+                member.incarnation,
+                entry.row.spec.payload,
+                entry.row.checkpoint,
+                delay_s,
+            )
+        )
+
+
+def on_start_reply(
+    state: CellState, attempt: Attempt, worker: str, result: OrderResult, now_s: float
+) -> None:
+    """Count the started members; stop the whole gang if one did not start."""
+    member = attempt.members.get(worker)
+    if member is None or attempt.phase is not Phase.STARTING:
+        return
+    if not result.accepted:
+        if result.answered:
+            member.started = result.started
+            state.jobs[attempt.job].avoid[worker] = now_s + REFUSED_WORKER_PAUSE_S
+        stop(state, attempt, f"start-refused: {worker}: {result.reason}", now_s)
+        return
+    member_started(state, attempt, worker)
+
+
+def member_started(state: CellState, attempt: Attempt, worker: str) -> None:
+    """Note one started member; the gang runs once all have."""
+    attempt.members[worker].replied = True
+    attempt.members[worker].started = True
+    if all(m.replied or m.ended for m in attempt.members.values()):
+        if attempt.phase in (Phase.STARTING, Phase.RECOVERING):
+            attempt.phase = Phase.RUNNING
+            state.record(attempt.job, "running", "all members started", attempt.name)
+
+
+def stop(
+    state: CellState,
+    attempt: Attempt,
+    reason: str,
+    now_s: float,
+    checkpoint: bool = False,
+) -> None:
+    """Stop a whole gang; its outcome is decided when no member is left."""
+    if attempt.phase in (Phase.STOPPING, Phase.SAVING):
+        return
+    attempt.phase = Phase.STOPPING
+    attempt.reason = reason
+    attempt.with_checkpoint = checkpoint
+    state.record(attempt.job, "stop", reason, attempt.name)
+    send_stops(state, attempt, now_s)
+    evaluate(state, attempt, now_s)
+
+
+def send_stops(state: CellState, attempt: Attempt, now_s: float) -> None:
+    """Send, or send again, the order to stop to each member that is left."""
+    for member in attempt.members.values():
+        if member.ended or now_s - member.stop_sent_s < state.timings.stop_retry_s:
+            continue
+        worker = state.workers.get(member.worker)
+        if worker is None or worker.silent:
+            continue
+        member.stop_sent_s = now_s
+        state.out.append(
+            SendStop(
+                member.worker, attempt.name, member.incarnation, attempt.with_checkpoint
+            )
+        )
+
+
+def on_stop_reply(
+    state: CellState, attempt: Attempt, worker: str, result: OrderResult, now_s: float
+) -> None:
+    """Free what a stopped member held."""
+    member = attempt.members.get(worker)
+    if member is None or attempt.phase is not Phase.STOPPING or not result.accepted:
+        return
+    member.started = result.started
+    if result.checkpoint:
+        member.checkpoint = result.checkpoint
+    if not member.ended:
+        end_member(state, attempt, member, member.outcome or "stopped")
+    evaluate(state, attempt, now_s)
+
+
+def end_member(
+    state: CellState, attempt: Attempt, member: MemberState, outcome: str
+) -> None:
+    """Note that a member holds its accelerators no more."""
+    member.ended = True
+    member.outcome = outcome
+    state.fleet.release(member.worker, attempt.name)
+    state.refresh_worker(member.worker)
+    state.plan_due = True
+
+
+def evaluate(state: CellState, attempt: Attempt, now_s: float) -> None:
+    """Decide what the ends of members mean for the whole gang."""
+    if attempt.phase in (Phase.STARTING, Phase.RUNNING, Phase.RECOVERING):
+        outcomes = {m.outcome for m in attempt.members.values() if m.ended}
+        if "failed" in outcomes:
+            stop(state, attempt, "failed", now_s)
+        elif outcomes & {"stopped", "lost"}:
+            stop(state, attempt, "lost", now_s)
+        elif attempt.all_ended:
+            attempt.reason = "done"
+            save(state, attempt, now_s)
+    elif attempt.phase is Phase.STOPPING and attempt.all_ended:
+        save(state, attempt, now_s)
+
+
+def save(state: CellState, attempt: Attempt, now_s: float) -> None:
+    """Store what became of a job, or put it back if it was never committed."""
+    entry = state.jobs[attempt.job]
+    attempt.phase = Phase.SAVING
+    row, answer = next_row(state, entry.row, attempt)
+    operation = f"end-{attempt.name}-{entry.version}"
+    attempt.deadline_s = now_s + state.timings.stop_retry_s
+    state.out.append(CommitJob(attempt.job, row, entry.version, operation, answer))
+
+
+def give_up(
+    state: CellState, attempt: Attempt, now_s: float, cause: str, worker: str = ""
+) -> None:
+    """Release a gang that was not committed, and put its job back into the queue."""
+    entry = state.jobs.get(attempt.job)
+    if entry is not None and worker:
+        entry.avoid[worker] = now_s + REFUSED_WORKER_PAUSE_S
+    state.record(attempt.job, "released", cause, attempt.name)
+    for member in attempt.members.values():
+        if attempt.phase is not Phase.CLAIMING:
+            state.out.append(SendStop(member.worker, attempt.name, member.incarnation))
+        if not member.ended:
+            end_member(state, attempt, member, "released")
+    forget(state, attempt)
+    if entry is not None and not entry.row.terminal:
+        state.enqueue(entry)
+
+
+def forget(state: CellState, attempt: Attempt) -> None:
+    """Remove an attempt that holds nothing any more."""
+    state.attempts.pop(attempt.name, None)
+    state.close(attempt.name)
+    entry = state.jobs.get(attempt.job)
+    if entry is not None:
+        entry.attempt = ""
+        workspace = entry.row.spec.workspace
+        state.usage[workspace] = (
+            state.usage.get(workspace, 0) - entry.row.spec.accelerators
+        )
+    state.plan_due = True
+
+
+def saved(state: CellState, attempt: Attempt, entry: JobEntry, now_s: float) -> None:
+    """Take in that an attempt's outcome is stored; `entry` holds the stored row."""
+    _learn(state, attempt, entry)
+    forget(state, attempt)
+    state.record(attempt.job, str(entry.row.state), entry.row.reason, attempt.name)
+    if entry.row.terminal:
+        state.jobs.pop(attempt.job, None)
+        return
+    entry.queued_s = now_s
+    state.enqueue(entry)
+
+
+def _learn(state: CellState, attempt: Attempt, entry: JobEntry) -> None:
+    spec = entry.row.spec
+    for member in attempt.members.values():
+        if member.outcome == "failed":
+            state.health.failed(attempt.job, member.worker)
+        elif member.outcome == "done":
+            state.health.succeeded(attempt.job, member.worker)
+        state.refresh_worker(member.worker)
+    if attempt.reason == "done":
+        run_s = max((m.run_s for m in attempt.members.values()), default=0.0)
+        state.estimates.observe(spec.workspace, spec.estimate_s, run_s)
+
+
+def reload(state: CellState, job: str) -> None:
+    """Ask for a job's row as it stands."""
+    state.out.append(ReloadJob(job))
--- /dev/null
+++ b/packages/decisions/src/cicadabank/decisions/internal/outcomes.py
@@ -0,0 +1,138 @@
+"""What the end of an attempt means for its job's record."""
+
+from __future__ import annotations
+
+import msgspec
+from cicadabank.decisions.internal.attempts import Attempt
+from cicadabank.decisions.internal.state import CellState
+from cicadabank.model import JobRow, JobState, Ran
+
+MAX_FAILURES = 3
+
+
+def next_row(
+    state: CellState, row: JobRow, attempt: Attempt
+) -> tuple[JobRow, bytes | None]:
+    """Return the row to store after an attempt, and the answer if there is one.
+
+    A job goes back into the queue only if it is idempotent, resumes from its
+    checkpoint, or provably did not start.
+    """
+    if attempt.reason == "done":
+        return _end(state, row, attempt, JobState.DONE, Ran.YES, ""), gang_answer(
+            attempt
+        )
+    if not attempt.started:
+        row = row._replace(ran=_ran_before(row))
+        if row.cancel_requested:
+            return _end(
+                state, row, attempt, JobState.CANCELLED, row.ran, "cancelled"
+            ), None
+        return _again(state, row, attempt, "no member had started"), None
+    if row.cancel_requested or attempt.reason.startswith("cancel"):
+        return _end(state, row, attempt, JobState.CANCELLED, Ran.YES, "cancelled"), None
+    return _after_run(state, row, attempt), None
+
+
+def _ran_before(row: JobRow) -> Ran:
+    earlier = [
+        d for d in row.history if d.event == "start" and d.attempt != row.attempt
+    ]
+    return row.ran if earlier and row.ran is not Ran.NO else Ran.NO
+
+
+def _after_run(state: CellState, row: JobRow, attempt: Attempt) -> JobRow:
+    kind = attempt.reason.partition(":")[0]
+    spec = row.spec
+    if kind == "failed":
+        failures = 1 + sum(d.event == "failed" for d in row.history)
+        if spec.idempotent and failures < MAX_FAILURES:
+            return _again(
+                state, row, attempt, f"failure {failures} of {MAX_FAILURES}", "failed"
+            )
+        reason = f"a task failed on {_failed_on(attempt)}"
+        return _end(state, row, attempt, JobState.FAILED, Ran.YES, reason)
+    checkpoint = _checkpoint(attempt)
+    if checkpoint and attempt.with_checkpoint:
+        row = row._replace(checkpoint=checkpoint)
+        return _again(state, row, attempt, attempt.reason, "checkpointed")
+    if spec.idempotent:
+        return _again(state, row, attempt, attempt.reason, "stopped")
+    if kind == "drain":
+        reason = "stopped with its failure domain; it is not idempotent"
+        return _end(state, row, attempt, JobState.FAILED, Ran.YES, reason)
+    reason = f"{attempt.reason}; it is not idempotent and never runs again"
+    return _end(state, row, attempt, JobState.UNKNOWN, Ran.UNKNOWN, reason)
+
+
+def _failed_on(attempt: Attempt) -> str:
+    return ", ".join(
+        m.worker for m in attempt.members.values() if m.outcome == "failed"
+    )
+
+
+def _checkpoint(attempt: Attempt) -> str:
+    """Return the gang's checkpoint: the least advanced one, if every member has one."""
+    checkpoints = [m.checkpoint for m in attempt.members.values()]
+    return min(checkpoints, key=_progress) if checkpoints and all(checkpoints) else ""
+
+
+def _progress(checkpoint: str) -> float:
+    try:
+        return float(checkpoint.rpartition(":")[2])
+    except ValueError:
+        return 0.0
+
+
+def _again(
+    state: CellState, row: JobRow, attempt: Attempt, cause: str, event: str = "requeued"
+) -> JobRow:
+    ran = row.ran if event == "requeued" else Ran.YES
+    row = row._replace(state=JobState.QUEUED, attempt="", members=(), ran=ran)
+    if event == "requeued" and ran is Ran.NO:
+        row = row._replace(started_unix_s=0.0)
+    return state.decided(row, event, cause, attempt.name)
+
+
+def _end(
+    state: CellState,
+    row: JobRow,
+    attempt: Attempt,
+    end: JobState,
+    ran: Ran,
+    reason: str,
+) -> JobRow:
+    row = row._replace(
+        state=end, ran=ran, reason=reason, ended_unix_s=state.clock_unix_s()
+    )
+    return state.decided(row, str(end), reason or "all members done", attempt.name)
+
+
+def refused_row(state: CellState, row: JobRow, reason: str) -> JobRow:
+    """Return the row of a job that is refused without having run."""
+    row = row._replace(
+        state=JobState.REFUSED, reason=reason, ended_unix_s=state.clock_unix_s()
+    )
+    return state.decided(row, "refused", reason)
+
+
+def cancelled_row(state: CellState, row: JobRow) -> JobRow:
+    """Return the row of a queued job that is cancelled."""
+    row = row._replace(
+        state=JobState.CANCELLED, reason="cancelled", ended_unix_s=state.clock_unix_s()
+    )
+    return state.decided(row, "cancelled", "cancelled while queued")
+
+
+def gang_answer(attempt: Attempt) -> bytes:
+    """Return the answers of all members, in the order of their workers' names."""
+    parts = [
+        {
+            "worker": m.worker,
+            "tasks": m.tasks,
+            "answer": m.answer.decode(errors="replace"),
+            "answer_object": m.answer_object,
+        }
+        for m in sorted(attempt.members.values(), key=lambda m: m.worker)
+    ]
+    return msgspec.json.encode({"job": attempt.job, "members": parts})
--- /dev/null
+++ b/packages/decisions/src/cicadabank/decisions/internal/placement.py
@@ -0,0 +1,208 @@
+"""Placement of gangs: adjacent workers, and what is left stays whole."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from cicadabank.decisions.internal.fleet import Fleet, Need, Rack, Worker
+from cicadabank.model import Adjacency, JobSpec, Member
+
+RACKS_TRIED = 16
+WORKERS_TRIED = 32
+
+
+class GangShape(NamedTuple):
+    """The tasks of a gang and how far they may spread."""
+
+    tasks: int
+    need: Need
+    adjacency: Adjacency = Adjacency.DOMAIN
+    domain: str = ""
+
+    @classmethod
+    def of(cls, spec: JobSpec) -> GangShape:
+        """Return the shape that a job asks for."""
+        need = Need(
+            spec.accelerators_per_task, spec.cores_per_task, spec.memory_mb_per_task
+        )
+        return cls(spec.tasks, need, spec.adjacency, spec.domain)
+
+    @property
+    def accelerators(self) -> int:
+        """Accelerators of the whole gang."""
+        return self.tasks * self.need.accelerators
+
+
+Limit = Callable[[Worker], int]
+
+
+def place(fleet: Fleet, shape: GangShape, limit: Limit | None = None) -> list[Member]:
+    """Choose workers for a whole gang, as adjacent as possible.
+
+    One worker is tried first, then one rack, then one failure domain; the job's
+    adjacency ends the search earlier.
+
+    Parameters
+    ----------
+    limit : callable, default=None
+        Returns how many accelerators of a worker may be used; all by default.
+
+    Returns
+    -------
+    list of Member
+        Empty if the whole gang doesn't fit now.
+    """
+    domains = [d for d in fleet.domains if not shape.domain or d == shape.domain]
+    members = _in_one_worker(fleet, shape, domains, limit)
+    if members or shape.adjacency == Adjacency.WORKER:
+        return members
+    members = _in_one_rack(fleet, shape, domains, limit)
+    if members or shape.adjacency == Adjacency.RACK:
+        return members
+    return _in_one_domain(fleet, shape, domains, limit)
+
+
+def _usable(worker: Worker, need: Need, limit: Limit | None) -> int:
+    room = worker.room_for(need)
+    if room and limit is not None:
+        room = min(room, max(0, limit(worker)) // need.accelerators)
+    return room
+
+
+def _in_one_worker(
+    fleet: Fleet, shape: GangShape, domains: list[str], limit: Limit | None
+) -> list[Member]:
+    best: Worker | None = None
+    best_key: tuple = ()
+    for domain in domains:
+        for tried, worker in enumerate(fleet.workers_from(domain, shape.accelerators)):
+            if tried == WORKERS_TRIED:
+                break
+            if _usable(worker, shape.need, limit) >= shape.tasks:
+                key = (worker.free, worker.homed, fleet.domain_free(domain))
+                if best is None or key < best_key:
+                    best, best_key = worker, key
+                break
+    return [Member(best.info.name, shape.tasks)] if best else []
+
+
+def _fill(
+    workers: list[Worker], shape: GangShape, tasks: int, limit: Limit | None
+) -> list[Member]:
+    """Spread tasks over workers: whole ones first, then the tightest for the rest."""
+    rooms = [(room, w) for w in workers if (room := _usable(w, shape.need, limit))]
+    rooms.sort(key=lambda pair: (-pair[0], pair[1].homed, pair[1].info.name))
+    members: list[Member] = []
+    while tasks and rooms:
+        fitting = [i for i, (room, _) in enumerate(rooms) if room >= tasks]
+        index = fitting[-1] if fitting else 0
+        room, worker = rooms.pop(index)
+        members.append(Member(worker.info.name, min(room, tasks)))
+        tasks -= members[-1].tasks
+    return [] if tasks else members
+
+
+def _rack_room(fleet: Fleet, rack: Rack, shape: GangShape, limit: Limit | None) -> int:
+    return sum(_usable(fleet.workers[n], shape.need, limit) for n in rack.workers)
+
+
+def _rack_members(
+    fleet: Fleet, rack: Rack, shape: GangShape, tasks: int, limit: Limit | None
+) -> list[Member]:
+    workers = [fleet.workers[name] for name in sorted(rack.workers)]
+    return _fill(workers, shape, tasks, limit)
+
+
+def _in_one_rack(
+    fleet: Fleet, shape: GangShape, domains: list[str], limit: Limit | None
+) -> list[Member]:
+    best: list[Member] = []
+    best_key: tuple = ()
+    for domain in domains:
+        for tried, rack in enumerate(fleet.racks_from(domain, shape.accelerators)):
+            if tried == RACKS_TRIED or (best and rack.free > best_key[0]):
+                break
+            members = _rack_members(fleet, rack, shape, shape.tasks, limit)
+            if members:
+                key = (rack.free, len(members), fleet.domain_free(domain))
+                if not best or key < best_key:
+                    best, best_key = members, key
+                break
+    return best
+
+
+def _in_one_domain(
+    fleet: Fleet, shape: GangShape, domains: list[str], limit: Limit | None
+) -> list[Member]:
+    able = [d for d in domains if fleet.domain_free(d) >= shape.accelerators]
+    for domain in sorted(able, key=fleet.domain_free):
+        members = _spread(fleet, domain, shape, limit)
+        if members:
+            return members
+    return []
+
+
+def _spread(
+    fleet: Fleet, domain: str, shape: GangShape, limit: Limit | None
+) -> list[Member]:
+    members: list[Member] = []
+    left = shape.tasks
+    used: set[str] = set()
+    for rack in fleet.racks_down(domain):
+        if rack.free < shape.need.accelerators:
+            break
+        room = _rack_room(fleet, rack, shape, limit)
+        if room >= left:
+            rack = _tightest_rack(fleet, domain, shape, left, limit, used) or rack
+        taken = min(left, _rack_room(fleet, rack, shape, limit))
+        if taken:
+            members += _rack_members(fleet, rack, shape, taken, limit)
+            used.add(rack.name)
+            left -= taken
+        if not left:
+            return members
+    return []
+
+
+def _tightest_rack(
+    fleet: Fleet,
+    domain: str,
+    shape: GangShape,
+    tasks: int,
+    limit: Limit | None,
+    used: set[str],
+) -> Rack | None:
+    """Return the rack with the least room that takes the rest of a gang."""
+    racks = fleet.racks_from(domain, tasks * shape.need.accelerators)
+    for tried, rack in enumerate(racks):
+        if tried == RACKS_TRIED:
+            return None
+        if rack.name not in used and _rack_room(fleet, rack, shape, limit) >= tasks:
+            return rack
+    return None
+
+
+def nearest_possible(fleet: Fleet, shape: GangShape) -> GangShape | None:
+    """Return the largest smaller gang that an empty fleet takes, or None.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        With nothing booked.
+    """
+    need = shape.need
+    low, high = 0, shape.tasks
+    while low < high:
+        middle = (low + high + 1) // 2
+        if place(fleet, shape._replace(tasks=middle)):
+            low = middle
+        else:
+            high = middle - 1
+    if low:
+        return shape._replace(tasks=low)
+    per_task = max((w.info.accelerators for w in fleet.workers.values()), default=0)
+    if per_task and need.accelerators > per_task:
+        smaller = shape._replace(tasks=1, need=need._replace(accelerators=per_task))
+        return smaller if place(fleet, smaller) else None
+    return None
--- /dev/null
+++ b/packages/decisions/src/cicadabank/decisions/internal/routing.py
@@ -0,0 +1,150 @@
+"""Routing of requests to minions, with little talk between entries."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+FAILURE_SMOOTHING = 0.2
+EJECT_FAILURE_SHARE = 0.5
+EJECT_MIN_ANSWERS = 5
+EJECT_TIME_S = 5.0
+LARGEST_EJECTED_SHARE = 0.5
+LATENCY_SMOOTHING = 0.1
+
+
+class Minion:
+    """What one entry knows of a minion."""
+
+    __slots__ = (
+        "announced",
+        "announced_s",
+        "answers",
+        "ejected_until_s",
+        "failure_share",
+        "in_flight",
+        "latency_s",
+        "leaving",
+        "name",
+        "out",
+        "slots",
+    )
+
+    def __init__(self, name: str, slots: int):
+        self.name = name
+        self.slots = slots
+        self.in_flight = 0
+        self.announced = 0
+        self.announced_s = 0.0
+        self.answers = 0
+        self.failure_share = 0.0
+        self.latency_s = 0.0
+        self.ejected_until_s = 0.0
+        self.leaving = False
+        self.out = False
+
+    def load(self) -> float:
+        """Return the requests at the minion for each slot.
+
+        Own ones and the announced ones of others.
+        """
+        return max(self.in_flight, self.announced) / self.slots
+
+
+class Verdict(NamedTuple):
+    """Where a request goes; with no minion, why it was not run."""
+
+    minion: str
+    reason: str = ""
+
+
+class Router:
+    """Power of two choices over expected delay, with bounds on each minion.
+
+    Parameters
+    ----------
+    overcommit : float, default=1.5
+        Requests that an entry keeps at a minion for each of its slots.
+    seed : int, default=0
+        Seed of the random choices.
+    """
+
+    def __init__(self, overcommit: float = 1.5, seed: int = 0):
+        self.minions: dict[str, Minion] = {}
+        self._overcommit = overcommit
+        self._random = random.Random(seed)
+
+    def announce(self, name: str, slots: int, in_flight: int, now_s: float) -> Minion:
+        """Take in what a minion announces of itself."""
+        minion = self.minions.get(name)
+        if minion is None or minion.slots != slots:
+            minion = self.minions[name] = Minion(name, slots)
+        minion.announced = in_flight
+        minion.announced_s = now_s
+        return minion
+
+    def forget(self, name: str) -> None:
+        """Remove a minion."""
+        self.minions.pop(name, None)
+
+    def choose(self, now_s: float, avoid: Iterable[str] = ()) -> Verdict:
+        """Choose a minion for one request; the caller reports its end to `finished`."""
+        avoid = set(avoid)
+        able = [m for m in self.minions.values() if not (m.leaving or m.out)]
+        if not able:
+            return Verdict("", "no minion is in service")
+        fit = self._not_ejected(able, now_s)
+        fit = [m for m in fit if m.name not in avoid] or fit
+        open_minions = [m for m in fit if m.in_flight < m.slots * self._overcommit]
+        if not open_minions:
+            return Verdict("", "every minion is at its limit of requests")
+        chosen = self._better_of_two(open_minions)
+        chosen.in_flight += 1
+        return Verdict(chosen.name)
+
+    @staticmethod
+    def _not_ejected(able: Sequence[Minion], now_s: float) -> list[Minion]:
+        """Leave out failing minions, but never more than half of them.
+
+        If most fail at once the cause is elsewhere, and ejecting them would only
+        crush the rest.
+        """
+        fit = [m for m in able if m.ejected_until_s <= now_s]
+        if len(fit) < len(able) * (1 - LARGEST_EJECTED_SHARE):
+            return list(able)
+        return fit
+
+    def _better_of_two(self, minions: Sequence[Minion]) -> Minion:
+        if len(minions) == 1:
+            return minions[0]
+        pair = self._random.sample(minions, 2)
+        return min(pair, key=_expected_delay)
+
+    def finished(self, name: str, failed: bool, latency_s: float, now_s: float) -> None:
+        """Report the end of a request that `choose` sent to a minion."""
+        minion = self.minions.get(name)
+        if minion is None:
+            return
+        minion.in_flight = max(0, minion.in_flight - 1)
+        minion.answers += 1
+        minion.failure_share += FAILURE_SMOOTHING * (failed - minion.failure_share)
+        if not failed:
+            if not minion.latency_s:
+                minion.latency_s = latency_s
+            minion.latency_s += LATENCY_SMOOTHING * (latency_s - minion.latency_s)
+        if (
+            minion.answers >= EJECT_MIN_ANSWERS
+            and minion.failure_share > EJECT_FAILURE_SHARE
+        ):
+            minion.ejected_until_s = now_s + EJECT_TIME_S
+            minion.answers = 0
+
+
+def _expected_delay(minion: Minion) -> tuple[float, float]:
+    """Order by the latency seen, scaled by the load.
+
+    An unmeasured minion goes first.
+    """
+    waiting = 1.0 + minion.load()
+    return (minion.latency_s * waiting, minion.load())
--- /dev/null
+++ b/packages/decisions/src/cicadabank/decisions/internal/state.py
@@ -0,0 +1,187 @@
+"""The state of a cell in its holder's memory, rebuilt from the table and from beats."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import NamedTuple
+from zlib import crc32
+
+from cicadabank.decisions.internal.attempts import Attempt, JobEntry
+from cicadabank.decisions.internal.estimates import EstimateBook
+from cicadabank.decisions.internal.fleet import Fleet, WorkerInfo
+from cicadabank.decisions.internal.health import WorkerHealth
+from cicadabank.decisions.internal.homes import Home, Layout
+from cicadabank.decisions.internal.messages import Action, ConfigView, Record
+from cicadabank.model import Decision, JobRow, new_id
+from sortedcontainers import SortedList
+
+CLOSED_REMEMBERED = 50_000
+HISTORY_KEPT = 60
+
+
+class CellTimings(NamedTuple):
+    """Time bounds of a cell's holder, in seconds."""
+
+    lease_duration_s: float = 10.0
+    lease_margin_s: float = 1.0
+    silent_after_s: float = 3.0
+    outage_lease_s: float = 300.0
+    reserve_timeout_s: float = 1.5
+    start_timeout_s: float = 1.5
+    gang_start_delay_s: float = 0.3
+    claim_timeout_s: float = 4.0
+    stop_retry_s: float = 1.0
+    recovery_s: float = 5.0
+    settle_s: float = 3.0
+    starvation_s: float = 1800.0
+
+
+class WorkerState:
+    """What the holder knows of a worker beyond its size."""
+
+    __slots__ = ("heard_s", "incarnation", "leaving", "lost", "reported", "silent")
+
+    def __init__(self, incarnation: str, now_s: float):
+        self.incarnation = incarnation
+        self.heard_s = now_s
+        self.leaving = False
+        self.silent = False
+        self.lost = False
+        self.reported: dict[str, str] = {}  # attempt -> state
+
+    def digest(self) -> int:
+        """Return the digest that the agent sends of the same reports."""
+        return digest_of(self.reported)
+
+
+def digest_of(reported: dict[str, str]) -> int:
+    """Return a digest of the states of a worker's attempts."""
+    text = ";".join(f"{attempt}={state}" for attempt, state in sorted(reported.items()))
+    return crc32(text.encode())
+
+
+class Hold(NamedTuple):
+    """Workers kept for the first job that can't be placed.
+
+    And until when others may use them.
+    """
+
+    job: str
+    workers: frozenset[str]
+    until_s: float
+    made_s: float
+
+
+class CellState:
+    """All that the decisions of one cell rest on."""
+
+    def __init__(
+        self,
+        cell: str,
+        timings: CellTimings,
+        clock_unix_s: Callable[[], float],
+        make_id: Callable[[str], str] = new_id,
+    ):
+        self.cell = cell
+        self.timings = timings
+        self.clock_unix_s = clock_unix_s
+        self.make_id = make_id
+        self.epoch = 0
+        self.taken_over_s = 0.0
+        self.loaded = False
+        self.fenced = False
+        self.stopping = False
+        self.view = ConfigView()
+        self.domain_out_s: dict[str, float] = {}
+        self.fleet = Fleet()
+        self.workers: dict[str, WorkerState] = {}
+        self.jobs: dict[str, JobEntry] = {}
+        self.queue: SortedList = SortedList()
+        self.attempts: dict[str, Attempt] = {}
+        self.closed: OrderedDict[str, None] = OrderedDict()
+        self.usage: dict[str, int] = {}  # workspace -> accelerators
+        self.layout = Layout([], [])
+        self.layout_stale = True
+        self.plan_due = True
+        self.hold: Hold | None = None
+        self.health = WorkerHealth()
+        self.estimates = EstimateBook()
+        self.out: list[Action] = []
+        self.fleet_version = 0
+
+    def home(self, name: str) -> Home | None:
+        """Return a home by name."""
+        return next((home for home in self.layout.homes if home.name == name), None)
+
+    def enqueue(self, entry: JobEntry) -> None:
+        """Put a job into the queue: urgent ones first, then by age."""
+        self.queue.add(self._rank(entry.row))
+        self.plan_due = True
+
+    def dequeue(self, entry: JobEntry) -> None:
+        """Take a job out of the queue."""
+        self.queue.discard(self._rank(entry.row))
+
+    @staticmethod
+    def _rank(row: JobRow) -> tuple[bool, float, str]:
+        return (not row.spec.urgent, row.submitted_unix_s, row.job)
+
+    def close(self, attempt: str) -> None:
+        """Remember that an attempt's outcome is stored."""
+        self.closed[attempt] = None
+        if len(self.closed) > CLOSED_REMEMBERED:
+            self.closed.popitem(last=False)
+
+    def record(self, job: str, event: str, cause: str, attempt: str = "") -> None:
+        """Log a decision."""
+        self.out.append(Record(job, event, cause, attempt))
+
+    def decided(self, row: JobRow, event: str, cause: str, attempt: str = "") -> JobRow:
+        """Return the row with a decision added to its history."""
+        decision = Decision(
+            self.clock_unix_s(), event, cause, self.epoch, self.view.version, attempt
+        )
+        history = (*row.history, decision)
+        if len(history) > HISTORY_KEPT:
+            half = HISTORY_KEPT // 2
+            history = (*history[:half], *history[-half:])
+        return row._replace(history=history)
+
+    def worker_usable(self, name: str) -> bool:
+        """Whether a worker may get new work at all."""
+        worker = self.workers.get(name)
+        if worker is None or worker.leaving or worker.silent or worker.lost:
+            return False
+        return not self.domain_out(self.fleet.workers[name].info.domain)
+
+    def domain_out(self, domain: str) -> bool:
+        """Whether operators have taken a failure domain out."""
+        state = self.view.domains.get(domain)
+        return state is not None and state.out
+
+    def refresh_worker(self, name: str) -> None:
+        """Admit or exclude a worker as its state says."""
+        if name not in self.fleet.workers:
+            return
+        indexed = self.fleet.workers[name].indexed
+        usable = self.worker_usable(name)
+        if usable and self.health.on_probation(name):
+            usable = not self.fleet.workers[name].bookings
+        if usable == indexed:
+            return
+        if usable:
+            self.fleet.admit(name)
+        else:
+            self.fleet.exclude(name)
+        self.layout_stale = True
+        self.plan_due = True
+
+    def add_worker(self, info: WorkerInfo) -> None:
+        """Add a worker that has announced itself, or take in its new size."""
+        known = self.fleet.workers.get(info.name)
+        if known is not None and known.info == info:
+            return
+        self.fleet.add(info, indexed=False)
+        self.fleet_version += 1
+        self.layout_stale = True
--- /dev/null
+++ b/packages/entry/src/cicadabank/entry/internal/app.py
@@ -0,0 +1,227 @@
+"""The entry's process: its tasks, their wiring, and its planned stop."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from concurrent.futures import TimeoutError as FutureTimeoutError
+from contextlib import ExitStack, contextmanager
+
+from cicadabank.entry.internal.cell import CellTask
+from cicadabank.entry.internal.config import ConfigTask, Seen
+from cicadabank.entry.internal.http.front import HttpTask
+from cicadabank.entry.internal.http.routes import Api, EntryState
+from cicadabank.entry.internal.jobs import JobService
+from cicadabank.entry.internal.minions import MinionTask
+from cicadabank.entry.internal.renewal import RenewalTask
+from cicadabank.entry.internal.requests import RequestService, RetryTask
+from cicadabank.entry.internal.resources import ResourceService
+from cicadabank.entry.internal.services import MembershipService, Peers, PeerService
+from cicadabank.entry.internal.session import HeldCell, SessionTask
+from cicadabank.entry.internal.summaries import SummaryTask, announced_workers
+from cicadabank.platform import ObjectClient, TableClient
+from cicadabank.settings import EntrySettings
+from cicadabank.tasks import Metrics, StopSignal, clock_s, configure_logs, running
+from cicadabank.wire import ChannelPool, control_pb2_grpc, serve
+from loguru import logger
+
+SERVER_THREADS = 64
+READY_VIEW_AGE_S = 5.0
+DRAIN_POLL_S = 0.05
+
+
+class Entry:
+    """All tasks of an entry and the messages between them."""
+
+    def __init__(self, settings: EntrySettings):
+        self.settings = settings
+        self.own_address = settings.advertise or settings.grpc_listen
+        self.pool = ChannelPool()
+        self.table = TableClient(settings.table)
+        self.objects = ObjectClient(settings.objects)
+        self.metrics = Metrics(settings.statsd, "cicadabank.entry")
+        self.cells: dict[str, CellTask] = {}
+        self._cell_stacks: dict[str, ExitStack] = {}
+        self.session = SessionTask(settings, self.table, self._gained, self._lost)
+        self.peers = Peers(self.session, self.pool, self.own_address)
+        self.renewal = RenewalTask(settings, self.session, self.peers.store_ages_s)
+        self.config = ConfigTask(
+            self.table, settings.config_poll_s, self._config_changed
+        )
+        self.summaries = SummaryTask(self.table)
+        self.minions = MinionTask(
+            settings.minion_overcommit, settings.seed, self.metrics
+        )
+        self.retries = RetryTask(settings.retry_share)
+        self.requests = RequestService(
+            settings, self.table, self.objects, self.pool, self.minions, self.retries
+        )
+        self.jobs = JobService(
+            self.table, self.objects, self._view, self.summaries.summaries, self._wake
+        )
+        self.resources = ResourceService(
+            self.table,
+            self.summaries.summaries,
+            lambda: self.config.post(self.config.refresh),
+            self._out_at_once,
+        )
+        state = EntryState(self.ready, self.status, self.targets)
+        deadline_s = settings.limits.request_deadline_s
+        self.api = Api(
+            self.jobs, self.requests, self.resources, state, deadline_s, self._view
+        )
+        self.http = HttpTask(settings.http_listen, self.api.dispatch, settings.limits)
+
+    def grpc_services(self) -> list:
+        """Return the gRPC services to be served."""
+        membership = MembershipService(
+            self.cells,
+            self.session,
+            self.minions,
+            self.config,
+            self.settings.beat_interval_s,
+        )
+        peer = PeerService(self.cells, self.session, self._out_here)
+        return [
+            (control_pb2_grpc.add_MembershipServicer_to_server, membership),
+            (control_pb2_grpc.add_PeerServicer_to_server, peer),
+        ]
+
+    def _view(self):
+        return self.config.seen.view
+
+    def _gained(self, held: HeldCell) -> None:
+        """Start the task of a cell; called in the session's task."""
+        task = CellTask(
+            self.settings,
+            held,
+            self.table,
+            self.objects,
+            self.pool,
+            self.config.seen,
+            self.renewal.allowed,
+        )
+        stack = ExitStack()
+        stack.enter_context(running(task))
+        self._cell_stacks[held.cell] = stack
+        self.cells[held.cell] = task
+
+    def _lost(self, cell: str) -> None:
+        logger.bind(cell=cell).warning("the cell is lost")
+        self.cells.pop(cell, None)
+        stack = self._cell_stacks.pop(cell, None)
+        if stack is not None:
+            stack.close()
+
+    def _config_changed(self, seen: Seen) -> None:
+        for cell in list(self.cells.values()):
+            cell.post(cell.config_changed, seen)
+        self.minions.post(self.minions.config_changed, seen)
+
+    def _wake(self, cell: str, job: str) -> None:
+        task = self.cells.get(cell)
+        if task is not None:
+            task.post(task.wake, job)
+            return
+        address = self.session.holder_address(cell)
+        if address:
+            self.peers.wake(address, cell, job)
+
+    def _out_here(self, domain: str) -> None:
+        self.config.post(self.config.override_out, domain)
+        for cell in list(self.cells.values()):
+            cell.post(cell.push_out, domain)
+
+    def _out_at_once(self, domain: str) -> None:
+        self._out_here(domain)
+        self.peers.push_out(domain)
+
+    def ready(self) -> bool:
+        """Whether the entry knows the configuration and takes requests."""
+        return not self.http.stopping and self.config.seen.age_s() < READY_VIEW_AGE_S
+
+    def status(self) -> dict:
+        """Return what this entry knows and holds."""
+        cells = [task.ask(task.status) for task in list(self.cells.values())]
+        return {
+            "entry": self.settings.name,
+            "ready": self.ready(),
+            "config_version": self.config.seen.view.version,
+            "config_age_s": round(min(1e9, self.config.seen.age_s()), 3),
+            "held_cells": cells,
+            "holders": {
+                c: self.session.holder_address(c) for c in self.session.cells()
+            },
+            "known_workers": sum(len(s.workers) for s in self.summaries.summaries()),
+            "open_requests": self.http.open_requests,
+        }
+
+    def targets(self) -> list[dict]:
+        """Return the targets that this entry hears."""
+        found = self.minions.ask(self.minions.targets)
+        held = list(self.cells.values())
+        for task in held:
+            found += task.ask(task.targets)
+        holding = {task.held.cell for task in held}
+        for summary in self.summaries.summaries():
+            if summary.cell not in holding:
+                found += announced_workers(summary)
+        return found
+
+    def drain(self) -> None:
+        """Answer what is open, settle starts under way, and hand the cells over."""
+        logger.info("the entry drains")
+        self.http.drain()
+        for task in list(self.cells.values()):
+            task.post(task.stop_placing)
+        deadline_s = clock_s() + self.settings.shutdown_s
+        while clock_s() < deadline_s and not self._settled():
+            time.sleep(DRAIN_POLL_S)
+        try:
+            self.session.ask(self.session.hand_over, timeout_s=5.0)
+        except FutureTimeoutError:
+            logger.warning("the cells could not be handed over in time")
+        for cell in list(self.cells):
+            self._lost(cell)
+
+    def _settled(self) -> bool:
+        if self.http.open_requests or self.http.open_watches:
+            return False
+        return not any(task.ask(task.unsettled) for task in list(self.cells.values()))
+
+
+@contextmanager
+def entry_running(settings: EntrySettings) -> Iterator[Entry]:
+    """Run an entry in this process until the block ends; then drain it."""
+    entry = Entry(settings)
+    with ExitStack() as stack:
+        for task in (
+            entry.config,
+            entry.summaries,
+            entry.minions,
+            entry.retries,
+            entry.renewal,
+        ):
+            stack.enter_context(running(task))
+        stack.enter_context(
+            serve(settings.grpc_listen, entry.grpc_services(), SERVER_THREADS)
+        )
+        stack.enter_context(running(entry.session))
+        stack.enter_context(running(entry.http))
+        try:
+            yield entry
+        finally:
+            entry.drain()
+            entry.http.close_pools()
+    entry.pool.close()
+    entry.table.close()
+    entry.objects.close()
+
+
+def run_entry(settings: EntrySettings) -> None:
+    """Run an entry until the process is asked to stop."""
+    configure_logs(settings.name, settings.log_level)
+    with StopSignal().on_signals() as stop, entry_running(settings):
+        logger.info("the entry listens on {}", settings.http_listen)
+        stop.wait()
+    logger.info("the entry has stopped")
--- /dev/null
+++ b/packages/entry/src/cicadabank/entry/internal/http/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface of callers and operators."""
--- /dev/null
+++ b/packages/entry/src/cicadabank/entry/internal/http/guard.py
@@ -0,0 +1,247 @@
+"""Limits in front of circuits.web: only whole, well-formed requests get past.
+
+circuits.web answers a wrong Content-Length with a traceback, takes headers of any
+size and loses pipelined requests. The guard therefore cuts the byte stream of each
+connection into whole requests and passes one on at a time.
+"""
+
+from __future__ import annotations
+
+import re
+from typing import NamedTuple
+
+from cicadabank.entry.errors import BadRequestError, EntryError, OverloadedError
+from cicadabank.entry.internal.http.messages import error_document
+from cicadabank.model import encode
+from cicadabank.settings import Limits
+from cicadabank.tasks import clock_s
+from circuits import BaseComponent, Event, Timer, handler
+from circuits.net.events import close, read, write
+
+HEADER_END = b"\r\n\r\n"
+REQUEST_LINE = re.compile(rb"[A-Z]{3,10} [!-~]{1,4096} HTTP/1\.[01]")
+HEADER_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t -~\x80-\xff]*")
+SWEEP_INTERVAL_S = 0.5
+IDLE_TIME_S = 120.0
+BACKLOG_BYTES = 65_536
+REASONS = {
+    400: "Bad Request",
+    408: "Request Timeout",
+    411: "Length Required",
+    413: "Content Too Large",
+    431: "Request Header Fields Too Large",
+    503: "Service Unavailable",
+}
+
+
+class HeadersTooLargeError(EntryError):
+    """The header section is larger than the limit."""
+
+    code = "headers-too-large"
+    status = 431
+
+
+class BodyTooLargeError(EntryError):
+    """The body is larger than the limit."""
+
+    code = "body-too-large"
+    status = 413
+
+
+class LengthRequiredError(EntryError):
+    """The body has no Content-Length."""
+
+    code = "length-required"
+    status = 411
+
+
+class SlowSenderError(EntryError):
+    """The request did not arrive whole in time."""
+
+    code = "slow-sender"
+    status = 408
+
+
+class Head(NamedTuple):
+    """What the guard reads of a request's head."""
+
+    bytes: int
+    body_bytes: int
+    expects_continue: bool
+
+
+def read_head(data: bytes, limits: Limits) -> Head | None:
+    """Read the head of a request; None if it has not arrived whole.
+
+    Raises
+    ------
+    EntryError
+        If the head is malformed or larger than the limits.
+    """
+    end = data.find(HEADER_END)
+    if end > limits.header_bytes or (end < 0 and len(data) > limits.header_bytes):
+        raise HeadersTooLargeError(
+            f"the header section is larger than {limits.header_bytes} bytes",
+            "send fewer headers",
+        )
+    if end < 0:
+        return None
+    first, *lines = data[:end].split(b"\r\n")
+    if not REQUEST_LINE.fullmatch(first):
+        raise BadRequestError("the request line is malformed")
+    fields: dict[bytes, list[bytes]] = {}
+    for line in lines:
+        if not HEADER_LINE.fullmatch(line):
+            raise BadRequestError("a header line is malformed")
+        name, _, value = line.partition(b":")
+        fields.setdefault(name.lower(), []).append(value.strip())
+    if first.endswith(b"1.1") and len(fields.get(b"host", [])) != 1:
+        raise BadRequestError("exactly one Host header is required")
+    if b"transfer-encoding" in fields:
+        raise LengthRequiredError(
+            "a Transfer-Encoding is not accepted", "send a Content-Length"
+        )
+    length = _body_bytes(fields.get(b"content-length", []), limits)
+    expects = b"100-continue" in [v.lower() for v in fields.get(b"expect", [])]
+    return Head(end + len(HEADER_END), length, expects)
+
+
+def _body_bytes(values: list[bytes], limits: Limits) -> int:
+    if not values:
+        return 0
+    if len(set(values)) > 1 or not values[0].isdigit() or len(values[0]) > 15:
+        raise BadRequestError(
+            "the Content-Length is not a number", "send the body's size"
+        )
+    length = int(values[0])
+    if length > limits.body_bytes:
+        raise BodyTooLargeError(
+            f"the body is larger than {limits.body_bytes} bytes", "send a smaller one"
+        )
+    return length
+
+
+class sweep(Event):  # noqa: N801 (circuits finds handlers by the name of the event's class)
+    """Looks for slow senders."""
+
+
+class whole_request(read):  # noqa: N801
+    """Bytes of one whole request, for circuits.web."""
+
+    name = "read"
+
+
+class Connection:
+    """The bytes of a connection that have not been passed on."""
+
+    __slots__ = ("buffer", "busy", "continued", "since_s")
+
+    def __init__(self, now_s: float):
+        self.buffer = bytearray()
+        self.busy = False
+        self.continued = False
+        self.since_s = now_s
+
+
+class RequestGuard(BaseComponent):
+    """Stands before circuits.web on its channel."""
+
+    channel = "web"
+
+    def __init__(self, limits: Limits):
+        super().__init__()
+        self._limits = limits
+        self._connections: dict[object, Connection] = {}
+        Timer(SWEEP_INTERVAL_S, sweep(), self.channel, persist=True).register(self)
+
+    def connected(self, sock) -> bool:
+        """Whether a connection is still there."""
+        return sock in self._connections
+
+    @handler("connect", priority=10)
+    def _on_connect(self, sock, *_):
+        if len(self._connections) >= self._limits.connections:
+            self._reject(sock, OverloadedError("too many connections", "connect later"))
+            return
+        self._connections[sock] = Connection(clock_s())
+
+    @handler("disconnect", priority=10)
+    def _on_disconnect(self, sock, *_):
+        self._connections.pop(sock, None)
+
+    @handler("read", priority=10)
+    def _on_read(self, event, sock, data):
+        if isinstance(event, whole_request):
+            return
+        event.stop()
+        connection = self._connections.get(sock)
+        if connection is None:
+            return
+        if not connection.buffer and not connection.busy:
+            connection.since_s = clock_s()
+        connection.buffer += data
+        self._pump(sock, connection)
+
+    @handler("response", priority=-10)
+    def _on_response(self, res):
+        sock = res.request.sock
+        connection = self._connections.get(sock)
+        if connection is not None and not res.close:
+            connection.busy = False
+            connection.since_s = clock_s()
+            self._pump(sock, connection)
+
+    def _pump(self, sock, connection: Connection) -> None:
+        if connection.busy:
+            if len(connection.buffer) > self._limits.body_bytes + BACKLOG_BYTES:
+                self._reject(
+                    sock, OverloadedError("too much was sent ahead of answers")
+                )
+            return
+        try:
+            head = read_head(bytes(connection.buffer), self._limits)
+        except EntryError as error:
+            self._reject(sock, error)
+            return
+        if head is None:
+            return
+        size = head.bytes + head.body_bytes
+        if len(connection.buffer) < size:
+            if head.expects_continue and not connection.continued:
+                connection.continued = True
+                self.fire(write(sock, b"HTTP/1.1 100 Continue\r\n\r\n"))
+            return
+        data = bytes(connection.buffer[:size])
+        del connection.buffer[:size]
+        connection.busy = True
+        connection.continued = False
+        self.fire(whole_request(sock, data), self.channel)
+
+    @handler("sweep")
+    def _on_sweep(self):
+        now_s = clock_s()
+        for sock, connection in list(self._connections.items()):
+            if connection.busy:
+                continue
+            age_s = now_s - connection.since_s
+            if connection.buffer and age_s > self._limits.header_time_s:
+                self._reject(
+                    sock, SlowSenderError("the request did not arrive whole in time")
+                )
+            elif not connection.buffer and age_s > IDLE_TIME_S:
+                self.fire(close(sock))
+
+    def _reject(self, sock, error: EntryError) -> None:
+        """Answer and close.
+
+        After a malformed request the stream has no known boundary.
+        """
+        self._connections.pop(sock, None)
+        body = encode(error_document(error))
+        head = (
+            f"HTTP/1.1 {error.status} {REASONS[error.status]}\r\n"
+            f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
+            "Connection: close\r\n\r\n"
+        )
+        self.fire(write(sock, head.encode() + body))
+        self.fire(close(sock))
--- /dev/null
+++ b/packages/entry/src/cicadabank/entry/internal/http/messages.py
@@ -0,0 +1,82 @@
+"""Calls and replies of the HTTP interface."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+from cicadabank.entry.errors import BadRequestError, status_of
+from cicadabank.model import CicadabankError, ConflictError, Ran, decode, encode
+
+
+class ApiCall(NamedTuple):
+    """One HTTP request, read whole."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]  # with names in lower case
+    body: bytes
+
+    def document(self) -> dict[str, Any]:
+        """Return the JSON object in the body.
+
+        Raises
+        ------
+        BadRequestError
+            If the body is something else.
+        """
+        try:
+            document = decode(self.body)
+        except CicadabankError as error:
+            raise BadRequestError(error.message, "send a JSON object") from error
+        if not isinstance(document, dict):
+            raise BadRequestError("the body is not a JSON object", "send a JSON object")
+        return document
+
+    def number(self, name: str, default: float, largest: float) -> float:
+        """Return a number from the query, at most `largest`."""
+        text = self.query.get(name)
+        if text is None:
+            return default
+        try:
+            value = float(text)
+        except ValueError as error:
+            raise BadRequestError(f"{name} is not a number: {text!r}") from error
+        if not 0 <= value < float("inf"):
+            raise BadRequestError(f"{name} is out of range: {text!r}")
+        return min(value, largest)
+
+
+class ApiReply(NamedTuple):
+    """One HTTP answer."""
+
+    status: int
+    body: bytes
+    content_type: str = "application/json"
+    close: bool = False
+
+
+def json_reply(status: int, document: Any) -> ApiReply:
+    """Return a reply with a JSON body."""
+    return ApiReply(status, encode(document))
+
+
+def error_document(error: CicadabankError) -> dict[str, Any]:
+    """Return the body that describes an error."""
+    ran = getattr(error, "ran", Ran.NO)
+    fields = {
+        "code": error.code,
+        "message": error.message,
+        "action": error.action,
+        "ran": str(ran),
+    }
+    if getattr(error, "job", ""):
+        fields["job"] = error.job
+    if isinstance(error, ConflictError) and error.winner:
+        fields["winner"] = error.winner
+    return {"error": fields}
+
+
+def error_reply(error: CicadabankError) -> ApiReply:
+    """Return the reply that describes an error."""
+    return json_reply(status_of(error), error_document(error))
--- /dev/null
+++ b/packages/entry/src/cicadabank/entry/internal/jobs.py
@@ -0,0 +1,377 @@
+"""Job requests of callers: accepted once, followed by id, cancelled, answered whole."""
+
+from __future__ import annotations
+
+import hashlib
+import time
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from cicadabank.decisions import ConfigView, Fleet, GangShape, nearest_possible, place
+from cicadabank.entry.errors import (
+    ImpossibleShapeError,
+    KeyReusedError,
+    NoWorkersError,
+    OutcomeUnknownError,
+    QuotaError,
+)
+from cicadabank.entry.internal.resources import known_workspace
+from cicadabank.entry.internal.store import StoredJob, stored_job
+from cicadabank.entry.internal.summary import CellSummary
+from cicadabank.model import (
+    Adjacency,
+    ConflictError,
+    Decision,
+    InvalidInputError,
+    JobRow,
+    JobSpec,
+    JobState,
+    Key,
+    NotFoundError,
+    Ran,
+    decode,
+    decode_as,
+    describe_shape,
+    encode,
+    from_builtins,
+    new_id,
+)
+from cicadabank.platform import (
+    ObjectClient,
+    PlatformError,
+    RowConflictError,
+    TableClient,
+    Transaction,
+    UnavailableError,
+    UnknownOutcomeError,
+    put_new,
+)
+from cicadabank.tasks import clock_s, unix_s
+from loguru import logger
+
+MAX_TASKS = 4096
+MAX_PAYLOAD_BYTES = 262_144
+CANCEL_TRIES = 8
+WATCH_POLL_S = 0.5
+
+
+class IdempotencyRow(NamedTuple):
+    """Which job an idempotency key made."""
+
+    job: str
+    body_hash: str
+
+
+def check_spec(document: dict[str, Any]) -> JobSpec:
+    """Check the form of a job request.
+
+    Raises
+    ------
+    InvalidInputError
+        With the path of the first fault.
+    """
+    spec = from_builtins(document, JobSpec)
+    for name, low, high in (
+        ("tasks", 1, MAX_TASKS),
+        ("accelerators_per_task", 1, 1024),
+        ("cores_per_task", 0, 100_000),
+        ("memory_mb_per_task", 0, 100_000_000),
+        ("estimate_s", 0.0, 1e9),
+    ):
+        value = getattr(spec, name)
+        if not low <= value <= high:
+            raise InvalidInputError(
+                f"expected {low} to {high}, got {value} at $.{name}",
+                "correct the field",
+            )
+    if not spec.workspace:
+        raise InvalidInputError(
+            "the workspace is empty at $.workspace", "name a workspace"
+        )
+    if len(spec.payload.encode()) > MAX_PAYLOAD_BYTES:
+        raise InvalidInputError(
+            f"the payload is larger than {MAX_PAYLOAD_BYTES} bytes at $.payload",
+            "keep it in the object service and send its key",
+        )
+    return spec._replace(adjacency=Adjacency(spec.adjacency))
+
+
+class JobService:
+    """Blocking operations on jobs, called from the threads of the HTTP interface.
+
+    Parameters
+    ----------
+    view : callable
+        Returns the present configuration.
+    summaries : callable
+        Returns the summaries of the known cells.
+    wake : callable
+        Tells the holder of a cell to look at a job.
+    """
+
+    def __init__(
+        self,
+        table: TableClient,
+        objects: ObjectClient,
+        view: Callable[[], ConfigView],
+        summaries: Callable[[], list[CellSummary]],
+        wake: Callable[[str, str], None],
+    ):
+        self._table = table
+        self._objects = objects
+        self._view = view
+        self._summaries = summaries
+        self._wake = wake
+
+    def submit(self, document: dict[str, Any], key: str) -> StoredJob:
+        """Accept a job request; the same key and body return the same job.
+
+        Raises
+        ------
+        CicadabankError
+            If it is refused; it was not run.
+        """
+        spec = check_spec(document)
+        try:
+            self._check_quota(spec)
+            cell = self._choose_cell(spec)
+        except (QuotaError, ImpossibleShapeError) as refusal:
+            refusal.job = self._record_refusal(spec, refusal.message)
+            raise
+        row = self._new_row(spec, cell)
+        puts = {
+            Key.job(row.job): encode(row),
+            Key.queue(cell, row.job): b"{}",
+            Key.workspace_index(spec.workspace, row.job): b"{}",
+        }
+        digest = hashlib.sha256(encode(spec)).hexdigest()
+        if key:
+            record = IdempotencyRow(row.job, digest)
+            puts[Key.idempotency(spec.workspace, key)] = encode(record)
+        try:
+            version = self._table.transact(put_new(row.operation, puts))
+        except RowConflictError as error:
+            found = error.rows.get(Key.idempotency(spec.workspace, key))
+            if found is None:
+                raise ConflictError(
+                    "the job id exists already", "send it again"
+                ) from error
+            return self._existing(found.value, digest)
+        except UnknownOutcomeError as error:
+            version = self._read_back(row, error)
+        self._wake(cell, row.job)
+        return StoredJob(row, version, row.operation)
+
+    def _record_refusal(self, spec: JobSpec, reason: str) -> str:
+        """Keep the record of a job that is refused at once; return its id."""
+        row = self._new_row(spec, "")
+        decision = row.history[0]._replace(event="refused", cause=reason)
+        row = row._replace(
+            state=JobState.REFUSED,
+            reason=reason,
+            ended_unix_s=row.submitted_unix_s,
+            history=(decision,),
+        )
+        puts = {
+            Key.job(row.job): encode(row),
+            Key.workspace_index(spec.workspace, row.job): b"{}",
+        }
+        try:
+            self._table.transact(put_new(row.operation, puts))
+        except PlatformError as error:
+            logger.bind(job=row.job).warning("a refusal was not recorded: {}", error)
+            return ""
+        return row.job
+
+    def _check_quota(self, spec: JobSpec) -> None:
+        workspace = known_workspace(self._view(), spec.workspace)
+        if spec.accelerators > workspace.quota_accelerators:
+            raise QuotaError(
+                f"the job needs {spec.accelerators} accelerators and the quota of "
+                f"{spec.workspace!r} is {workspace.quota_accelerators}; it was not run",
+                "ask for fewer accelerators, or have the quota raised",
+            )
+
+    def _choose_cell(self, spec: JobSpec) -> str:
+        """Choose the cell of the workspace's guarantee.
+
+        Else the one with the shortest queue.
+        """
+        shape = GangShape.of(spec)
+        summaries = [s for s in self._summaries() if s.workers]
+        if not summaries:
+            raise NoWorkersError(
+                "no cell has announced its workers yet; the job was not run",
+                "send it again",
+            )
+        able = [s for s in summaries if place(Fleet(s.workers), shape)]
+        if not able:
+            raise ImpossibleShapeError(
+                _impossible(shape, summaries), "ask for a shape that fits"
+            )
+        guarantees = self._view().guarantees.values()
+        own = {g.cell for g in guarantees if g.workspace == spec.workspace}
+        return min(able, key=lambda s: (s.cell not in own, s.queued, s.cell)).cell
+
+    def _new_row(self, spec: JobSpec, cell: str) -> JobRow:
+        now_unix_s = unix_s()
+        decision = Decision(
+            now_unix_s,
+            "submitted",
+            f"accepted for cell {cell}",
+            0,
+            self._view().version,
+        )
+        return JobRow(
+            job=new_id("job"),
+            spec=spec,
+            state=JobState.QUEUED,
+            cell=cell,
+            submitted_unix_s=now_unix_s,
+            operation=new_id("submit"),
+            history=(decision,),
+        )
+
+    def _existing(self, value: bytes, digest: str) -> StoredJob:
+        record = decode_as(value, IdempotencyRow)
+        if record.body_hash != digest:
+            raise KeyReusedError(
+                "the idempotency key was used with another body",
+                "use a new key for new work",
+            )
+        return self.read(record.job)
+
+    def _read_back(self, row: JobRow, error: UnknownOutcomeError) -> int:
+        """Find out whether a job whose accepting write lost its answer was stored."""
+        unknown = OutcomeUnknownError(
+            f"it is not known whether the job {row.job!r} was accepted",
+            f"ask for the job {row.job!r} later, or send it again with "
+            "the same Idempotency-Key",
+        )
+        try:
+            found = self._table.read_one(Key.job(row.job))
+        except UnavailableError:
+            raise unknown from error
+        if not found.exists:
+            raise unknown from error
+        return found.version
+
+    def read(self, job: str) -> StoredJob:
+        """Return a job's record.
+
+        Raises
+        ------
+        NotFoundError
+            If there is no such job.
+        """
+        row = self._table.read_one(Key.job(job))
+        if not row.exists:
+            raise NotFoundError(f"the job {job!r} does not exist", "check the id")
+        return stored_job(row)
+
+    def watch(self, job: str, after_version: int, wait_s: float) -> StoredJob:
+        """Return a job's record once it is newer than a version, or after the wait."""
+        deadline_s = clock_s() + wait_s
+        while True:
+            stored = self.read(job)
+            if stored.version > after_version or clock_s() >= deadline_s:
+                return stored
+            if stored.row.terminal:
+                return stored
+            time.sleep(min(WATCH_POLL_S, max(0.01, deadline_s - clock_s())))
+
+    def list(self, workspace: str, limit: int) -> list[StoredJob]:
+        """Return the newest jobs of a workspace, or of all of them."""
+        prefix = Key.workspace_index(workspace) if workspace else "workspace-job/"
+        jobs = [row.key.rpartition("/")[2] for row in self._table.scan(prefix)]
+        rows = self._table.read([Key.job(job) for job in jobs]) if jobs else {}
+        stored = [stored_job(row) for row in rows.values() if row.exists]
+        stored.sort(key=lambda job: -job.row.submitted_unix_s)
+        return stored[:limit]
+
+    def answer(self, job: str, workspace: str) -> bytes:
+        """Return the whole answer of a job of a workspace, as JSON.
+
+        Raises
+        ------
+        NotFoundError
+            If the workspace has no such job, or it has no answer yet.
+        """
+        stored = self.read(job)
+        if stored.row.spec.workspace != workspace:
+            raise NotFoundError(f"the job {job!r} does not exist", "check the id")
+        if stored.row.state is not JobState.DONE:
+            raise NotFoundError(
+                f"the job {job!r} is {stored.row.state} and has no answer",
+                "watch the job",
+            )
+        if stored.row.answer_object:
+            data = self._objects.fetch(stored.row.answer_object)
+        else:
+            data = self._table.read_one(Key.answer(job)).value
+        return self._with_objects(data)
+
+    def _with_objects(self, data: bytes) -> bytes:
+        """Put the answers that members kept in the object service in their places."""
+        document = decode(data)
+        for member in document["members"]:
+            key = member.pop("answer_object")
+            if key:
+                member["answer"] = self._objects.fetch(key).decode(errors="replace")
+        return encode(document)
+
+    def cancel(self, job: str) -> StoredJob:
+        """Cancel a job: at once while it is queued, else through its cell's holder.
+
+        Raises
+        ------
+        ConflictError
+            If the job kept changing.
+        """
+        for _ in range(CANCEL_TRIES):
+            stored = self.read(job)
+            if stored.row.terminal or stored.row.cancel_requested:
+                return stored
+            row, deletes = _cancelled(stored.row, self._view().version)
+            key = Key.job(job)
+            transaction = Transaction(
+                new_id("cancel"), {key: stored.version}, {key: encode(row)}, deletes
+            )
+            try:
+                version = self._table.transact(transaction)
+            except RowConflictError:
+                continue
+            self._wake(row.cell, job)
+            return StoredJob(row, version, transaction.operation)
+        raise ConflictError(f"the job {job!r} kept changing", "cancel it again")
+
+
+def _cancelled(row: JobRow, config_version: int) -> tuple[JobRow, tuple[str, ...]]:
+    now_unix_s = unix_s()
+    decision = Decision(
+        now_unix_s, "cancel", "cancelled by a caller", 0, config_version
+    )
+    row = row._replace(cancel_requested=True, history=(*row.history, decision))
+    if row.state is not JobState.QUEUED:
+        return row, ()
+    reason = (
+        "cancelled before it ran"
+        if row.ran is Ran.NO
+        else "cancelled while queued again"
+    )
+    row = row._replace(state=JobState.CANCELLED, reason=reason, ended_unix_s=now_unix_s)
+    return row, (Key.queue(row.cell, row.job),)
+
+
+def _impossible(shape: GangShape, summaries: list[CellSummary]) -> str:
+    wanted = describe_shape(shape.tasks, shape.need.accelerators, shape.adjacency)
+    nearest = [nearest_possible(Fleet(s.workers), shape) for s in summaries]
+    nearest = [shape for shape in nearest if shape is not None]
+    if not nearest:
+        return f"no cell can ever hold {wanted}, nor a smaller one; it was not run"
+    best = max(nearest, key=lambda s: s.accelerators)
+    fits = describe_shape(best.tasks, best.need.accelerators, best.adjacency)
+    return (
+        f"no cell can ever hold {wanted}; the nearest shape that "
+        f"fits: {fits}; it was not run"
+    )
--- /dev/null
+++ b/packages/entry/src/cicadabank/entry/internal/services.py
@@ -0,0 +1,139 @@
+"""The entry's gRPC services: heartbeats of targets, and the other entries."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from concurrent.futures import TimeoutError as FutureTimeoutError
+from functools import partial
+
+import grpc
+from cicadabank.entry.internal.cell import CellTask
+from cicadabank.entry.internal.config import ConfigTask
+from cicadabank.entry.internal.minions import MinionTask
+from cicadabank.entry.internal.session import SessionTask
+from cicadabank.tasks import clock_s
+from cicadabank.wire import ChannelPool, control_pb2, control_pb2_grpc
+
+BEAT_TIMEOUT_S = 1.2
+PEER_TIMEOUT_S = 0.6
+
+
+class MembershipService(control_pb2_grpc.MembershipServicer):
+    """Passes heartbeats to the tasks that own the targets' state.
+
+    Parameters
+    ----------
+    cells : dict of str to CellTask
+        The held cells; changed by their owner while this service reads it.
+    """
+
+    def __init__(
+        self,
+        cells: dict[str, CellTask],
+        session: SessionTask,
+        minions: MinionTask,
+        config: ConfigTask,
+        beat_interval_s: float,
+    ):
+        self._cells = cells
+        self._session = session
+        self._minions = minions
+        self._config = config
+        self._interval_s = beat_interval_s
+
+    def Report(self, request, context):  # noqa: N802
+        """Take in a heartbeat."""
+        if request.HasField("info") and request.info.kind == "minion":
+            ask = partial(
+                self._minions.ask, self._minions.on_beat, request, self._config.seen
+            )
+        elif request.cell in self._cells:
+            cell = self._cells[request.cell]
+            ask = partial(cell.ask, cell.on_beat, request)
+        else:
+            return control_pb2.BeatReply(
+                accepted=False,
+                holder=self._session.holder_address(request.cell),
+                entries=self._session.entry_addresses(),
+            )
+        try:
+            reply = ask(timeout_s=BEAT_TIMEOUT_S)
+        except FutureTimeoutError:
+            context.abort(grpc.StatusCode.DEADLINE_EXCEEDED, "the holder was too slow")
+        reply.entries.extend(self._session.entry_addresses())
+        reply.interval_s = reply.interval_s or self._interval_s
+        return reply
+
+
+class PeerService(control_pb2_grpc.PeerServicer):
+    """Serves the other entries."""
+
+    def __init__(
+        self,
+        cells: dict[str, CellTask],
+        session: SessionTask,
+        out_here: Callable[[str], None],
+    ):
+        self._cells = cells
+        self._session = session
+        self._out_here = out_here
+
+    def Wake(self, request, context):  # noqa: N802
+        """Look at a job of a held cell."""
+        cell = self._cells.get(request.cell)
+        if cell is not None:
+            cell.post(cell.wake, request.job)
+        return control_pb2.Empty()
+
+    def PushView(self, request, context):  # noqa: N802
+        """Take a failure domain out at once."""
+        if request.out:
+            self._out_here(request.domain)
+        return control_pb2.Empty()
+
+    def StoreSeen(self, request, context):  # noqa: N802
+        """Tell how long ago this entry last wrote to the table."""
+        age_s = clock_s() - self._session.store_seen_s
+        return control_pb2.StoreContact(age_s=min(1e9, age_s))
+
+
+class Peers:
+    """Calls to the other entries; an entry that doesn't answer is passed over."""
+
+    def __init__(self, session: SessionTask, pool: ChannelPool, own_address: str):
+        self._session = session
+        self._pool = pool
+        self._own = own_address
+
+    def _stubs(self) -> list[control_pb2_grpc.PeerStub]:
+        addresses = {n.row.grpc for n in self._session.neighbours.values()} - {
+            self._own
+        }
+        return [
+            control_pb2_grpc.PeerStub(self._pool.get(address)) for address in addresses
+        ]
+
+    def wake(self, address: str, cell: str, job: str) -> None:
+        """Tell a cell's holder to look at a job; a lost call only costs time."""
+        stub = control_pb2_grpc.PeerStub(self._pool.get(address))
+        stub.Wake.future(control_pb2.Poke(cell=cell, job=job), timeout=PEER_TIMEOUT_S)
+
+    def push_out(self, domain: str) -> None:
+        """Take a failure domain out at once at every entry that can be reached."""
+        push = control_pb2.ViewPush(domain=domain, out=True)
+        for stub in self._stubs():
+            stub.PushView.future(push, timeout=PEER_TIMEOUT_S)
+
+    def store_ages_s(self) -> list[float]:
+        """Return how long ago each entry that answers last wrote to the table."""
+        calls = [
+            stub.StoreSeen.future(control_pb2.Empty(), timeout=PEER_TIMEOUT_S)
+            for stub in self._stubs()
+        ]
+        ages_s = []
+        for call in calls:
+            try:
+                ages_s.append(call.result().age_s)
+            except grpc.RpcError:
+                continue
+        return ages_s
--- /dev/null
+++ b/packages/local/src/cicadabank/local/__init__.py
@@ -0,0 +1,18 @@
+"""Runs a deployment as separate processes on this machine.
+
+For trials and tests only.
+"""
+
+from cicadabank.local.layouts import Layout, Ports, Size, make_layout, write_layout
+from cicadabank.local.processes import Deployment, deployment_running, wait_until
+
+__all__ = [
+    "Deployment",
+    "Layout",
+    "Ports",
+    "Size",
+    "deployment_running",
+    "make_layout",
+    "wait_until",
+    "write_layout",
+]
--- /dev/null
+++ b/packages/local/src/cicadabank/local/layouts.py
@@ -0,0 +1,148 @@
+"""Settings of whole deployments."""
+
+from __future__ import annotations
+
+import json
+import socket
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any, NamedTuple
+
+WORKERS_PER_RACK = 3
+
+
+class Ports:
+    """Hands out local addresses.
+
+    In order from a first port or free ones from the system.
+    """
+
+    def __init__(self, first: int = 0):
+        self._next = first
+        self._taken: set[int] = set()
+
+    def address(self) -> str:
+        """Return an address that was not handed out before."""
+        if self._next:
+            self._next += 1
+            return f"127.0.0.1:{self._next - 1}"
+        while True:
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", 0))
+                port = probe.getsockname()[1]
+            if port not in self._taken:
+                self._taken.add(port)
+                return f"127.0.0.1:{port}"
+
+
+class Size(NamedTuple):
+    """How much of what a deployment has."""
+
+    domains: tuple[str, ...]
+    cell: str
+    entries: int = 2
+    workers: int = 10
+    minions: int = 10
+    agents: bool = True
+    accelerators: int = 8
+    slots: int = 8
+
+
+class Layout(NamedTuple):
+    """Settings by process name, and the addresses that callers need."""
+
+    settings: dict[str, dict[str, Any]]
+    http: list[str]
+    store: str
+
+
+def make_layout(
+    size: Size, ports: Ports, entry_overrides: dict[str, Any] | None = None
+) -> Layout:
+    """Return the settings of every process of a deployment."""
+    store = ports.address()
+    grpc = [ports.address() for _ in range(size.entries)]
+    http = [ports.address() for _ in range(size.entries)]
+    settings = {
+        "store": {"kind": "stand-in", "role": "store", "name": "store", "listen": store}
+    }
+    for index in range(size.entries):
+        settings[f"entry-{index + 1}"] = {
+            "kind": "entry",
+            "name": f"entry-{index + 1}",
+            "domain": size.domains[index % len(size.domains)],
+            "http_listen": http[index],
+            "grpc_listen": grpc[index],
+            "table": store,
+            "objects": store,
+            "cells": [size.cell],
+            **(entry_overrides or {}),
+        }
+    for target in _targets(size):
+        _add_target(settings, size, target, ports, grpc, store)
+    return Layout(settings, [f"http://{address}" for address in http], store)
+
+
+class _Target(NamedTuple):
+    role: str
+    name: str
+    domain: str
+    rack: str
+
+
+def _targets(size: Size) -> Iterator[_Target]:
+    for role, count in (("worker", size.workers), ("minion", size.minions)):
+        for index in range(count):
+            rack_index = index // WORKERS_PER_RACK
+            domain = size.domains[rack_index % len(size.domains)]
+            yield _Target(role, f"{role}-{index + 1}", domain, f"rack-{rack_index + 1}")
+
+
+def _add_target(
+    settings: dict,
+    size: Size,
+    target: _Target,
+    ports: Ports,
+    grpc: list[str],
+    store: str,
+) -> None:
+    address = ports.address()
+    place = {"cell": size.cell, "domain": target.domain, "rack": target.rack}
+    stand_in = {
+        "kind": "stand-in",
+        "role": target.role,
+        "name": target.name,
+        "listen": address,
+        "accelerators": size.accelerators,
+        "slots": size.slots,
+    }
+    if not size.agents:
+        settings[target.name] = {**stand_in, **place, "entries": grpc}
+        return
+    settings[target.name] = stand_in
+    worker = target.role == "worker"
+    settings[f"agent-{target.name}"] = {
+        "kind": "agent",
+        "name": target.name,
+        "target": target.role,
+        "target_address": address,
+        "listen": ports.address(),
+        "entries": grpc,
+        "objects": store,
+        "accelerators": size.accelerators if worker else 0,
+        "cores": 30,
+        "memory_mb": 130_000,
+        "slots": 0 if worker else size.slots,
+        **place,
+    }
+
+
+def write_layout(layout: Layout, folder: Path) -> list[Path]:
+    """Write one settings file for each process; return them in starting order."""
+    folder.mkdir(parents=True, exist_ok=True)
+    files = []
+    for name, settings in layout.settings.items():
+        file = folder / f"{name}.json"
+        file.write_text(json.dumps(settings, indent=2) + "\n")
+        files.append(file)
+    return files
--- /dev/null
+++ b/packages/model/src/cicadabank/model/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation of the model package; import from `cicadabank.model`."""
--- /dev/null
+++ b/packages/platform/src/cicadabank/platform/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation of the platform clients."""
--- /dev/null
+++ b/packages/report/src/cicadabank/report/internal/explain.py
@@ -0,0 +1,77 @@
+"""A job's record in plain words."""
+
+from __future__ import annotations
+
+from datetime import UTC, datetime
+from typing import Any
+
+RAN_TEXT = {
+    "no": "No task of it was ever started.",
+    "yes": "Its tasks were run.",
+    "unknown": "Its tasks may have been started; whether they "
+    "ran to their end is not known.",
+}
+EVENT_TEXT = {
+    "submitted": "the job was accepted",
+    "start": "the start of the whole gang was stored",
+    "requeued": "the job went back into the queue",
+    "checkpointed": "the gang was checkpointed and the job went back into the queue",
+    "stopped": "the gang was stopped and the job went back into the queue",
+    "failed": "a task failed",
+    "cancel": "cancelling was asked for",
+    "cancelled": "the job was cancelled",
+    "refused": "the job was refused",
+    "done": "the job was done",
+    "outcome-unknown": "the job ended with an unknown outcome",
+}
+
+
+def explain_job(record: dict[str, Any]) -> str:
+    """Return what the record says of a job: its state, each decision and its cause.
+
+    Parameters
+    ----------
+    record : dict
+        The job as the HTTP interface returns it.
+    """
+    lines = [*_headline(record), "", "Decisions:"]
+    for decision in record["history"]:
+        lines += _decision(decision)
+    if record["members"] and record["state"] == "running":
+        places = ", ".join(f"{m['tasks']} on {m['worker']}" for m in record["members"])
+        lines += ["", f"Tasks now: {places}."]
+    return "\n".join(lines)
+
+
+def _headline(record: dict[str, Any]) -> list[str]:
+    spec = record["spec"]
+    total = spec["tasks"] * spec["accelerators_per_task"]
+    traits = [name for name in ("urgent", "idempotent", "checkpointable") if spec[name]]
+    if not spec["idempotent"]:
+        traits.append("at most once")
+    lines = [
+        f"Job {record['job']} of workspace {spec['workspace']} is {record['state']}.",
+        f"It asks for {spec['tasks']} tasks with "
+        f"{spec['accelerators_per_task']} accelerators "
+        f"each ({total} together) within one {spec['adjacency']}"
+        + (f"; {', '.join(traits)}." if traits else "."),
+        RAN_TEXT[record["ran"]],
+    ]
+    if record["reason"]:
+        lines.append(f"Reason: {record['reason']}.")
+    return lines
+
+
+def _decision(decision: dict[str, Any]) -> list[str]:
+    at = datetime.fromtimestamp(decision["at_unix_s"], UTC)
+    text = EVENT_TEXT.get(decision["event"], decision["event"])
+    where = [f"configuration {decision['config_version']}"]
+    if decision["epoch"]:
+        where.insert(0, f"epoch {decision['epoch']}")
+    if decision["attempt"]:
+        where.append(decision["attempt"])
+    line = (
+        f"  {at:%Y-%m-%d %H:%M:%S} UTC  {text}: {decision['cause']} "
+        f"({', '.join(where)})"
+    )
+    return [line]
--- /dev/null
+++ b/packages/settings/src/cicadabank/settings/__init__.py
@@ -0,0 +1,24 @@
+"""Settings of the processes.
+
+One JSON file each, checked whole before anything starts.
+"""
+
+from cicadabank.settings.errors import SettingsError
+from cicadabank.settings.internal.kinds import (
+    AgentSettings,
+    EntrySettings,
+    Limits,
+    StandInSettings,
+)
+from cicadabank.settings.internal.load import KINDS, check_file, load
+
+__all__ = [
+    "KINDS",
+    "AgentSettings",
+    "EntrySettings",
+    "Limits",
+    "SettingsError",
+    "StandInSettings",
+    "check_file",
+    "load",
+]
--- /dev/null
+++ b/packages/settings/src/cicadabank/settings/internal/kinds.py
@@ -0,0 +1,111 @@
+"""The settings of each kind of process."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from cicadabank.decisions import CellTimings
+
+
+class Limits(NamedTuple):
+    """Limits of an entry's HTTP interface."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_time_s: float = 10.0
+    connections: int = 1_000
+    open_requests: int = 512
+    answer_inline_bytes: int = 65_536
+    request_deadline_s: float = 30.0
+
+
+class EntrySettings(NamedTuple):
+    """Settings of an entry.
+
+    Attributes
+    ----------
+    cells : tuple of str
+        Cells that this entry may hold.
+    session_lease_s : float
+        An entry whose session row stands still this long has lost its cells.
+    """
+
+    kind: str
+    name: str
+    domain: str
+    http_listen: str
+    grpc_listen: str
+    table: str
+    objects: str
+    cells: tuple[str, ...]
+    advertise: str = ""
+    session_lease_s: float = 6.0
+    session_renew_s: float = 1.5
+    config_poll_s: float = 0.5
+    beat_interval_s: float = 1.0
+    queue_scan_s: float = 1.0
+    shutdown_s: float = 20.0
+    retry_share: float = 0.1
+    minion_overcommit: float = 1.5
+    timings: CellTimings = CellTimings()
+    limits: Limits = Limits()
+    statsd: str = ""
+    log_level: str = "INFO"
+    seed: int = 0
+
+
+class AgentSettings(NamedTuple):
+    """Settings of an agent beside a worker or a minion.
+
+    Attributes
+    ----------
+    freshness_s : float
+        Greatest age of the configuration under which a task is started.
+    """
+
+    kind: str
+    name: str
+    target: str
+    target_address: str
+    listen: str
+    cell: str
+    domain: str
+    rack: str
+    entries: tuple[str, ...]
+    objects: str = ""
+    accelerators: int = 0
+    cores: int = 1
+    memory_mb: int = 1024
+    slots: int = 0
+    freshness_s: float = 3.0
+    usage_interval_s: float = 0.25
+    answer_inline_bytes: int = 32_768
+    shutdown_s: float = 20.0
+    health_listen: str = ""
+    statsd: str = ""
+    log_level: str = "INFO"
+
+
+class StandInSettings(NamedTuple):
+    """Settings of a stand-in.
+
+    Attributes
+    ----------
+    entries : tuple of str
+        Where a target without an agent announces itself; none if it has an agent.
+    """
+
+    kind: str
+    role: str  # store, worker or minion
+    name: str
+    listen: str
+    cell: str = ""
+    domain: str = ""
+    rack: str = ""
+    entries: tuple[str, ...] = ()
+    accelerators: int = 8
+    cores: int = 30
+    memory_mb: int = 130_000
+    slots: int = 8
+    seed: int = 0
+    log_level: str = "INFO"
--- /dev/null
+++ b/packages/settings/src/cicadabank/settings/internal/load.py
@@ -0,0 +1,198 @@
+"""Reading and checking of settings files."""
+
+from __future__ import annotations
+
+import ipaddress
+from collections.abc import Iterator
+from functools import singledispatch
+from pathlib import Path
+from typing import Any
+
+from cicadabank.model import InvalidInputError, decode, from_builtins
+from cicadabank.settings.errors import SettingsError
+from cicadabank.settings.internal.kinds import (
+    AgentSettings,
+    EntrySettings,
+    StandInSettings,
+)
+
+KINDS: dict[str, type] = {
+    "entry": EntrySettings,
+    "agent": AgentSettings,
+    "stand-in": StandInSettings,
+}
+LOG_LEVELS = ("TRACE", "DEBUG", "INFO", "WARNING", "ERROR")
+
+
+def load(path: str, kind: str) -> Any:
+    """Read the settings of one kind of process.
+
+    Raises
+    ------
+    SettingsError
+        With every fault that was found.
+    """
+    settings = check_file(path)
+    if settings.kind != kind:
+        raise SettingsError(
+            path, [f"expected the kind {kind!r}, got {settings.kind!r} at $.kind"]
+        )
+    return settings
+
+
+def check_file(path: str) -> Any:
+    """Read and check a settings file of any kind.
+
+    Raises
+    ------
+    SettingsError
+        With every fault that was found.
+    """
+    try:
+        document = decode(Path(path).read_bytes())
+    except OSError as error:
+        raise SettingsError(
+            path, [f"the file can't be read: {error.strerror}"]
+        ) from error
+    except InvalidInputError as error:
+        raise SettingsError(path, [error.message]) from error
+    if not isinstance(document, dict) or document.get("kind") not in KINDS:
+        expected = ", ".join(KINDS)
+        raise SettingsError(path, [f"expected one of {expected} at $.kind"])
+    return _build(path, document, KINDS[document["kind"]])
+
+
+def _build(path: str, document: dict, kind: type) -> Any:
+    """Build the settings, collecting the faults of all fields."""
+    faults: list[str] = []
+    fields = dict(document)
+    while True:
+        try:
+            settings = from_builtins(fields, kind)
+            break
+        except InvalidInputError as error:
+            faults.append(
+                f"{error.message}" + (f" ({error.action})" if error.action else "")
+            )
+            name = _faulty_field(error.message, fields)
+            if name is None:
+                raise SettingsError(path, faults) from error
+            del fields[name]
+    faults += list(_checks(settings)) if not faults else []
+    if faults:
+        raise SettingsError(path, faults)
+    return settings
+
+
+def _faulty_field(message: str, fields: dict) -> str | None:
+    for name in fields:
+        if f"$.{name}" in message or f"unknown field {name!r} at $" in message:
+            return name
+    return None
+
+
+@singledispatch
+def _checks(settings: Any) -> Iterator[str]:
+    raise NotImplementedError(type(settings).__name__)
+
+
+@_checks.register
+def _(settings: EntrySettings) -> Iterator[str]:
+    for name in ("http_listen", "grpc_listen", "table", "objects"):
+        yield from _address(name, getattr(settings, name))
+    yield from _optional_address("statsd", settings.statsd)
+    yield from _names(settings, "name", "domain")
+    yield from _positive(
+        settings,
+        "session_lease_s",
+        "session_renew_s",
+        "config_poll_s",
+        "beat_interval_s",
+    )
+    yield from _level(settings.log_level)
+    if settings.session_renew_s * 3 > settings.session_lease_s:
+        yield (
+            "session_lease_s must be at least three times "
+            "session_renew_s at $.session_lease_s"
+        )
+    if settings.config_poll_s > 2.0:
+        yield (
+            "expected at most 2.0, so that changes are in force within 5 "
+            "s, at $.config_poll_s"
+        )
+    if settings.timings.lease_duration_s < 3 * settings.beat_interval_s:
+        yield "expected at least three heartbeats at $.timings.lease_duration_s"
+    if not settings.cells:
+        yield "expected at least one cell at $.cells"
+
+
+@_checks.register
+def _(settings: AgentSettings) -> Iterator[str]:
+    for name in ("target_address", "listen"):
+        yield from _address(name, getattr(settings, name))
+    yield from _optional_address("statsd", settings.statsd)
+    yield from _optional_address("objects", settings.objects)
+    yield from _optional_address("health_listen", settings.health_listen)
+    yield from _entries(settings.entries, required=True)
+    yield from _names(settings, "name", "cell", "domain", "rack")
+    yield from _positive(settings, "freshness_s", "usage_interval_s")
+    yield from _level(settings.log_level)
+    if settings.target not in ("worker", "minion"):
+        yield "expected worker or minion at $.target"
+    if settings.target == "worker" and settings.accelerators < 1:
+        yield "expected at least one accelerator at $.accelerators"
+    if settings.target == "minion" and settings.slots < 1:
+        yield "expected at least one slot at $.slots"
+    if settings.freshness_s > 5.0:
+        yield "expected at most 5.0 at $.freshness_s"
+
+
+@_checks.register
+def _(settings: StandInSettings) -> Iterator[str]:
+    yield from _address("listen", settings.listen)
+    yield from _entries(settings.entries, required=False)
+    yield from _level(settings.log_level)
+    if settings.role not in ("store", "worker", "minion"):
+        yield "expected store, worker or minion at $.role"
+    if settings.entries:
+        yield from _names(settings, "cell", "domain", "rack")
+
+
+def _address(name: str, value: str) -> Iterator[str]:
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        valid = 0 < int(port) < 65_536
+    except ValueError:
+        valid = False
+    if not valid:
+        yield f"expected an address as IP:port, got {value!r} at $.{name}"
+
+
+def _optional_address(name: str, value: str) -> Iterator[str]:
+    if value:
+        yield from _address(name, value)
+
+
+def _entries(entries: tuple[str, ...], required: bool) -> Iterator[str]:
+    if required and not entries:
+        yield "expected at least one entry's address at $.entries"
+    for index, entry in enumerate(entries):
+        yield from _address(f"entries[{index}]", entry)
+
+
+def _names(settings: Any, *fields: str) -> Iterator[str]:
+    for field in fields:
+        if not getattr(settings, field) or "/" in getattr(settings, field):
+            yield f"expected a name without a slash at $.{field}"
+
+
+def _positive(settings: Any, *fields: str) -> Iterator[str]:
+    for field in fields:
+        if getattr(settings, field) <= 0:
+            yield f"expected a number above 0 at $.{field}"
+
+
+def _level(level: str) -> Iterator[str]:
+    if level not in LOG_LEVELS:
+        yield f"expected one of {', '.join(LOG_LEVELS)} at $.log_level"
--- /dev/null
+++ b/packages/standin/src/cicadabank/standin/__init__.py
@@ -0,0 +1,19 @@
+"""Small stand-ins for the platform's services and for the targets."""
+
+from cicadabank.standin.internal.app import run_stand_in, stand_in_running, switch_fault
+from cicadabank.standin.internal.faults import FaultSwitches
+from cicadabank.standin.internal.minion import MinionStandIn
+from cicadabank.standin.internal.runner import RunnerStandIn
+from cicadabank.standin.internal.store import ObjectStandIn, TableStandIn, serve_store
+
+__all__ = [
+    "FaultSwitches",
+    "MinionStandIn",
+    "ObjectStandIn",
+    "RunnerStandIn",
+    "TableStandIn",
+    "run_stand_in",
+    "serve_store",
+    "stand_in_running",
+    "switch_fault",
+]
--- /dev/null
+++ b/packages/standin/src/cicadabank/standin/internal/app.py
@@ -0,0 +1,84 @@
+"""The stand-ins' process."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import grpc
+from cicadabank.model import InvalidInputError
+from cicadabank.settings import StandInSettings
+from cicadabank.standin.internal.announce import announcing
+from cicadabank.standin.internal.faults import FAULTS, FaultSwitches
+from cicadabank.standin.internal.minion import MinionStandIn
+from cicadabank.standin.internal.runner import RunnerStandIn
+from cicadabank.standin.internal.store import serve_store
+from cicadabank.tasks import StopSignal, configure_logs
+from cicadabank.wire import serve, standin_pb2, standin_pb2_grpc, targets_pb2_grpc
+from loguru import logger
+
+SERVER_THREADS = 72
+LEAVE_NOTICE_S = 1.5
+
+
+@contextmanager
+def stand_in_running(settings: StandInSettings) -> Iterator[object]:
+    """Run a stand-in in this process until the block ends."""
+    if settings.role == "store":
+        with serve_store(settings.listen, settings.seed) as table:
+            yield table
+        return
+    with target_running(settings) as target:
+        yield target
+
+
+@contextmanager
+def target_running(
+    settings: StandInSettings,
+) -> Iterator[RunnerStandIn | MinionStandIn]:
+    """Run a worker's or a minion's own interface until the block ends."""
+    faults = FaultSwitches(settings.seed)
+    if settings.role == "worker":
+        target = RunnerStandIn(settings.accelerators, faults)
+        add = targets_pb2_grpc.add_RunnerServicer_to_server
+    else:
+        target = MinionStandIn(settings.slots, faults, settings.name)
+        add = targets_pb2_grpc.add_MinionServicer_to_server
+    services = [(add, target), (standin_pb2_grpc.add_FaultsServicer_to_server, faults)]
+    with (
+        serve(settings.listen, services, SERVER_THREADS),
+        announcing(settings) as announcer,
+    ):
+        yield target
+        if announcer is not None:
+            announcer.leaving = True
+            time.sleep(LEAVE_NOTICE_S)
+
+
+def run_stand_in(settings: StandInSettings) -> None:
+    """Run a stand-in until the process is asked to stop."""
+    configure_logs(settings.name, settings.log_level)
+    with StopSignal().on_signals() as stop, stand_in_running(settings):
+        logger.info("the stand-in {} listens on {}", settings.role, settings.listen)
+        stop.wait()
+
+
+def switch_fault(address: str, name: str, value: float) -> None:
+    """Set a fault switch of a running stand-in.
+
+    Raises
+    ------
+    InvalidInputError
+        If there is no such switch.
+    """
+    with grpc.insecure_channel(address) as channel:
+        stub = standin_pb2_grpc.FaultsStub(channel)
+        reply = stub.Switch(
+            standin_pb2.FaultSwitch(name=name, value=value), timeout=5.0
+        )
+    if not reply.known:
+        known = ", ".join(sorted(FAULTS))
+        raise InvalidInputError(
+            f"the fault {name!r} does not exist", f"use one of {known}"
+        )
--- /dev/null
+++ b/packages/standin/src/cicadabank/standin/internal/runner.py
@@ -0,0 +1,210 @@
+"""Stand-in for a worker's own task runner."""
+
+from __future__ import annotations
+
+import threading
+import time
+
+from cicadabank.model import CicadabankError, decode
+from cicadabank.standin.internal.faults import FaultSwitches
+from cicadabank.wire import targets_pb2, targets_pb2_grpc
+
+ENDED = frozenset({"done", "failed", "stopped"})
+
+
+class _Task:
+    """One attempt's tasks on this worker."""
+
+    def __init__(self, start: targets_pb2.TaskStart, now_s: float):
+        self.start = start
+        self.state = "held"
+        self.begin_s = now_s + start.delay_s
+        self.lease_until_s = now_s + start.lease_duration_s
+        self.reason = ""
+        self.answer = b""
+        self.checkpoint = start.checkpoint
+        self.share = 1.0
+        self.progress_s = 0.0
+        self.ended_s = 0.0
+        try:
+            plan = decode(start.payload) if start.payload else {}
+        except CicadabankError:
+            plan = {}
+        self.plan = plan if isinstance(plan, dict) else {}
+        if start.checkpoint:
+            self.progress_s = float(start.checkpoint.rpartition(":")[2])
+
+    @property
+    def run_s(self) -> float:
+        return float(self.plan.get("run_s", 0.2))
+
+    def advance(self, now_s: float, elapsed_s: float, fail_all: bool) -> None:
+        """Move the tasks' state on to `now_s`."""
+        if self.state in ENDED:
+            return
+        if now_s > self.lease_until_s:
+            self._end("stopped", "lease-lapsed", now_s)
+            return
+        if self.state == "held" and now_s >= self.begin_s:
+            self.state = "running"
+        if self.state != "running":
+            return
+        self.progress_s += elapsed_s * self.share
+        if fail_all or self.plan.get("fail"):
+            self._end("failed", "the task exited with status 1", now_s)
+        elif self.progress_s >= self.run_s:
+            self.answer = self._answer()
+            self._end("done", "", now_s)
+
+    def _answer(self) -> bytes:
+        text = str(self.plan.get("answer", f"{self.start.tasks} tasks done"))
+        return text.encode() * int(self.plan.get("answer_repeat", 1))
+
+    def _end(self, state: str, reason: str, now_s: float) -> None:
+        self.state, self.reason, self.ended_s = state, reason, now_s
+
+    def stop(self, now_s: float) -> None:
+        if self.state not in ENDED:
+            self._end("stopped", "stopped by order", now_s)
+
+
+class RunnerStandIn(targets_pb2_grpc.RunnerServicer):
+    """Runs pretended tasks: each lasts the ``run_s`` of its payload.
+
+    The payload is JSON with ``run_s``, ``fail``, ``answer`` and ``answer_repeat``.
+    """
+
+    def __init__(self, accelerators: int, faults: FaultSwitches):
+        self.accelerators = accelerators
+        self.faults = faults
+        self.starts: list[str] = []
+        self._tasks: dict[str, _Task] = {}
+        self._epoch = 0
+        self._advanced_s = time.monotonic()
+        self._lock = threading.RLock()
+        self._snapshots: list[tuple[float, targets_pb2.UsageReport]] = []
+
+    def _advance(self) -> float:
+        now_s = time.monotonic()
+        elapsed_s, self._advanced_s = now_s - self._advanced_s, now_s
+        for task in self._tasks.values():
+            task.advance(now_s, elapsed_s, bool(self.faults.get("fail_all")))
+        return now_s
+
+    def _clock_s(self) -> float:
+        return time.time() + self.faults.get("freeze_clock_s")
+
+    def Start(self, request, context):  # noqa: N802
+        """Start an attempt's tasks under a lease; starting it again changes nothing."""
+        self.faults.before(context)
+        with self._lock:
+            reason = self._refusal(request)
+            if not reason and request.attempt not in self._tasks:
+                self._tasks[request.attempt] = _Task(request, self._advance())
+                self.starts.append(request.attempt)
+        self.faults.after_write(context)
+        return targets_pb2.TaskStarted(accepted=not reason, reason=reason)
+
+    def _refusal(self, request: targets_pb2.TaskStart) -> str:
+        if request.epoch < self._epoch:
+            return f"the epoch {request.epoch} is below {self._epoch}"
+        self._epoch = request.epoch
+        if request.not_after_unix_s and self._clock_s() > request.not_after_unix_s:
+            return "the start arrived after its bound"
+        self._advance()
+        busy = sum(
+            t.start.accelerators for t in self._tasks.values() if t.state not in ENDED
+        )
+        if (
+            request.attempt not in self._tasks
+            and busy + request.accelerators > self.accelerators
+        ):
+            return f"{busy} of {self.accelerators} accelerators are busy"
+        return ""
+
+    def Renew(self, request, context):  # noqa: N802
+        """Extend the leases of attempts."""
+        self.faults.before(context)
+        with self._lock:
+            now_s = self._advance()
+            unknown = [a for a in request.attempts if a not in self._tasks]
+            for attempt in request.attempts:
+                task = self._tasks.get(attempt)
+                if task is not None and request.epoch >= self._epoch:
+                    task.lease_until_s = max(
+                        task.lease_until_s, now_s + request.lease_duration_s
+                    )
+        return targets_pb2.LeaseRenewed(unknown=unknown)
+
+    def Checkpoint(self, request, context):  # noqa: N802
+        """Keep the progress of an attempt and return its name."""
+        self.faults.before(context)
+        with self._lock:
+            self._advance()
+            task = self._tasks.get(request.attempt)
+            if task is None:
+                return targets_pb2.TaskCheckpoint()
+            task.checkpoint = f"checkpoint:{task.progress_s:.3f}"
+            return targets_pb2.TaskCheckpoint(checkpoint=task.checkpoint)
+
+    def Throttle(self, request, context):  # noqa: N802
+        """Run an attempt at a share of its speed."""
+        self.faults.before(context)
+        with self._lock:
+            self._advance()
+            if request.attempt in self._tasks:
+                self._tasks[request.attempt].share = min(1.0, max(0.0, request.share))
+        return targets_pb2.Empty()
+
+    def Stop(self, request, context):  # noqa: N802
+        """Stop an attempt's tasks."""
+        self.faults.before(context)
+        with self._lock:
+            now_s = self._advance()
+            if request.epoch >= self._epoch and request.attempt in self._tasks:
+                self._tasks[request.attempt].stop(now_s)
+        return targets_pb2.Empty()
+
+    def Forget(self, request, context):  # noqa: N802
+        """Drop the report of an ended attempt."""
+        self.faults.before(context)
+        with self._lock:
+            self._advance()
+            task = self._tasks.get(request.attempt)
+            if task is not None and task.state in ENDED:
+                del self._tasks[request.attempt]
+        return targets_pb2.Empty()
+
+    def Usage(self, request, context):  # noqa: N802
+        """Report all attempts, late by the lag that is switched on."""
+        self.faults.before(context)
+        lag_s = self.faults.get("usage_lag_s")
+        with self._lock:
+            now_s = self._advance()
+            self._snapshots.append((now_s, self._report(lag_s)))
+            old = [s for s in self._snapshots if s[0] <= now_s - lag_s]
+            if not old:
+                return targets_pb2.UsageReport(
+                    lag_s=lag_s, clock_unix_s=self._clock_s()
+                )
+            self._snapshots = [
+                old[-1],
+                *(s for s in self._snapshots if s[0] > old[-1][0]),
+            ]
+            return old[-1][1]
+
+    def _report(self, lag_s: float) -> targets_pb2.UsageReport:
+        report = targets_pb2.UsageReport(lag_s=lag_s, clock_unix_s=self._clock_s())
+        for attempt, task in self._tasks.items():
+            report.tasks.add(
+                attempt=attempt,
+                state=task.state,
+                cores=float(task.plan.get("cores", task.start.tasks)) * task.share,
+                memory_mb=float(task.plan.get("memory_mb", 512)),
+                run_s=task.progress_s,
+                answer=task.answer,
+                reason=task.reason,
+                checkpoint=task.checkpoint,
+                epoch=task.start.epoch,
+            )
+        return report
--- /dev/null
+++ b/packages/tasks/src/cicadabank/tasks/__init__.py
@@ -0,0 +1,18 @@
+"""Tasks on circuits' event loops, their clocks, logs and metrics."""
+
+from cicadabank.tasks.internal.loop import Task, running
+from cicadabank.tasks.internal.observe import Metrics, configure_logs
+from cicadabank.tasks.internal.stop import StopSignal
+from cicadabank.tasks.internal.time import clock_s, unix_s
+from cicadabank.tasks.internal.web import QuietServer
+
+__all__ = [
+    "Metrics",
+    "QuietServer",
+    "StopSignal",
+    "Task",
+    "clock_s",
+    "configure_logs",
+    "running",
+    "unix_s",
+]
--- /dev/null
+++ b/packages/tasks/src/cicadabank/tasks/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation of the tasks package."""
--- /dev/null
+++ b/tests/processes/test_whole_path.py
@@ -0,0 +1,58 @@
+"""A job, a request and a refusal through separate processes, both deployments."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from cicadabank.client import ApiError, Client
+from cicadabank.local import Ports, Size, deployment_running, make_layout, wait_until
+
+ENDED = {"done", "failed", "refused", "cancelled", "outcome-unknown"}
+
+
+@pytest.fixture(params=[True, False], ids=["agents", "direct"], scope="class")
+def client(request, tmp_path_factory):
+    size = Size(
+        ("erie", "huron"), "lakes", 2, workers=3, minions=1, agents=request.param
+    )
+    layout = make_layout(size, Ports())
+    folder = tmp_path_factory.mktemp("deployment")
+    with deployment_running(layout, folder) as deployment:
+        deployment.wait_ready(size.workers, size.minions)
+        with Client(layout.http, "test") as client:
+            client.apply("workspace", {"name": "glaze", "quota_accelerators": 24})
+            wait_until(lambda: _knows_workspace(client), 10.0, "the configuration")
+            yield client
+
+
+def _knows_workspace(client):
+    try:
+        client.submit({"workspace": "glaze", "tasks": 1000})
+    except ApiError as error:
+        return error.code == "quota"
+
+
+class TestWholePath:
+    def test_gang_is_answered_whole(self, client):
+        payload = json.dumps({"run_s": 0.5, "answer": "proof"})
+        job = client.submit({"workspace": "glaze", "tasks": 16, "payload": payload})
+        record = client.wait_for_job(job["job"], ENDED)
+        assert record["state"] == "done"
+        answer = client.answer(job["job"], "glaze")
+        assert sum(member["tasks"] for member in answer["members"]) == 16
+        assert {member["answer"] for member in answer["members"]} == {"proof"}
+
+    def test_request_is_answered(self, client):
+        answer = client.request({"workspace": "glaze", "payload": "cobalt"})
+        assert answer["answer"] == "cobalt"
+
+    def test_impossible_job_is_refused_and_recorded(self, client):
+        with pytest.raises(ApiError) as caught:
+            client.submit(
+                {"workspace": "glaze", "tasks": 1, "accelerators_per_task": 9}
+            )
+        assert caught.value.code == "impossible-shape"
+        record = client.job(caught.value.job)
+        assert (record["state"], record["ran"]) == ("refused", "no")
+        assert "1 x 8" in record["reason"]
