Drive a cell's decisions under faults; try a job again where it failed everywhere

A fake table, agents (real logic) and lossy messages drive the cell's decisions in simulated time; a hypothesis state machine mixes work with kills, freezes, cuts, restarts, drains, lost answers and two holders at once.

Cause 1: a gang that had failed on workers of every failure domain shunned all of them and waited for ever. Ruled out: quota, homes (seen with and without a guarantee). Workers are now shunned only while others could hold the gang. Cause 2: a restarted agent had no lease yet and stopped the tasks it adopted; the runner's own lease bounds them until the first heartbeat is answered.

--- a/packages/agent/src/cicadabank/agent/internal/core.py
+++ b/packages/agent/src/cicadabank/agent/internal/core.py
@@ -258,9 +258,13 @@
         return member
 
     def lapsed(self, now_s: float) -> list[MemberTask]:
-        """Return the members to stop because the holder was not heard of in time."""
+        """Return the members to stop because the holder was not heard of in time.
+
+        An agent that was restarted has no lease of its own until its first heartbeat is
+        answered; the lease that the runner was given before bounds its tasks meanwhile.
+        """
         self._expire(now_s)
-        if now_s <= self.lease_until_s:
+        if now_s <= self.lease_until_s or self.lease_until_s == float("-inf"):
             return []
         return [m for m in self.members.values() if m.started and m.state not in ENDED]
 
--- a/packages/decisions/src/cicadabank/decisions/internal/planner.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/planner.py
@@ -123,18 +123,42 @@
             f"in its own home {home[0].name}",
         )
         return True
-    members = place(state.fleet, shape, partial(_limit, state, entry, now_s))
+    shunned = _shunned(state, entry, shape)
+    members = place(state.fleet, shape, partial(_limit, state, entry, shunned, now_s))
     if members:
         begin(state, entry, members, "", now_s, "on free accelerators")
         return True
     return _claim(state, entry, shape, now_s)
 
 
-def _limit(state: CellState, entry: JobEntry, now_s: float, worker: Worker) -> int:
+def _shunned(state: CellState, entry: JobEntry, shape: GangShape) -> frozenset[str]:
+    """Return the workers on which a job has failed, if others could ever hold it.
+
+    A job that has failed wherever it fits is tried there again: what is left of its
+    tries then tells a bad job from bad workers, and it doesn't wait without end.
+    """
+    failed_on = state.health.failed_on(entry.row.job)
+    if not failed_on:
+        return failed_on
+    others = [
+        worker.info
+        for name, worker in state.fleet.workers.items()
+        if name not in failed_on and state.worker_usable(name)
+    ]
+    return failed_on if place(Fleet(others), shape) else frozenset()
+
+
+def _limit(
+    state: CellState,
+    entry: JobEntry,
+    shunned: frozenset[str],
+    now_s: float,
+    worker: Worker,
+) -> int:
     """Return how many accelerators of a worker a job may use outside of its home."""
     name = worker.info.name
     spec = entry.row.spec
-    if name in entry.avoid or name in state.health.failed_on(entry.row.job):
+    if name in entry.avoid or name in shunned:
         return 0
     if state.health.on_probation(name) and not spec.idempotent:
         return 0
@@ -385,7 +409,8 @@
         ),
     )
     batch = max(1, len(ending) // HOLD_RELEASE_BATCHES)
-    limit: Callable[[Worker], int] = partial(_limit_for_hold, state, entry)
+    shunned = _shunned(state, entry, shape)
+    limit: Callable[[Worker], int] = partial(_limit_for_hold, entry, shunned)
     released: list[Attempt] = []
     found: Hold | None = None
     for first in range(0, len(ending), batch):
@@ -415,8 +440,8 @@
     ]
 
 
-def _limit_for_hold(state: CellState, entry: JobEntry, worker: Worker) -> int:
-    if worker.info.name in state.health.failed_on(entry.row.job):
+def _limit_for_hold(entry: JobEntry, shunned: frozenset[str], worker: Worker) -> int:
+    if worker.info.name in shunned:
         return 0
     if entry.row.spec.idempotent or entry.row.spec.checkpointable:
         return worker.free
--- /dev/null
+++ b/tests/cover/test_cell.py
@@ -0,0 +1,277 @@
+"""A cell's life without faults and with one fault at a time."""
+
+from __future__ import annotations
+
+import pytest
+from cicadabank.model import Guarantee, GuaranteedShape, JobSpec, JobState, Workspace
+
+from tests.support.world import World
+
+WORKSPACES = {
+    "glaze": Workspace("glaze", 100),
+    "books": Workspace("books", 100),
+}
+
+
+def make_world(seed=1, guarantees=(), **kwargs):
+    world = World(seed, **kwargs)
+    world.configure(workspaces=WORKSPACES, guarantees={g.name: g for g in guarantees})
+    world.advance(4.0)
+    return world
+
+
+def spec(workspace="glaze", tasks=8, **fields):
+    return JobSpec(workspace, tasks=tasks, **fields)
+
+
+class TestGang:
+    def test_runs_on_all_its_workers(self):
+        world = make_world()
+        job = world.submit(spec())
+        world.advance(6.0)
+        assert world.row(job).state is JobState.DONE
+        assert sum(member.tasks for member in world.row(job).members) == 8
+
+    def test_waits_until_it_fits_whole(self):
+        world = make_world()
+        first = world.submit(spec(tasks=6), run_s=10.0)
+        other = world.submit(spec(tasks=6), run_s=10.0)
+        world.advance(2.0)
+        late = world.submit(spec(tasks=8), run_s=1.0)
+        world.advance(4.0)
+        assert world.row(late).state is JobState.QUEUED
+        world.advance(14.0)
+        assert world.row(late).state is JobState.DONE
+        assert world.row(first).state is world.row(other).state is JobState.DONE
+
+    def test_impossible_one_is_refused_with_the_nearest_shape(self):
+        world = make_world()
+        job = world.submit(spec(tasks=9))
+        world.advance(2.0)
+        row = world.row(job)
+        assert (row.state, row.ran) == (JobState.REFUSED, "no")
+        assert "8 accelerators as 8 x 1 within one domain" in row.reason
+
+    def test_failing_job_is_given_up_after_three_failures(self):
+        world = make_world()
+        job = world.submit(spec(tasks=1), run_s=0.5, fails=True)
+        world.advance(15.0)
+        assert world.row(job).state is JobState.FAILED
+        assert world.run_jobs[job] == 3
+
+
+class TestLostWorker:
+    @pytest.mark.parametrize("fault", ["frozen", "cut"])
+    def test_idempotent_gang_runs_again_elsewhere(self, fault):
+        world = make_world()
+        job = world.submit(spec(tasks=4), run_s=20.0)
+        world.advance(2.0)
+        worker = world.row(job).members[0].worker
+        setattr(world.agents[worker], fault, True)
+        world.advance(45.0)
+        assert world.row(job).state is JobState.DONE
+        assert world.row(job).members[0].worker != worker
+
+    def test_non_idempotent_gang_ends_with_unknown_outcome(self):
+        world = make_world()
+        job = world.submit(spec(tasks=4, idempotent=False), run_s=20.0)
+        world.advance(2.0)
+        world.agents[world.row(job).members[0].worker].cut = True
+        world.advance(45.0)
+        assert world.row(job).state is JobState.UNKNOWN
+        assert world.run_jobs[job] == 1
+
+    def test_agent_restart_loses_nothing(self):
+        world = make_world()
+        job = world.submit(spec(tasks=4, idempotent=False), run_s=8.0)
+        world.advance(2.0)
+        world.agents[world.row(job).members[0].worker].restart()
+        world.advance(12.0)
+        assert world.row(job).state is JobState.DONE
+
+
+class TestTakeover:
+    def test_running_gang_goes_on(self):
+        world = make_world()
+        job = world.submit(spec(idempotent=False), run_s=20.0)
+        world.advance(2.0)
+        world.replace_holder()
+        world.advance(20.0)
+        assert world.row(job).state is JobState.DONE
+        assert world.run_jobs[job] == 1
+
+    def test_woken_holder_is_fenced(self):
+        world = make_world()
+        old = world.replace_holder(kill=False)
+        job = world.submit(spec(idempotent=False))
+        old.frozen = False
+        world.advance(10.0)
+        assert not old.alive
+        assert world.row(job).state is JobState.DONE
+        assert world.run_jobs[job] == 1
+
+    @pytest.mark.parametrize("after_s", [0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.8])
+    def test_holder_dies_at_any_step_of_a_start(self, after_s):
+        world = make_world()
+        world.longest_delay_s = 0.1
+        job = world.submit(spec(idempotent=False), run_s=2.0)
+        world.advance(0.5 + after_s)
+        world.replace_holder()
+        world.advance(30.0)
+        assert world.row(job).terminal
+        assert world.run_jobs[job] <= 1
+        assert not world.broken
+
+
+class TestReclaim:
+    GUARANTEE = Guarantee("glaze", "lakes", (GuaranteedShape(8),))
+
+    def test_borrowers_leave_within_two_seconds(self):
+        world = make_world(guarantees=[self.GUARANTEE])
+        borrowers = [
+            world.submit(spec("books", tasks=2, checkpointable=True), run_s=500.0)
+            for _ in range(8)
+        ]
+        world.advance(3.0)
+        assert all(world.row(b).state is JobState.RUNNING for b in borrowers)
+        job = world.submit(spec(tasks=8, urgent=True), run_s=5.0)
+        world.advance(2.5)
+        assert world.row(job).state is JobState.RUNNING
+        world.advance(12.0)
+        assert world.row(job).state is JobState.DONE
+        assert all(not world.row(b).terminal for b in borrowers)
+
+    def test_frozen_borrower_does_not_hold_it_up(self):
+        world = make_world(guarantees=[self.GUARANTEE])
+        for _ in range(8):
+            world.submit(spec("books", tasks=2), run_s=500.0)
+        world.advance(3.0)
+        world.agents["w00"].frozen = True
+        world.advance(4.0)
+        job = world.submit(spec(tasks=8, urgent=True), run_s=5.0)
+        world.advance(2.5)
+        assert world.row(job).state is JobState.RUNNING
+
+    def test_two_workspaces_reclaim_at_once(self):
+        both = [self.GUARANTEE._replace(workspace=w) for w in ("glaze", "books")]
+        world = make_world(guarantees=both)
+        world.configure(workspaces={**WORKSPACES, "guest": Workspace("guest", 100)})
+        world.advance(1.0)
+        for _ in range(8):
+            world.submit(spec("guest", tasks=2), run_s=500.0)
+        world.advance(3.0)
+        jobs = [
+            world.submit(spec(w, tasks=8, urgent=True), run_s=5.0)
+            for w in ("glaze", "books")
+        ]
+        world.advance(2.5)
+        assert [world.row(job).state for job in jobs] == [JobState.RUNNING] * 2
+
+    def test_job_that_can_not_be_stopped_never_borrows_a_home(self):
+        world = make_world(guarantees=[self.GUARANTEE])
+        pinned = [
+            world.submit(spec("books", tasks=4, idempotent=False), run_s=500.0)
+            for _ in range(4)
+        ]
+        world.advance(3.0)
+        states = [world.row(job).state for job in pinned]
+        assert states.count(JobState.RUNNING) == 2
+        job = world.submit(spec(tasks=8, urgent=True), run_s=5.0)
+        world.advance(2.5)
+        assert world.row(job).state is JobState.RUNNING
+
+
+class TestDrain:
+    def test_nothing_starts_in_a_domain_that_is_out(self):
+        world = make_world()
+        world.set_domain("erie", True)
+        world.advance(1.0)
+        jobs = [world.submit(spec(tasks=4), run_s=1.0) for _ in range(6)]
+        world.advance(20.0)
+        assert all(world.row(job).state is JobState.DONE for job in jobs)
+        assert {world.row(j).members[0].worker[:2] for j in jobs} == {"w1"}
+
+    def test_checkpointable_gang_moves_before_the_deadline(self):
+        world = make_world()
+        job = world.submit(spec(tasks=4, checkpointable=True), run_s=30.0)
+        world.advance(2.0)
+        first = world.row(job).members[0].worker
+        domain = world.agents[first].info.domain
+        world.set_domain(domain, True, stop_after_s=10.0)
+        world.advance(4.0)
+        second = world.row(job).members[0].worker
+        assert world.agents[second].info.domain != domain
+        assert any(d.event == "checkpointed" for d in world.row(job).history)
+
+    def test_gang_without_checkpoint_works_on_until_the_deadline(self):
+        world = make_world()
+        job = world.submit(spec(tasks=4), run_s=8.0)
+        world.advance(2.0)
+        domain = world.agents[world.row(job).members[0].worker].info.domain
+        world.set_domain(domain, True, stop_after_s=10.0)
+        world.advance(10.0)
+        assert world.row(job).state is JobState.DONE
+        assert world.run_jobs[job] == 1
+
+
+class TestTableOutage:
+    def test_running_gangs_outlast_it(self):
+        world = make_world()
+        job = world.submit(spec(idempotent=False), run_s=14.0)
+        world.advance(2.0)
+        world.table.down = True
+        world.advance(18.0)
+        assert world.row(job).state is JobState.RUNNING
+        world.table.down = False
+        world.advance(3.0)
+        assert world.row(job).state is JobState.DONE
+        assert world.run_jobs[job] == 1
+
+    def test_nothing_starts_during_it(self):
+        world = make_world()
+        world.table.down = True
+        world.advance(1.0)
+        job = world.submit(spec())
+        world.advance(10.0)
+        assert world.row(job).state is JobState.QUEUED
+        assert not world.run_jobs[job]
+
+
+class TestCancel:
+    def test_queued_job_is_cancelled_without_a_run(self):
+        world = make_world()
+        world.table.down = True
+        job = world.submit(spec())
+        world.cancel(job)
+        world.table.down = False
+        world.advance(5.0)
+        assert world.row(job).state is JobState.CANCELLED
+        assert not world.run_jobs[job]
+
+    def test_running_gang_is_stopped(self):
+        world = make_world()
+        job = world.submit(spec(), run_s=100.0)
+        world.advance(2.0)
+        world.cancel(job)
+        world.advance(3.0)
+        assert world.row(job).state is JobState.CANCELLED
+        assert world.row(job).ran == "yes"
+
+    @pytest.mark.parametrize("after_s", [0.1, 0.3, 0.5, 0.7, 0.9, 1.1])
+    def test_racing_a_start_leaves_a_true_record(self, after_s):
+        world = make_world()
+        world.longest_delay_s = 0.2
+        job = world.submit(spec(), run_s=100.0)
+        world.advance(after_s)
+        world.cancel(job)
+        world.advance(12.0)
+        assert world.row(job).state is JobState.CANCELLED
+        assert not world.broken
+
+
+class TestFailedEverywhere:
+    def test_gang_that_failed_on_every_worker_is_still_tried(self):
+        world = make_world()
+        job = world.submit(spec(tasks=6), run_s=0.5, fails=True)
+        world.advance(30.0)
+        assert world.row(job).state is JobState.FAILED
--- /dev/null
+++ b/tests/nocover/test_cell_machine.py
@@ -0,0 +1,152 @@
+"""A cell under arbitrary sequences of work and faults.
+
+What must always hold is checked after each step, and at the end, once everything is
+healed, every job must come to its end.
+"""
+
+from __future__ import annotations
+
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from cicadabank.model import Guarantee, GuaranteedShape, JobSpec, JobState, Workspace
+from tests.support.world import World
+
+WORKERS = ("w00", "w01", "w10", "w11")
+DOMAINS = ("erie", "huron")
+LONGEST_HEALING_S = 400.0
+
+
+class CellMachine(RuleBasedStateMachine):
+    @initialize(seed=st.integers(0, 2**16), guaranteed=st.booleans())
+    def start(self, seed, guaranteed):
+        self.world = World(seed)
+        guarantees = {}
+        if guaranteed:
+            guarantee = Guarantee("glaze", "lakes", (GuaranteedShape(4),))
+            guarantees = {guarantee.name: guarantee}
+        workspaces = {w: Workspace(w, 100) for w in ("glaze", "books")}
+        self.world.configure(workspaces=workspaces, guarantees=guarantees)
+        self.world.advance(4.0)
+        self.jobs: list[str] = []
+        self.ended: dict[str, JobState] = {}
+
+    @rule(
+        tasks=st.sampled_from([1, 2, 4, 6, 8, 9]),
+        workspace=st.sampled_from(["glaze", "books"]),
+        idempotent=st.booleans(),
+        checkpointable=st.booleans(),
+        urgent=st.booleans(),
+        run_s=st.sampled_from([0.5, 3.0, 20.0]),
+        fails=st.sampled_from([False, False, False, True]),
+    )
+    def submit(
+        self, tasks, workspace, idempotent, checkpointable, urgent, run_s, fails
+    ):
+        spec = JobSpec(
+            workspace,
+            tasks=tasks,
+            idempotent=idempotent,
+            checkpointable=checkpointable,
+            urgent=urgent,
+        )
+        self.jobs.append(self.world.submit(spec, run_s, fails))
+
+    @rule(duration_s=st.sampled_from([0.1, 0.3, 0.7, 2.0, 7.0, 15.0]))
+    def advance(self, duration_s):
+        self.world.advance(duration_s)
+
+    @precondition(lambda self: self.jobs)
+    @rule(index=st.integers(0, 50))
+    def cancel(self, index):
+        self.world.cancel(self.jobs[index % len(self.jobs)])
+
+    @rule(loss=st.sampled_from([0.0, 0.05, 0.3]), delay_s=st.sampled_from([0.05, 1.0]))
+    def network(self, loss, delay_s):
+        self.world.loss = loss
+        self.world.longest_delay_s = delay_s
+
+    @rule(down=st.booleans())
+    def table(self, down):
+        self.world.table.down = down
+
+    @rule(worker=st.sampled_from(WORKERS), frozen=st.booleans())
+    def freeze_worker(self, worker, frozen):
+        self.world.agents[worker].frozen = frozen
+
+    @rule(worker=st.sampled_from(WORKERS), cut=st.booleans())
+    def cut_worker(self, worker, cut):
+        self.world.agents[worker].cut = cut
+
+    @rule(worker=st.sampled_from(WORKERS))
+    def restart_agent(self, worker):
+        self.world.agents[worker].restart()
+
+    @rule(domain=st.sampled_from(DOMAINS), stop_after_s=st.sampled_from([0.0, 8.0]))
+    def drain(self, domain, stop_after_s):
+        self.world.set_domain(domain, True, stop_after_s)
+
+    @rule(domain=st.sampled_from(DOMAINS))
+    def restore(self, domain):
+        self.world.set_domain(domain, False)
+
+    @precondition(lambda self: not self.world.table.down)
+    @rule(kill=st.booleans())
+    def replace_holder(self, kill):
+        self.world.replace_holder(kill)
+
+    @rule()
+    def wake_holders(self):
+        for holder in self.world.holders:
+            holder.frozen = False
+
+    @invariant()
+    def nothing_is_broken(self):
+        assert not self.world.broken, self.world.broken
+
+    @invariant()
+    def at_most_once(self):
+        for job in self.jobs:
+            spec = self.world.row(job).spec
+            if not spec.idempotent and not spec.checkpointable:
+                assert self.world.run_jobs[job] <= 1, job
+
+    @invariant()
+    def outcomes_are_final(self):
+        for job in self.jobs:
+            row = self.world.row(job)
+            if job in self.ended:
+                assert row.state is self.ended[job]
+            elif row.terminal:
+                self.ended[job] = row.state
+                if row.ran == "no":
+                    assert not self.world.run_jobs[job]
+                if row.state is JobState.DONE:
+                    assert self.world.run_jobs[job]
+
+    def teardown(self):
+        if not hasattr(self, "world"):
+            return
+        self.world.heal()
+        waited_s = 0.0
+        while waited_s < LONGEST_HEALING_S and self._open():
+            self.world.advance(20.0)
+            waited_s += 20.0
+        self.nothing_is_broken()
+        self.at_most_once()
+        self.outcomes_are_final()
+        assert not self._open(), [self.world.row(job) for job in self._open()]
+
+    def _open(self):
+        return [job for job in self.jobs if not self.world.row(job).terminal]
+
+
+TestCellMachine = CellMachine.TestCase
+TestCellMachine.settings = settings(max_examples=1500, stateful_step_count=40)
