Prove entries, targets and the table under faults with real processes

Found: a gang whose holder was killed ended as outcome-unknown. Cause: the task's lease (4 s in the test, 10 s by default) could lapse before the cell's takeover (session lease 3 s, plus renewal and the agents' way to the new holder). Ruled out: the recovery itself (simulated takeovers kept the gang). Settings now refuse a lease shorter than session_lease_s + 2 renewals + 3 heartbeats; default 15 s.

Found: workers gone for good stayed in a cell's fleet and its summary for ever.

Mutants of the agent's epoch check, view check and never-started reply survived the state machine, since the holder's own checks stand before them; each has a contract test now. The mutant that reruns non-idempotent jobs is found by the machine.

--- a/packages/decisions/src/cicadabank/decisions/internal/membership.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/membership.py
@@ -130,6 +130,19 @@
             worker.lost = True
             state.record("", "worker-lost", f"the leases of {name} have lapsed", "")
             _lose(state, name, now_s)
+    _forget_gone(state, now_s)
+
+
+def _forget_gone(state: CellState, now_s: float) -> None:
+    """Forget workers that have been lost for long; a replaced VM has a new name."""
+    limit_s = now_s - state.timings.forget_worker_s
+    gone = [n for n, w in state.workers.items() if w.lost and w.heard_s < limit_s]
+    for name in gone:
+        if not state.fleet.workers[name].bookings:
+            del state.workers[name]
+            state.fleet.remove(name)
+            state.fleet_version += 1
+            state.layout_stale = True
 
 
 def _lose(state: CellState, worker: str, now_s: float) -> None:
--- a/packages/decisions/src/cicadabank/decisions/internal/state.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/state.py
@@ -23,7 +23,7 @@
 class CellTimings(NamedTuple):
     """Time bounds of a cell's holder, in seconds."""
 
-    lease_duration_s: float = 10.0
+    lease_duration_s: float = 15.0
     lease_margin_s: float = 1.0
     silent_after_s: float = 3.0
     outage_lease_s: float = 300.0
@@ -35,6 +35,7 @@
     recovery_s: float = 5.0
     settle_s: float = 3.0
     starvation_s: float = 1800.0
+    forget_worker_s: float = 900.0
 
 
 class WorkerState:
--- a/packages/settings/src/cicadabank/settings/internal/load.py
+++ b/packages/settings/src/cicadabank/settings/internal/load.py
@@ -122,6 +122,16 @@
         )
     if settings.timings.lease_duration_s < 3 * settings.beat_interval_s:
         yield "expected at least three heartbeats at $.timings.lease_duration_s"
+    takeover_s = (
+        settings.session_lease_s
+        + 2 * settings.session_renew_s
+        + 3 * settings.beat_interval_s
+    )
+    if settings.timings.lease_duration_s < takeover_s:
+        yield (
+            f"expected at least {takeover_s:g}, so that running tasks outlast the "
+            "takeover of their cell, at $.timings.lease_duration_s"
+        )
     if not settings.cells:
         yield "expected at least one cell at $.cells"
 
--- a/packages/standin/src/cicadabank/standin/__init__.py
+++ b/packages/standin/src/cicadabank/standin/__init__.py
@@ -1,5 +1,6 @@
 """Small stand-ins for the platform's services and for the targets."""
 
+from cicadabank.standin.errors import StandInUnreachableError
 from cicadabank.standin.internal.app import run_stand_in, stand_in_running, switch_fault
 from cicadabank.standin.internal.faults import FaultSwitches
 from cicadabank.standin.internal.minion import MinionStandIn
@@ -11,6 +12,7 @@
     "MinionStandIn",
     "ObjectStandIn",
     "RunnerStandIn",
+    "StandInUnreachableError",
     "TableStandIn",
     "run_stand_in",
     "serve_store",
--- /dev/null
+++ b/packages/standin/src/cicadabank/standin/errors.py
@@ -0,0 +1,11 @@
+"""Errors of the stand-ins."""
+
+from __future__ import annotations
+
+from cicadabank.model import CicadabankError
+
+
+class StandInUnreachableError(CicadabankError):
+    """No stand-in answers at an address."""
+
+    code = "stand-in-unreachable"
--- a/packages/standin/src/cicadabank/standin/internal/app.py
+++ b/packages/standin/src/cicadabank/standin/internal/app.py
@@ -9,6 +9,7 @@
 import grpc
 from cicadabank.model import InvalidInputError
 from cicadabank.settings import StandInSettings
+from cicadabank.standin.errors import StandInUnreachableError
 from cicadabank.standin.internal.announce import announcing
 from cicadabank.standin.internal.faults import FAULTS, FaultSwitches
 from cicadabank.standin.internal.minion import MinionStandIn
@@ -74,9 +75,13 @@
     """
     with grpc.insecure_channel(address) as channel:
         stub = standin_pb2_grpc.FaultsStub(channel)
-        reply = stub.Switch(
-            standin_pb2.FaultSwitch(name=name, value=value), timeout=5.0
-        )
+        message = standin_pb2.FaultSwitch(name=name, value=value)
+        try:
+            reply = stub.Switch(message, timeout=5.0)
+        except grpc.RpcError as error:
+            raise StandInUnreachableError(
+                f"no stand-in answers at {address}", "check the address"
+            ) from error
     if not reply.known:
         known = ", ".join(sorted(FAULTS))
         raise InvalidInputError(
--- /dev/null
+++ b/tests/cover/test_agent.py
@@ -0,0 +1,152 @@
+"""Contract of an agent: what it refuses, and what it can say of a start."""
+
+from __future__ import annotations
+
+import pytest
+from cicadabank.agent import AgentCore, OrderRefusedError
+from cicadabank.wire import control_pb2
+
+NOW_S = 1000.0
+
+
+def make_core(epoch=5, out=False, view_age_s=0.0):
+    core = AgentCore("run-1", 8, 3.0)
+    core.check_epoch(epoch)
+    core.take_view(1, out, NOW_S - view_age_s)
+    return core
+
+
+def reserve(**fields):
+    given = {"attempt": "a", "epoch": 5, "incarnation": "run-1", "accelerators": 4}
+    return control_pb2.Reserve(**{**given, "tasks": 4, "ttl_s": 6.0, **fields})
+
+
+def start(**fields):
+    given = {"attempt": "a", "epoch": 5, "incarnation": "run-1"}
+    return control_pb2.Start(**{**given, "lease_duration_s": 10.0, **fields})
+
+
+def stop(**fields):
+    given = {"attempt": "a", "epoch": 5, "incarnation": "run-1"}
+    return control_pb2.Stop(**{**given, **fields})
+
+
+class TestReserve:
+    @pytest.mark.parametrize(
+        ("core", "order", "reason"),
+        [
+            (make_core(), reserve(epoch=4), "epoch 4 is below 5"),
+            (make_core(), reserve(incarnation="run-0"), "earlier run"),
+            (make_core(), reserve(accelerators=9), "accelerators are in use"),
+            (make_core(out=True), reserve(), "out of service"),
+            (make_core(view_age_s=3.1), reserve(), "view is older"),
+        ],
+        ids=["old-epoch", "old-incarnation", "full", "domain-out", "stale-view"],
+    )
+    def test_refuses(self, core, order, reason):
+        with pytest.raises(OrderRefusedError, match=reason):
+            core.reserve(order, NOW_S)
+        assert not core.members
+
+    def test_refuses_while_leaving(self):
+        core = make_core()
+        core.leaving = True
+        with pytest.raises(OrderRefusedError, match="leaving"):
+            core.reserve(reserve(), NOW_S)
+
+    def test_again_is_idempotent(self):
+        core = make_core()
+        core.reserve(reserve(accelerators=8), NOW_S)
+        core.reserve(reserve(accelerators=8), NOW_S)
+        assert len(core.members) == 1
+
+
+class TestStart:
+    @pytest.mark.parametrize(
+        ("order", "at_s", "reason"),
+        [
+            (start(epoch=4), NOW_S, "epoch 4 is below 5"),
+            (start(incarnation="run-0"), NOW_S, "earlier run"),
+            (start(attempt="b"), NOW_S, "reservation has expired"),
+            (start(), NOW_S + 6.5, "reservation has expired"),
+            (start(), NOW_S + 3.5, "view is older"),
+        ],
+        ids=["old-epoch", "old-incarnation", "unreserved", "late", "paused-before"],
+    )
+    def test_refuses(self, order, at_s, reason):
+        core = make_core()
+        core.reserve(reserve(), NOW_S)
+        with pytest.raises(OrderRefusedError, match=reason):
+            core.begin(order, at_s)
+        assert not any(member.started for member in core.members.values())
+
+    def test_refuses_when_the_domain_went_out_after_the_reservation(self):
+        core = make_core()
+        core.reserve(reserve(), NOW_S)
+        core.push_out()
+        with pytest.raises(OrderRefusedError, match="out of service"):
+            core.begin(start(), NOW_S)
+
+    def test_again_starts_nothing(self):
+        core = make_core()
+        core.reserve(reserve(), NOW_S)
+        assert core.begin(start(), NOW_S) is not None
+        assert core.begin(start(), NOW_S) is None
+
+
+class TestStop:
+    def test_refuses_a_replaced_holder(self):
+        core = make_core()
+        core.reserve(reserve(), NOW_S)
+        with pytest.raises(OrderRefusedError, match="epoch 4 is below 5"):
+            core.stopped(stop(epoch=4))
+        assert core.members
+
+    @pytest.mark.parametrize(
+        ("order", "may_have_started"),
+        [
+            (stop(attempt="never-seen"), False),
+            (stop(attempt="never-seen", incarnation="run-0"), True),
+        ],
+        ids=["same-run", "earlier-run"],
+    )
+    def test_says_whether_it_may_have_started(self, order, may_have_started):
+        assert make_core().may_have_started(order) is may_have_started
+
+
+class TestView:
+    def test_version_never_goes_back(self):
+        core = make_core()
+        core.take_view(7, True, NOW_S + 1.0)
+        core.take_view(6, False, NOW_S + 2.0)
+        assert core.view.domain_out
+        assert core.view.version == 7
+
+    def test_older_sight_of_the_same_version_changes_nothing(self):
+        core = make_core()
+        core.take_view(7, True, NOW_S + 1.0)
+        core.take_view(7, False, NOW_S)
+        assert core.view.domain_out
+
+
+class TestLease:
+    def test_lapsed_members_are_stopped(self):
+        core = make_core()
+        core.reserve(reserve(), NOW_S)
+        core.begin(start(), NOW_S)
+        assert core.lapsed(NOW_S + 9.0) == []
+        assert [m.attempt for m in core.lapsed(NOW_S + 10.5)] == ["a"]
+
+    def test_counts_from_when_the_heartbeat_was_sent(self):
+        core = make_core()
+        beat = core.beat(control_pb2.TargetInfo(name="w"))
+        reply = control_pb2.BeatReply(epoch=5, lease_duration_s=10.0)
+        core.beat_answered(beat, reply, NOW_S)
+        assert core.lease_until_s == NOW_S + 10.0
+
+    def test_reply_of_a_replaced_holder_renews_nothing(self):
+        core = make_core()
+        beat = core.beat(control_pb2.TargetInfo(name="w"))
+        reply = control_pb2.BeatReply(epoch=4, lease_duration_s=10.0)
+        core.beat_answered(beat, reply, NOW_S)
+        assert core.lease_until_s == float("-inf")
--- a/tests/cover/test_cell.py
+++ b/tests/cover/test_cell.py
@@ -275,3 +275,15 @@
         job = world.submit(spec(tasks=6), run_s=0.5, fails=True)
         world.advance(30.0)
         assert world.row(job).state is JobState.FAILED
+
+
+class TestGoneWorker:
+    def test_is_forgotten_and_its_shape_no_longer_counts(self):
+        world = make_world()
+        for name in ("w00", "w01"):
+            world.agents[name].cut = True
+        world.advance(910.0)
+        assert set(world.holder.core.state.workers) == {"w10", "w11"}
+        job = world.submit(spec(tasks=4, domain="erie"))
+        world.advance(3.0)
+        assert world.row(job).state is JobState.REFUSED
--- a/tests/nocover/test_cell_machine.py
+++ b/tests/nocover/test_cell_machine.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from hypothesis import Phase, settings
+from cicadabank.model import Guarantee, GuaranteedShape, JobSpec, JobState, Workspace
+from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -16,7 +17,6 @@
     rule,
 )
 
-from cicadabank.model import Guarantee, GuaranteedShape, JobSpec, JobState, Workspace
 from tests.support.world import World
 
 WORKERS = ("w00", "w01", "w10", "w11")
@@ -89,6 +89,10 @@
     def restart_agent(self, worker):
         self.world.agents[worker].restart()
 
+    @rule(worker=st.sampled_from(WORKERS))
+    def replace_worker(self, worker):
+        self.world.agents[worker].replace_vm()
+
     @rule(domain=st.sampled_from(DOMAINS), stop_after_s=st.sampled_from([0.0, 8.0]))
     def drain(self, domain, stop_after_s):
         self.world.set_domain(domain, True, stop_after_s)
--- /dev/null
+++ b/tests/processes/test_http_limits.py
@@ -0,0 +1,245 @@
+"""Bad input on an entry's HTTP interface: a clear 4xx, and nothing is lost."""
+
+from __future__ import annotations
+
+import json
+import socket
+import threading
+import time
+
+import httpx
+import pytest
+from cicadabank.client import ApiError, Client
+from cicadabank.local import wait_until
+
+from tests.support.entries import local_entry
+
+LIMITS = {"header_time_s": 1.0, "body_bytes": 100_000, "connections": 120}
+
+
+@pytest.fixture(scope="module")
+def local():
+    with local_entry(limits=LIMITS) as local, Client(local.layout.http) as client:
+        client.apply("workspace", {"name": "glaze", "quota_accelerators": 16})
+        entry = local.parts["entry-1"]
+        wait_until(lambda: entry.config.seen.view.workspaces, 5.0, "the workspace")
+        yield local
+
+
+def talk(local, data, more=b"", pause_s=0.0):
+    """Send raw bytes and return all that comes back until the entry closes."""
+    host, port = local.http.split(":")
+    with socket.create_connection((host, int(port)), timeout=8.0) as sock:
+        sock.sendall(data)
+        if more:
+            time.sleep(pause_s)
+            sock.sendall(more)
+        received = b""
+        while chunk := sock.recv(65536):
+            received += chunk
+        return received
+
+
+def status_and_code(answer):
+    head, _, body = answer.partition(b"\r\n\r\n")
+    return int(head.split()[1]), json.loads(body)["error"]["code"]
+
+
+class TestMalformed:
+    @pytest.mark.parametrize(
+        ("data", "status", "code"),
+        [
+            (b"GARBAGE\r\n\r\n", 400, "bad-request"),
+            (b"GET / HTTP/1.1\r\n\r\n", 400, "bad-request"),
+            (b"GET / HTTP/1.1\r\nHost: a\r\nno colon\r\n\r\n", 400, "bad-request"),
+            (
+                b"POST /v1/jobs HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n",
+                400,
+                "bad-request",
+            ),
+            (
+                b"POST /v1/jobs HTTP/1.1\r\nHost: a\r\nContent-Length: -5\r\n\r\n",
+                400,
+                "bad-request",
+            ),
+            (
+                b"POST /v1/jobs HTTP/1.1\r\nHost: a\r\n"
+                b"Content-Length: 1\r\nContent-Length: 2\r\n\r\n",
+                400,
+                "bad-request",
+            ),
+            (
+                b"POST /v1/jobs HTTP/1.1\r\nHost: a\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n",
+                411,
+                "length-required",
+            ),
+            (
+                b"POST /v1/jobs HTTP/1.1\r\nHost: a\r\nContent-Length: 100001\r\n\r\n",
+                413,
+                "body-too-large",
+            ),
+            (
+                b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"y" * 200_000,
+                431,
+                "headers-too-large",
+            ),
+        ],
+        ids=[
+            "no-request-line",
+            "no-host",
+            "no-colon",
+            "length-not-a-number",
+            "length-negative",
+            "two-lengths",
+            "chunked",
+            "large-body",
+            "large-headers",
+        ],
+    )
+    def test_is_answered_and_closed(self, local, data, status, code):
+        assert status_and_code(talk(local, data)) == (status, code)
+
+    def test_slow_sender_is_told_so(self, local):
+        answer = talk(local, b"GET /healthz HTTP/1.1\r\nHo")
+        assert status_and_code(answer) == (408, "slow-sender")
+
+    @pytest.mark.parametrize("body", [b"{", b"[1]", b"\xff", b'"text"', b""])
+    def test_body_that_is_no_object(self, local, body):
+        response = httpx.post(f"http://{local.http}/v1/jobs", content=body)
+        assert response.status_code == 400
+        assert response.json()["error"]["ran"] == "no"
+        assert "Traceback" not in response.text
+
+
+class TestPipelined:
+    def test_each_request_is_answered_in_order(self, local):
+        one = b"GET /v1/jobs/%d HTTP/1.1\r\nHost: a\r\n\r\n"
+        last = b"GET /v1/jobs/9 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+        answer = talk(local, b"".join(one % n for n in range(3)) + last)
+        found = [b"'%d'" % n in answer for n in (0, 1, 2, 9)]
+        assert all(found)
+        assert answer.count(b"HTTP/1.1 404") == 4
+        assert answer.index(b"'0'") < answer.index(b"'1'") < answer.index(b"'9'")
+
+    def test_request_in_pieces(self, local):
+        head = b"GET /healthz HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+        assert b"200 OK" in talk(local, head, b"\r\n", pause_s=0.3)
+
+
+class TestBadFields:
+    @pytest.mark.parametrize(
+        ("fields", "status", "code", "text"),
+        [
+            ({"tasks": "x"}, 400, "invalid-input", "at $.tasks"),
+            ({"tasks": 0}, 400, "invalid-input", "at $.tasks"),
+            ({"colour": 1}, 400, "invalid-input", "unknown field 'colour'"),
+            ({"adjacency": "shed"}, 400, "invalid-input", "at $.adjacency"),
+            ({"workspace": "nobody"}, 422, "unknown-workspace", "nobody"),
+            ({"tasks": 17}, 422, "quota", "quota of 'glaze' is 16"),
+            ({"accelerators_per_task": 9}, 422, "impossible-shape", "1 x 8"),
+        ],
+    )
+    def test_are_named(self, local, fields, status, code, text):
+        with Client(local.layout.http) as client, pytest.raises(ApiError) as caught:
+            client.submit({"workspace": "glaze", **fields})
+        assert (caught.value.status, caught.value.code) == (status, code)
+        assert text in caught.value.message
+        assert caught.value.ran == "no"
+
+    @pytest.mark.parametrize(
+        ("method", "path", "status"),
+        [
+            ("GET", "/nowhere", 404),
+            ("PUT", "/v1/jobs", 405),
+            ("GET", "/v1/resources/planet", 404),
+            ("GET", "/v1/jobs/x?wait_s=abc", 400),
+            ("GET", "/v1/jobs/x/answer", 400),
+        ],
+    )
+    def test_paths(self, local, method, path, status):
+        response = httpx.request(method, f"http://{local.http}{path}")
+        assert response.status_code == status
+        assert response.json()["error"]["code"]
+
+
+class TestIdempotencyKey:
+    def test_same_key_and_body_is_one_job(self, local):
+        with Client(local.layout.http) as client:
+            spec = {"workspace": "glaze", "payload": '{"run_s": 0.1}'}
+            jobs = {client.submit(spec, "same")["job"] for _ in range(3)}
+            assert len(jobs) == 1
+
+    def test_other_body_is_refused(self, local):
+        with Client(local.layout.http) as client:
+            client.submit({"workspace": "glaze"}, "other")
+            with pytest.raises(ApiError) as caught:
+                client.submit({"workspace": "glaze", "tasks": 2}, "other")
+            assert caught.value.code == "idempotency-key-reused"
+
+    def test_request_with_a_key_runs_once(self, local):
+        minion = local.parts["minion-1"]
+        request = {"workspace": "glaze", "payload": "fade", "idempotent": False}
+        with Client(local.layout.http) as client:
+            answers = {client.request(request, "print-1")["answer"] for _ in range(3)}
+            assert answers == {"fade"}
+            with pytest.raises(ApiError) as caught:
+                client.request({**request, "payload": "other"}, "print-1")
+        assert minion.runs["glaze.print-1"] == 1
+        assert caught.value.code == "idempotency-key-reused"
+
+
+class TestWholeAnswers:
+    def test_each_caller_gets_its_own(self, local):
+        wrong = []
+
+        def call(number):
+            plan = {"run_s": 0.05 * (number % 5), "answer": f"{number}-"}
+            plan["answer_repeat"] = 3000
+            request = {"workspace": "glaze", "payload": json.dumps(plan)}
+            with Client(local.layout.http) as client:
+                try:
+                    answer = client.request(request)["answer"]
+                except ApiError as error:
+                    assert error.code == "overloaded"
+                    return
+                if answer != f"{number}-" * 3000:
+                    wrong.append(number)
+
+        threads = [threading.Thread(target=call, args=(n,)) for n in range(40)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        assert not wrong
+
+    def test_large_answer_goes_through_the_object_service(self, local):
+        plan = {"run_s": 0.1, "answer": "spread ", "answer_repeat": 20_000}
+        with Client(local.layout.http) as client:
+            spec = {"workspace": "glaze", "tasks": 10, "payload": json.dumps(plan)}
+            record = client.wait_for_job(client.submit(spec)["job"], {"done"})
+            answer = client.answer(record["job"], "glaze")
+            assert len(answer["members"]) == 2
+            assert {m["answer"] for m in answer["members"]} == {"spread " * 20_000}
+
+    def test_another_workspace_does_not_see_it(self, local):
+        with Client(local.layout.http) as client:
+            spec = {"workspace": "glaze", "payload": '{"run_s": 0.1}'}
+            job = client.wait_for_job(client.submit(spec)["job"], {"done"})["job"]
+            request = {"workspace": "glaze", "payload": "mine", "idempotent": False}
+            client.request(request, "mine-1")
+            for path in (f"/v1/jobs/{job}/answer", "/v1/requests/glaze.mine-1"):
+                with pytest.raises(ApiError) as caught:
+                    client.call("GET", path, headers={"Workspace": "books"})
+                assert caught.value.status == 404
+
+    def test_caller_that_hangs_up_harms_nobody(self, local):
+        host, port = local.http.split(":")
+        body = json.dumps({"workspace": "glaze", "payload": '{"run_s": 0.3}'}).encode()
+        head = f"POST /v1/requests HTTP/1.1\r\nHost: a\r\nContent-Length: {len(body)}"
+        for _ in range(5):
+            with socket.create_connection((host, int(port))) as sock:
+                sock.sendall(head.encode() + b"\r\n\r\n" + body)
+        with Client(local.layout.http) as client:
+            request = {"workspace": "glaze", "payload": "still here"}
+            assert client.request(request)["answer"] == "still here"
--- /dev/null
+++ b/tests/processes/test_silent_connection.py
@@ -0,0 +1,70 @@
+"""Connections that stay open and pass nothing on any more."""
+
+from __future__ import annotations
+
+from contextlib import ExitStack
+from types import SimpleNamespace
+
+import pytest
+from cicadabank.decisions import ConfigView
+from cicadabank.entry.errors import OutcomeUnknownError
+from cicadabank.entry.internal.config import Seen
+from cicadabank.entry.internal.minions import MinionTask
+from cicadabank.entry.internal.requests import RequestCall, RequestService, RetryTask
+from cicadabank.local import Ports
+from cicadabank.model import Workspace
+from cicadabank.platform import TableClient
+from cicadabank.settings import EntrySettings, StandInSettings
+from cicadabank.standin import serve_store, stand_in_running
+from cicadabank.tasks import Metrics, running
+from cicadabank.wire import ChannelPool, control_pb2
+
+from tests.support.relay import relay_running
+
+WORKSPACE = Workspace("glaze", 8)
+
+
+@pytest.fixture
+def parts():
+    ports = Ports()
+    store, listen = ports.address(), ports.address()
+    settings = StandInSettings("stand-in", "minion", "minion-1", listen)
+    entry = EntrySettings("entry", "entry-1", "erie", "", "", store, store, ("lakes",))
+    with ExitStack() as stack:
+        minion = stack.enter_context(stand_in_running(settings))
+        stack.enter_context(serve_store(store))
+        relay = stack.enter_context(relay_running(listen))
+        minions = stack.enter_context(running(MinionTask(1.5, 0, Metrics("", ""))))
+        retries = stack.enter_context(running(RetryTask(0.1)))
+        beat = control_pb2.Beat(
+            target="minion-1",
+            incarnation="run-1",
+            info=control_pb2.TargetInfo(
+                name="minion-1", address=relay.address, slots=8, direct=True
+            ),
+        )
+        minions.ask(minions.on_beat, beat, Seen(ConfigView(), 0.0))
+        table = TableClient(store)
+        pool = ChannelPool()
+        service = RequestService(entry, table, None, pool, minions, retries)
+        yield SimpleNamespace(service=service, relay=relay, minion=minion)
+        pool.close()
+        table.close()
+
+
+class TestSilentConnection:
+    def test_idempotent_request_moves_to_a_new_one(self, parts):
+        parts.service.run(RequestCall("glaze", "one"), WORKSPACE, "")
+        parts.relay.silence()
+        call = RequestCall("glaze", "two", deadline_s=4.0)
+        assert parts.service.run(call, WORKSPACE, "").answer == "two"
+
+    def test_request_that_must_run_once_is_not_sent_again(self, parts):
+        parts.service.run(RequestCall("glaze", "one"), WORKSPACE, "")
+        parts.relay.silence()
+        call = RequestCall("glaze", "two", idempotent=False, deadline_s=2.0)
+        with pytest.raises(OutcomeUnknownError):
+            parts.service.run(call, WORKSPACE, "key-1")
+        assert parts.minion.runs["glaze.key-1"] == 0
+        after = RequestCall("glaze", "three", deadline_s=2.0)
+        assert parts.service.run(after, WORKSPACE, "").answer == "three"
--- /dev/null
+++ b/tests/support/deployments.py
@@ -0,0 +1,107 @@
+"""Deployments of real processes with short leases, shared by the failure tests."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from cicadabank.client import ApiError, Client
+from cicadabank.local import Ports, Size, deployment_running, make_layout, wait_until
+from cicadabank.standin import StandInUnreachableError, switch_fault
+
+ENDED = {"done", "failed", "refused", "cancelled", "outcome-unknown"}
+DOMAINS = ("erie", "huron")
+TIMINGS = {
+    "lease_duration_s": 7.0,
+    "silent_after_s": 2.0,
+    "outage_lease_s": 60.0,
+    "recovery_s": 3.0,
+    "settle_s": 1.5,
+}
+OVERRIDES = {
+    "session_lease_s": 3.0,
+    "session_renew_s": 0.8,
+    "beat_interval_s": 0.5,
+    "timings": TIMINGS,
+}
+WAIT_S = 40.0
+
+
+class Bench:
+    """A running deployment with a client of all its entries."""
+
+    def __init__(self, deployment, client):
+        self.deployment = deployment
+        self.client = client
+
+    def entry(self, index):
+        """Return a client of one entry only."""
+        return Client([self.deployment.layout.http[index]], "test")
+
+    def holder(self):
+        """Return the name of the entry that holds the cell."""
+        for index, address in enumerate(self.deployment.layout.http):
+            with Client([address]) as client:
+                if client.call("GET", "/v1/status")["held_cells"]:
+                    return f"entry-{index + 1}"
+        raise AssertionError("no entry holds the cell")
+
+    def other(self, entry):
+        """Return a client of an entry other than this one."""
+        return self.entry(1 if entry == "entry-1" else 0)
+
+    def submit(self, key="", run_s=1.0, **fields):
+        payload = json.dumps({"run_s": run_s, **fields.pop("plan", {})})
+        spec = {"workspace": "glaze", "payload": payload, **fields}
+        return self.client.submit(spec, key)["job"]
+
+    def ended(self, job, client=None):
+        return (client or self.client).wait_for_job(job, ENDED)
+
+    def running(self, job, client=None):
+        states = ENDED | {"running"}
+        record = (client or self.client).wait_for_job(job, states)
+        assert record["state"] == "running", record["reason"]
+        return record
+
+    def fault(self, process, name, value):
+        """Switch a fault of a stand-in, once it answers."""
+        address = self.deployment.layout.settings[process]["listen"]
+
+        def switched():
+            try:
+                switch_fault(address, name, value)
+            except StandInUnreachableError:
+                return False
+            return True
+
+        self.wait(switched, process)
+
+    def wait(self, condition, what, timeout_s=WAIT_S):
+        wait_until(condition, timeout_s, what)
+
+
+@contextmanager
+def bench_running(folder, agents=True, workers=4, minions=2) -> Iterator[Bench]:
+    """Run a deployment with the workspaces that the tests use."""
+    size = Size(DOMAINS, "lakes", 2, workers, minions, agents, accelerators=4)
+    layout = make_layout(size, Ports(), OVERRIDES)
+    with deployment_running(layout, folder) as deployment:
+        deployment.wait_ready(workers, minions)
+        with Client(layout.http, "test") as client:
+            bench = Bench(deployment, client)
+            for name in ("glaze", "books"):
+                client.apply("workspace", {"name": name, "quota_accelerators": 32})
+            for address in layout.http:
+                with Client([address]) as one:
+                    bench.wait(lambda one=one: in_force(one, 2), "the configuration")
+            yield bench
+
+
+def in_force(client, version):
+    """Whether an entry has seen a version of the configuration."""
+    try:
+        return client.call("GET", "/v1/status")["config_version"] >= version
+    except ApiError:
+        return False
--- /dev/null
+++ b/tests/support/entries.py
@@ -0,0 +1,49 @@
+"""An entry with a table and targets, all in the test's own process."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+
+from cicadabank.entry import entry_running
+from cicadabank.local import Ports, Size, make_layout, wait_until
+from cicadabank.model import from_builtins
+from cicadabank.settings import EntrySettings, StandInSettings
+from cicadabank.standin import stand_in_running
+
+from tests.support.deployments import OVERRIDES
+
+KINDS = {"entry": EntrySettings, "stand-in": StandInSettings}
+
+
+class Local:
+    """The running parts by their process names."""
+
+    def __init__(self, layout, parts):
+        self.layout = layout
+        self.parts = parts
+        self.http = layout.http[0].removeprefix("http://")
+
+
+@contextmanager
+def local_entry(workers=2, minions=1, limits=None, entries=1) -> Iterator[Local]:
+    """Run an entry with direct targets."""
+    size = Size(("erie", "huron"), "lakes", entries, workers, minions, agents=False)
+    overrides = {**OVERRIDES, **({"limits": limits} if limits else {})}
+    layout = make_layout(size, Ports(), overrides)
+    with ExitStack() as stack:
+        parts = {}
+        for name, settings in layout.settings.items():
+            kind = KINDS[settings["kind"]]
+            parsed = from_builtins(settings, kind)
+            run = entry_running if kind is EntrySettings else stand_in_running
+            parts[name] = stack.enter_context(run(parsed))
+        entry = parts["entry-1"]
+        wait_until(entry.ready, 20.0, "the entry")
+        if workers:
+            wait_until(
+                lambda: entry.status()["known_workers"] == workers, 20.0, "workers"
+            )
+        time.sleep(0.1)
+        yield Local(layout, parts)
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -120,6 +120,11 @@
         self.beat_due_s = 0.0
         self.restart()
 
+    def replace_vm(self):
+        """Lose all that runs here, and come back empty."""
+        self.runner = FakeRunner(self.world, self.info.name)
+        self.restart()
+
     def restart(self):
         self.core = AgentCore(
             self.world.make_id("run"), self.info.accelerators, FRESHNESS_S
@@ -294,7 +299,7 @@
             "lakes",
             self.epoch,
             world.now_s,
-            CellTimings(outage_lease_s=20.0),
+            CellTimings(lease_duration_s=10.0, outage_lease_s=20.0),
             lambda: world.now_s,
             world.make_id,
         )
