--- /dev/null
+++ b/benchmarks/results.py
@@ -0,0 +1,24 @@
+"""Printing and figures shared by the benchmarks."""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Sequence
+from typing import Any
+
+import numpy as np
+
+
+def percentiles(values: Sequence[float]) -> dict[str, float]:
+    """Return the median and the 99th percentile of values, in their unit."""
+    if not values:
+        return {"count": 0, "p50": 0.0, "p99": 0.0}
+    p50, p99 = np.percentile(np.asarray(values), [50, 99])
+    return {"count": len(values), "p50": round(float(p50), 4), "p99": round(float(p99), 4)}
+
+
+def print_results(name: str, seed: int, results: Any) -> None:
+    """Print the results of a benchmark as JSON."""
+    json.dump({"benchmark": name, "seed": seed, "results": results}, sys.stdout, indent=1)
+    print()
