Let bad workers rest, and tell bad workers from bad jobs by repute

Cause: probation only bounded jobs at once, which a worker that fails in 0.5 s does not feel; and any second failure moved the blame to the job. Ruled out: raising the number of tries (loses the same jobs later).

--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -1,4 +1,4 @@
-"""Drives a cell's decisions directly: every order is carried out and answered at once."""
+"""Drives a cell's decisions directly; orders are carried out and answered at once."""
 
 from __future__ import annotations
 
@@ -24,6 +24,7 @@
 
 FOREVER_S = 1e12
 TICK_S = 1.0
+FAIL_FAST_S = 0.5
 NEVER_SILENT = CellTimings(
     lease_duration_s=FOREVER_S, silent_after_s=FOREVER_S, settle_s=0.0
 )
@@ -72,6 +73,9 @@
         for info in infos:
             self.core.on_beat(BeatEvent(info.name, "run", info, True, ()), 0.0)
         self.jobs: dict[str, Progress] = {}
+        self.bad_workers: set[str] = set()
+        self.bad_jobs: set[str] = set()
+        self.failed_attempts: list[tuple[str, str]] = []
         self._members: dict[str, set[str]] = {}
         self._versions = itertools.count(1)
         self._events: list = []
@@ -151,7 +155,13 @@
             if progress.first_start_s < 0:
                 progress.first_start_s = self.now_s
             left_s = progress.run_s - progress.kept_s
-            self.at(self.now_s + left_s, self._end, order.attempt, attempt.job)
+            bad = sorted(members & self.bad_workers)
+            if attempt.job in self.bad_jobs:
+                bad = sorted(members)
+            if bad:
+                self.at(self.now_s + FAIL_FAST_S, self._fail, order.attempt, bad[0])
+            else:
+                self.at(self.now_s + left_s, self._end, order.attempt, attempt.job)
         self._reply(order, OrderResult(True, True, True))
 
     def _end(self, attempt: str, job: str) -> None:
@@ -166,6 +176,14 @@
                 BeatEvent(worker, "run", None, False, (report,)), self.now_s
             )
 
+    def _fail(self, attempt: str, worker: str) -> None:
+        if attempt not in self._members:
+            return
+        job = self.core.state.attempts[attempt].job
+        self.failed_attempts.append((job, worker))
+        report = Report(attempt, "failed", run_s=FAIL_FAST_S)
+        self.core.on_beat(BeatEvent(worker, "run", None, False, (report,)), self.now_s)
+
     def _stop(self, order: SendStop) -> None:
         workers = self._members.pop(order.attempt, None)
         attempt = self.core.state.attempts.get(order.attempt)
--- a/benchmarks/order.py
+++ b/benchmarks/order.py
@@ -9,13 +9,14 @@
 from contextlib import contextmanager
 from unittest import mock
 
-from benchmarks.driver import Driver
-from benchmarks.fleets import bursty_work, fleet_infos
-from benchmarks.results import percentiles, print_results
 from cicadabank.decisions import ConfigView
 from cicadabank.decisions.internal import planner
 from cicadabank.model import Guarantee, GuaranteedShape, JobSpec, Workspace
 
+from benchmarks.driver import Driver
+from benchmarks.fleets import bursty_work, fleet_infos
+from benchmarks.results import percentiles, print_results
+
 SEED = 12
 WORKERS = 30
 JOBS = 1500
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -9,11 +9,12 @@
 import heapq
 from collections.abc import Callable
 
-from benchmarks.fleets import Work, bursty_work, fleet_infos
-from benchmarks.results import percentiles, print_results
 from cicadabank.decisions import Fleet, GangShape, Need, place
 from cicadabank.model import Member
 
+from benchmarks.fleets import Work, bursty_work, fleet_infos
+from benchmarks.results import percentiles, print_results
+
 SEED = 11
 WORKERS = 30
 JOBS = 1500
@@ -48,7 +49,7 @@
 
 
 def usable_share(fleet: Fleet, gang: int) -> float:
-    """Return the share of free accelerators that gangs of a size within a rack can use."""
+    """Return the share of free accelerators that gangs within a rack can use."""
     free = sum(max(0, worker.free) for worker in fleet.workers.values())
     racks: dict[str, int] = {}
     for worker in fleet.workers.values():
@@ -79,8 +80,11 @@
     def play(self) -> None:
         """Run the work to its end."""
         events = [(w.at_s, "arrive", i) for i, w in enumerate(self.work)]
-        events += [(w.cancelled_at_s, "cancel", i) for i, w in enumerate(self.work)
-                   if w.cancelled_at_s]
+        events += [
+            (w.cancelled_at_s, "cancel", i)
+            for i, w in enumerate(self.work)
+            if w.cancelled_at_s
+        ]
         heapq.heapify(events)
         steps = 0
         while events:
@@ -93,7 +97,9 @@
             elif index in self.running:
                 self._release(index)
                 item = self.work[index]
-                self.completion.setdefault(item.size_class, []).append(now_s - item.at_s)
+                self.completion.setdefault(item.size_class, []).append(
+                    now_s - item.at_s
+                )
             for index_started in self._start():
                 end_s = now_s + self.work[index_started].run_s
                 heapq.heappush(events, (end_s, "end", index_started))
@@ -133,7 +139,9 @@
     def results(self) -> dict:
         """Return completion times, fragmentation and spread."""
         return {
-            "completion_s": {k: percentiles(v) for k, v in sorted(self.completion.items())},
+            "completion_s": {
+                k: percentiles(v) for k, v in sorted(self.completion.items())
+            },
             "usable_share_of_free": {
                 str(g): round(sum(s) / len(s), 4) for g, s in self.shares.items()
             },
@@ -146,7 +154,11 @@
     """Print the figures of all policies."""
     work = bursty_work(SEED, WORKERS, JOBS, LOAD)
     results = {}
-    for name, policy in (("first-fit", first_fit), ("best-fit", best_fit), ("adjacent", place)):
+    for name, policy in (
+        ("first-fit", first_fit),
+        ("best-fit", best_fit),
+        ("adjacent", place),
+    ):
         run = Run(policy, work)
         run.play()
         results[name] = run.results()
--- a/benchmarks/results.py
+++ b/benchmarks/results.py
@@ -15,10 +15,16 @@
     if not values:
         return {"count": 0, "p50": 0.0, "p99": 0.0}
     p50, p99 = np.percentile(np.asarray(values), [50, 99])
-    return {"count": len(values), "p50": round(float(p50), 4), "p99": round(float(p99), 4)}
+    return {
+        "count": len(values),
+        "p50": round(float(p50), 4),
+        "p99": round(float(p99), 4),
+    }
 
 
 def print_results(name: str, seed: int, results: Any) -> None:
     """Print the results of a benchmark as JSON."""
-    json.dump({"benchmark": name, "seed": seed, "results": results}, sys.stdout, indent=1)
+    json.dump(
+        {"benchmark": name, "seed": seed, "results": results}, sys.stdout, indent=1
+    )
     print()
--- a/packages/decisions/src/cicadabank/decisions/internal/core.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/core.py
@@ -85,6 +85,7 @@
     def on_tick(self, now_s: float) -> None:
         """Act on what time alone brings about, and plan."""
         state = self.state
+        state.now_s = now_s
         membership.check_silence(state, now_s)
         membership.check_unheard(state, now_s)
         membership.check_deadlines(state, now_s)
--- a/packages/decisions/src/cicadabank/decisions/internal/gangs.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/gangs.py
@@ -301,7 +301,8 @@
     spec = entry.row.spec
     for member in attempt.members.values():
         if member.outcome == "failed":
-            state.health.failed(attempt.job, member.worker)
+            state.health.failed(attempt.job, member.worker, state.now_s)
+            state.layout_stale = True
         elif member.outcome == "done":
             state.health.succeeded(attempt.job, member.worker)
         state.refresh_worker(member.worker)
--- a/packages/decisions/src/cicadabank/decisions/internal/membership.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/membership.py
@@ -20,6 +20,7 @@
 
 def on_beat(state: CellState, beat: BeatEvent, now_s: float) -> BeatAnswer:
     """Take in a heartbeat and say what the worker must know."""
+    state.now_s = now_s
     worker = state.workers.get(beat.worker)
     if worker is None or worker.incarnation != beat.incarnation:
         if beat.info is None or not beat.full:
--- a/packages/decisions/src/cicadabank/decisions/internal/outcomes.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/outcomes.py
@@ -8,6 +8,7 @@
 from cicadabank.model import JobRow, JobState, Ran
 
 MAX_FAILURES = 3
+MAX_FAILURES_IN_ALL = 10
 
 
 def next_row(
@@ -45,11 +46,13 @@
     kind = attempt.reason.partition(":")[0]
     spec = row.spec
     if kind == "failed":
-        failures = 1 + sum(d.event == "failed" for d in row.history)
-        if spec.idempotent and failures < MAX_FAILURES:
-            return _again(
-                state, row, attempt, f"failure {failures} of {MAX_FAILURES}", "failed"
-            )
+        in_all = 1 + sum(d.event == "failed" for d in row.history)
+        failures = _held_against(state, row, attempt, in_all)
+        few = failures < MAX_FAILURES and in_all < MAX_FAILURES_IN_ALL
+        if spec.idempotent and few:
+            where = _failed_on(attempt)
+            cause = f"failed on {where}, failure {failures} of {MAX_FAILURES}"
+            return _again(state, row, attempt, cause, "failed")
         reason = f"a task failed on {_failed_on(attempt)}"
         return _end(state, row, attempt, JobState.FAILED, Ran.YES, reason)
     checkpoint = _checkpoint(attempt)
@@ -65,6 +68,20 @@
     return _end(state, row, attempt, JobState.UNKNOWN, Ran.UNKNOWN, reason)
 
 
+def _held_against(state: CellState, row: JobRow, attempt: Attempt, in_all: int) -> int:
+    """Return how many of a job's failures count against it.
+
+    Those on workers on probation don't, so that bad workers lose no good job. After a
+    takeover the holder remembers none of the earlier ones and counts them all.
+    """
+    known = state.health.failed_on(row.job)
+    if len(known) < in_all - 1:
+        return in_all
+    here = {m.worker for m in attempt.members.values() if m.outcome == "failed"}
+    fresh = [w for w in here - known if not state.health.on_probation(w)]
+    return state.health.held_against(row.job) + bool(fresh)
+
+
 def _failed_on(attempt: Attempt) -> str:
     return ", ".join(
         m.worker for m in attempt.members.values() if m.outcome == "failed"
--- a/packages/decisions/src/cicadabank/decisions/internal/planner.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/planner.py
@@ -17,8 +17,8 @@
 from cicadabank.model import Adjacency, Member, describe_shape
 
 JOBS_SCANNED = 256
-HOLD_REFRESH_S = 1.0
 HOLD_RELEASE_BATCHES = 16
+SHORTEST_HOLD_S = 60.0
 
 
 def plan(state: CellState, now_s: float) -> None:
@@ -200,7 +200,7 @@
 ) -> list[Member]:
     """Return the members of a gang inside a home, without regard to borrowers."""
     left = _home_left(state, home)
-    if any(not state.worker_usable(worker) for worker in left):
+    if any(not state.worker_homeable(worker) for worker in left):
         return []
     if shape.domain and any(
         state.fleet.workers[worker].info.domain != shape.domain for worker in left
@@ -335,7 +335,9 @@
 def relayout(state: CellState) -> None:
     """Lay the homes out anew over the workers that take work."""
     workers = [
-        w.info for name, w in state.fleet.workers.items() if state.worker_usable(name)
+        worker.info
+        for name, worker in state.fleet.workers.items()
+        if state.worker_homeable(name)
     ]
     guarantees = [g for g in state.view.guarantees.values() if g.cell == state.cell]
     pinned: dict[str, int] = {}
@@ -391,11 +393,24 @@
 
 def _refresh_hold(state: CellState, entry: JobEntry, now_s: float) -> None:
     hold = state.hold
-    if hold and hold.job == entry.row.job and now_s - hold.made_s < HOLD_REFRESH_S:
+    if hold and hold.job == entry.row.job and _hold_stands(state, hold, now_s):
         return
     state.hold = _make_hold(state, entry, now_s)
 
 
+def _hold_stands(state: CellState, hold: Hold, now_s: float) -> bool:
+    """Whether a hold is kept.
+
+    Moving it whenever another place seems sooner would let backfilled jobs onto every
+    place in turn, and the job that waits would never get one. Only a hold that took
+    twice as long as expected is made anew.
+    """
+    expected_s = max(SHORTEST_HOLD_S, hold.until_s - hold.made_s)
+    if now_s > hold.until_s + expected_s:
+        return False
+    return all(state.worker_usable(worker) for worker in hold.workers)
+
+
 def _make_hold(state: CellState, entry: JobEntry, now_s: float) -> Hold | None:
     """Find where the job will fit first as running gangs end.
 
--- a/packages/decisions/src/cicadabank/decisions/internal/state.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/state.py
@@ -88,6 +88,7 @@
         self.timings = timings
         self.clock_unix_s = clock_unix_s
         self.make_id = make_id
+        self.now_s = 0.0  # time of the event at hand
         self.epoch = 0
         self.taken_over_s = 0.0
         self.loaded = False
@@ -156,6 +157,10 @@
             return False
         return not self.domain_out(self.fleet.workers[name].info.domain)
 
+    def worker_homeable(self, name: str) -> bool:
+        """Whether a guarantee may rest on a worker."""
+        return self.worker_usable(name) and not self.health.on_probation(name)
+
     def domain_out(self, domain: str) -> bool:
         """Whether operators have taken a failure domain out."""
         state = self.view.domains.get(domain)
@@ -168,7 +173,8 @@
         indexed = self.fleet.workers[name].indexed
         usable = self.worker_usable(name)
         if usable and self.health.on_probation(name):
-            usable = not self.fleet.workers[name].bookings
+            resting = self.health.resting(name, self.now_s)
+            usable = not resting and not self.fleet.workers[name].bookings
         if usable == indexed:
             return
         if usable:
--- /dev/null
+++ b/tests/cover/test_health.py
@@ -0,0 +1,57 @@
+"""Bad workers are found; good ones are not blamed for bad jobs."""
+
+from __future__ import annotations
+
+from cicadabank.decisions import WorkerHealth
+
+
+class TestWorkerHealth:
+    def test_three_failed_jobs_without_a_success_set_a_worker_apart(self):
+        health = WorkerHealth()
+        for number in range(3):
+            assert not health.on_probation("bad")
+            health.failed(f"job-{number}", "bad", 0.0)
+        assert health.on_probation("bad")
+
+    def test_it_rests_longer_after_each_failure(self):
+        health = WorkerHealth()
+        for number in range(3):
+            health.failed(f"job-{number}", "bad", 0.0)
+        assert health.resting("bad", 29.0)
+        assert not health.resting("bad", 31.0)
+        health.failed("job-3", "bad", 31.0)
+        assert health.resting("bad", 90.0)
+
+    def test_two_successes_bring_it_back(self):
+        health = WorkerHealth()
+        for number in range(3):
+            health.failed(f"job-{number}", "w", 0.0)
+        health.succeeded("job-4", "w")
+        assert health.on_probation("w")
+        health.succeeded("job-5", "w")
+        assert not health.on_probation("w")
+
+    def test_bad_jobs_set_no_good_worker_apart(self):
+        health = WorkerHealth()
+        workers = [f"w{i}" for i in range(6)]
+        for worker in workers:
+            health.succeeded("first", worker)
+        for number in range(30):
+            for worker in workers[number % 4 : number % 4 + 3]:
+                health.failed(f"bad-{number}", worker, 0.0)
+                health.succeeded(f"good-{number}", worker)
+        assert not any(health.on_probation(worker) for worker in workers)
+
+    def test_several_bad_workers_do_not_clear_each_other(self):
+        health = WorkerHealth()
+        for number in range(4):
+            for worker in ("bad-1", "bad-2", "bad-3"):
+                health.failed(f"job-{number}", worker, 0.0)
+        assert all(health.on_probation(f"bad-{i}") for i in (1, 2, 3))
+
+    def test_failures_on_them_are_not_held_against_a_job(self):
+        health = WorkerHealth()
+        for number in range(3):
+            health.failed(f"job-{number}", "bad", 0.0)
+        health.failed("mine", "bad", 0.0)
+        assert health.held_against("mine") == 0
