--- a/packages/agent/src/cicadabank/agent/internal/core.py
+++ b/packages/agent/src/cicadabank/agent/internal/core.py
@@ -12,7 +12,7 @@
 from cicadabank.wire import control_pb2
 
 ENDED = frozenset({"done", "failed", "stopped"})
-STARTED_REMEMBERED = 10_000
+PUSHED_OUT_S = 300.0
 
 
 class View(NamedTuple):
@@ -120,7 +120,7 @@
         self.members: dict[str, MemberTask] = {}
         self._told: dict[str, str] = {}
         self._full = True
-        self._pushed_out = False
+        self._pushed_out_until_s = float("-inf")
 
     def reserve(self, order: control_pb2.Reserve, now_s: float) -> None:
         """Keep accelerators for a member until the reservation expires.
@@ -210,7 +210,7 @@
     def _check_view(self, view: View, now_s: float) -> None:
         if self.leaving:
             raise OrderRefusedError("the target is leaving")
-        if view.domain_out or self._pushed_out:
+        if view.domain_out or now_s < self._pushed_out_until_s:
             raise OrderRefusedError("the failure domain is out of service")
         age_s = now_s - view.seen_s
         if age_s > self.freshness_s:
@@ -348,12 +348,16 @@
         if version < self.view.version or seen_s < self.view.seen_s:
             return
         if version > self.view.version:
-            self._pushed_out = False
+            self._pushed_out_until_s = float("-inf")
         self.view = View(version, domain_out, seen_s)
 
-    def push_out(self) -> None:
-        """Act at once on a failure domain's being taken out, before it is stored."""
-        self._pushed_out = True
+    def push_out(self, now_s: float) -> None:
+        """Act at once on a failure domain's being taken out, before it is stored.
+
+        It lapses, so that a drain that is never accepted doesn't last for ever; a newer
+        version of the configuration ends it sooner.
+        """
+        self._pushed_out_until_s = now_s + PUSHED_OUT_S
 
     def tell_everything(self) -> None:
         """Send a full report next, to a holder that may know nothing."""
--- a/packages/agent/src/cicadabank/agent/internal/task.py
+++ b/packages/agent/src/cicadabank/agent/internal/task.py
@@ -135,7 +135,7 @@
     def push_view(self, push: control_pb2.ViewPush) -> None:
         """Act on a failure domain's being taken out before the next heartbeat."""
         if push.domain == self.settings.domain and push.out:
-            self.core.push_out()
+            self.core.push_out(clock_s())
             self.gate.domain_out = True
 
     def handle(self, request, context):
--- a/packages/client/src/cicadabank/client/cli.py
+++ b/packages/client/src/cicadabank/client/cli.py
@@ -38,7 +38,7 @@
 def main() -> None:
     """Run the command line; usage errors end with the code for bad input."""
     try:
-        app(exit_on_error=False, print_error=True)
+        app(sys.argv[1:], exit_on_error=False, print_error=True)
     except CycloptsError:
         sys.exit(Exit.BAD_INPUT)
 
--- a/packages/entry/src/cicadabank/entry/errors.py
+++ b/packages/entry/src/cicadabank/entry/errors.py
@@ -9,7 +9,7 @@
     NotFoundError,
     Ran,
 )
-from cicadabank.platform import PlatformError
+from cicadabank.platform import PlatformError, UnknownOutcomeError
 
 
 class EntryError(CicadabankError):
@@ -144,9 +144,17 @@
     return 500
 
 
+def ran_of(error: CicadabankError) -> Ran:
+    """Return whether what was asked for may have happened."""
+    if isinstance(error, UnknownOutcomeError):
+        return Ran.UNKNOWN
+    return getattr(error, "ran", Ran.NO)
+
+
 STATUSES: dict[type, int] = {
     NotFoundError: 404,
     ConflictError: 409,
     InvalidInputError: 400,
+    UnknownOutcomeError: 504,
     PlatformError: 503,
 }
--- a/packages/entry/src/cicadabank/entry/internal/app.py
+++ b/packages/entry/src/cicadabank/entry/internal/app.py
@@ -13,12 +13,14 @@
 from cicadabank.entry.internal.http.routes import Api, EntryState
 from cicadabank.entry.internal.jobs import JobService
 from cicadabank.entry.internal.minions import MinionTask
+from cicadabank.entry.internal.record import RecordService
 from cicadabank.entry.internal.renewal import RenewalTask
 from cicadabank.entry.internal.requests import RequestService, RetryTask
 from cicadabank.entry.internal.resources import ResourceService
 from cicadabank.entry.internal.services import MembershipService, Peers, PeerService
 from cicadabank.entry.internal.session import HeldCell, SessionTask
 from cicadabank.entry.internal.summaries import SummaryTask, announced_workers
+from cicadabank.entry.internal.tally import TallyTask
 from cicadabank.platform import ObjectClient, TableClient
 from cicadabank.settings import EntrySettings
 from cicadabank.tasks import Metrics, StopSignal, clock_s, configure_logs, running
@@ -53,8 +55,15 @@
             settings.minion_overcommit, settings.seed, self.metrics
         )
         self.retries = RetryTask(settings.retry_share)
+        self.tally = TallyTask(self.table, settings.name)
         self.requests = RequestService(
-            settings, self.table, self.objects, self.pool, self.minions, self.retries
+            settings,
+            self.table,
+            self.objects,
+            self.pool,
+            self.minions,
+            self.retries,
+            self.tally,
         )
         self.jobs = JobService(
             self.table, self.objects, self._view, self.summaries.summaries, self._wake
@@ -65,10 +74,17 @@
             lambda: self.config.post(self.config.refresh),
             self._out_at_once,
         )
+        self.record = RecordService(self.table)
         state = EntryState(self.ready, self.status, self.targets)
         deadline_s = settings.limits.request_deadline_s
         self.api = Api(
-            self.jobs, self.requests, self.resources, state, deadline_s, self._view
+            self.jobs,
+            self.requests,
+            self.resources,
+            state,
+            deadline_s,
+            self._view,
+            self.record,
         )
         self.http = HttpTask(settings.http_listen, self.api.dispatch, settings.limits)
 
@@ -117,6 +133,7 @@
         for cell in list(self.cells.values()):
             cell.post(cell.config_changed, seen)
         self.minions.post(self.minions.config_changed, seen)
+        self.tally.post(self.tally.note_version, seen.view.version)
 
     def _wake(self, cell: str, job: str) -> None:
         task = self.cells.get(cell)
@@ -200,6 +217,7 @@
             entry.summaries,
             entry.minions,
             entry.retries,
+            entry.tally,
             entry.renewal,
         ):
             stack.enter_context(running(task))
@@ -212,6 +230,7 @@
             yield entry
         finally:
             entry.drain()
+            entry.tally.ask(entry.tally.store_minutes)
             entry.http.close_pools()
     entry.pool.close()
     entry.table.close()
--- a/packages/entry/src/cicadabank/entry/internal/http/messages.py
+++ b/packages/entry/src/cicadabank/entry/internal/http/messages.py
@@ -4,8 +4,8 @@
 
 from typing import Any, NamedTuple
 
-from cicadabank.entry.errors import BadRequestError, status_of
-from cicadabank.model import CicadabankError, ConflictError, Ran, decode, encode
+from cicadabank.entry.errors import BadRequestError, ran_of, status_of
+from cicadabank.model import CicadabankError, ConflictError, decode, encode
 
 
 class ApiCall(NamedTuple):
@@ -63,12 +63,11 @@
 
 def error_document(error: CicadabankError) -> dict[str, Any]:
     """Return the body that describes an error."""
-    ran = getattr(error, "ran", Ran.NO)
     fields = {
         "code": error.code,
         "message": error.message,
         "action": error.action,
-        "ran": str(ran),
+        "ran": str(ran_of(error)),
     }
     if getattr(error, "job", ""):
         fields["job"] = error.job
--- a/packages/entry/src/cicadabank/entry/internal/http/routes.py
+++ b/packages/entry/src/cicadabank/entry/internal/http/routes.py
@@ -9,6 +9,7 @@
 from cicadabank.entry.errors import BadRequestError
 from cicadabank.entry.internal.http.messages import ApiCall, ApiReply, json_reply
 from cicadabank.entry.internal.jobs import JobService
+from cicadabank.entry.internal.record import RecordService
 from cicadabank.entry.internal.requests import RequestCall, RequestService
 from cicadabank.entry.internal.resources import (
     Accepted,
@@ -59,6 +60,7 @@
         state: EntryState,
         request_deadline_s: float,
         view: Callable,
+        record: RecordService,
     ):
         self._jobs = jobs
         self._requests = requests
@@ -66,6 +68,7 @@
         self._state = state
         self._request_deadline_s = request_deadline_s
         self._view = view
+        self._record = record
         self._routes = [
             Route(method, re.compile(path), answer)
             for method, path, answer in (
@@ -83,6 +86,7 @@
                 ("PUT", r"/v1/resources/([^/]+)/([^/]+)", self._apply),
                 ("DELETE", r"/v1/resources/([^/]+)/([^/]+)", self._delete),
                 ("GET", r"/v1/config/log", self._config_log),
+                ("GET", r"/v1/record", self._record_rows),
                 ("GET", r"/v1/status", self._status),
                 ("GET", r"/v1/targets", self._targets),
             )
@@ -187,6 +191,10 @@
         change = Change(kind, name, fields, operator, _if_version(call))
         return json_reply(200, resource_document(self._resources.apply(change)))
 
+    def _record_rows(self, call: ApiCall) -> ApiReply:
+        after_unix_s = call.number("after_unix_s", 0.0, 1e12)
+        return json_reply(200, self._record.read(after_unix_s))
+
     def _config_log(self, call: ApiCall) -> ApiReply:
         after = int(call.number("after_version", 0, 2**53))
         limit = int(call.number("limit", 100, LONGEST_LIST))
--- a/packages/entry/src/cicadabank/entry/internal/links.py
+++ b/packages/entry/src/cicadabank/entry/internal/links.py
@@ -194,7 +194,7 @@
     def push_out(self, domain: str) -> None:
         """Act on the failure domain's being out."""
         if domain == self._info.domain:
-            self.core.push_out()
+            self.core.push_out(clock_s())
 
     def heard_of_late(self) -> bool:
         """Whether the worker has answered lately."""
--- a/packages/entry/src/cicadabank/entry/internal/requests.py
+++ b/packages/entry/src/cicadabank/entry/internal/requests.py
@@ -4,6 +4,8 @@
 
 import hashlib
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import NamedTuple
 
 import grpc
@@ -18,7 +20,9 @@
     StoreUnavailableError,
 )
 from cicadabank.entry.internal.minions import MinionTask, Route
+from cicadabank.entry.internal.tally import TallyTask
 from cicadabank.model import (
+    CicadabankError,
     Key,
     NotFoundError,
     Ran,
@@ -135,6 +139,7 @@
         pool: ChannelPool,
         minions: MinionTask,
         retries: RetryTask,
+        tally: TallyTask,
     ):
         self._settings = settings
         self._table = table
@@ -142,6 +147,7 @@
         self._pool = pool
         self._minions = minions
         self._retries = retries
+        self._tally = tally
 
     def run(self, call: RequestCall, workspace: Workspace, key: str) -> RequestAnswer:
         """Run a request and return its whole answer.
@@ -162,10 +168,25 @@
                 f"{workspace.requests_per_s:g} requests/s; this one was not run",
                 "send more slowly",
             )
-        if call.idempotent and not key:
-            request = new_id("request")
-            return self._reply(request, self._try(call, request, deadline_s))
-        return self._run_stored(call, key or new_id("key"), deadline_s)
+        with self._counted(call.workspace):
+            if call.idempotent and not key:
+                request = new_id("request")
+                return self._reply(request, self._try(call, request, deadline_s))
+            return self._run_stored(call, key or new_id("key"), deadline_s)
+
+    @contextmanager
+    def _counted(self, workspace: str) -> Iterator[None]:
+        """Count a request for the burn report: answered, or by the error's code."""
+        started_s = clock_s()
+        outcome = ""
+        try:
+            yield
+        except CicadabankError as error:
+            outcome = error.code
+            raise
+        finally:
+            note = self._tally.note_request
+            self._tally.post(note, workspace, outcome, clock_s() - started_s)
 
     def _run_stored(
         self, call: RequestCall, key: str, deadline_s: float
--- a/packages/model/src/cicadabank/model/internal/keys.py
+++ b/packages/model/src/cicadabank/model/internal/keys.py
@@ -14,6 +14,8 @@
     ENTRIES = "entry/"
     CELLS = "cell/"
     SUMMARIES = "summary/"
+    TALLIES = "tally/"
+    IN_FORCE = "in-force/"
 
     @staticmethod
     def job(job: str) -> str:
@@ -45,6 +47,16 @@
         """Return the key of the workers of a cell."""
         return f"workers/{cell}"
 
+    @staticmethod
+    def tally(minute: int, entry: str) -> str:
+        """Return the key of an entry's requests of a minute."""
+        return f"tally/{minute:010d}/{entry}"
+
+    @staticmethod
+    def in_force(entry: str) -> str:
+        """Return the key of the versions that an entry has seen."""
+        return f"in-force/{entry}"
+
     @staticmethod
     def entry(entry: str) -> str:
         """Return the key of a live entry's session."""
--- a/packages/model/src/cicadabank/model/internal/resources.py
+++ b/packages/model/src/cicadabank/model/internal/resources.py
@@ -60,6 +60,8 @@
     reason: str = ""
 
 
+MEASURES = ("completion", "urgent-start", "requests", "refusals", "configuration")
+
 KINDS: dict[str, type] = {
     "workspace": Workspace,
     "guarantee": Guarantee,
@@ -113,6 +115,11 @@
             "quota_accelerators is below 0", "use 0 to refuse all jobs"
         )
     for level in workspace.service_levels:
+        if level.measure not in MEASURES:
+            raise InvalidInputError(
+                f"the measure {level.measure!r} does not exist",
+                f"use one of {', '.join(MEASURES)}",
+            )
         if not 0 < level.objective < 1:
             raise InvalidInputError(
                 f"the objective of {level.name!r} is not between 0 and 1",
--- a/packages/report/src/cicadabank/report/internal/burn.py
+++ b/packages/report/src/cicadabank/report/internal/burn.py
@@ -77,7 +77,9 @@
     reports = []
     for workspace in sorted(record.workspaces, key=lambda w: w["name"]):
         for level in workspace["service_levels"]:
-            events = list(_EVENTS[level["measure"]](record, workspace, level, now_unix_s))
+            events = list(
+                _EVENTS[level["measure"]](record, workspace, level, now_unix_s)
+            )
             reports.append(_report(workspace["name"], level, events, now_unix_s))
     return reports
 
@@ -135,7 +137,9 @@
 
 def _why(job: dict[str, Any], what: str) -> str:
     """Return what happened to a job, with the decisions that cost it time."""
-    events = [d for d in job["history"] if d["event"] not in ("submitted", "start", "done")]
+    events = [
+        d for d in job["history"] if d["event"] not in ("submitted", "start", "done")
+    ]
     causes = "; ".join(dict.fromkeys(f"{d['event']}: {d['cause']}" for d in events))
     return f"{what} ({causes})" if causes else what
 
@@ -212,7 +216,9 @@
         )
         lines.append("  window    events       bad      burn")
         for name, burn in report.windows.items():
-            lines.append(f"  {name:>6}{burn.events:>10}{burn.bad:>10}{burn.burn:>10.2f}")
+            lines.append(
+                f"  {name:>6}{burn.events:>10}{burn.bad:>10}{burn.burn:>10.2f}"
+            )
         lines.append(f"  error budget left: {report.budget_left:.0%}")
         lines += [f"  burned by {what}: {why}" for what, why in report.culprits]
         lines.append("")
--- /dev/null
+++ b/scripts/make_examples.py
@@ -0,0 +1,29 @@
+"""Writes the settings of both example deployments into examples/."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from cicadabank.local import Ports, Size, make_layout, write_layout
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+DEPLOYMENTS = {
+    "lakeshore": (
+        Size(("erie-shed", "huron-shed", "superior-shed"), "lakes", 3),
+        23000,
+    ),
+    "arrieta": (
+        Size(("pamplona", "estella", "tafalla"), "navarra", 3, agents=False),
+        23200,
+    ),
+}
+
+
+def main() -> None:
+    """Write one settings file for each process of each deployment."""
+    for name, (size, first_port) in DEPLOYMENTS.items():
+        write_layout(make_layout(size, Ports(first_port)), EXAMPLES / name)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/cover/test_agent.py
+++ b/tests/cover/test_agent.py
@@ -83,10 +83,17 @@
     def test_refuses_when_the_domain_went_out_after_the_reservation(self):
         core = make_core()
         core.reserve(reserve(), NOW_S)
-        core.push_out()
+        core.push_out(NOW_S)
         with pytest.raises(OrderRefusedError, match="out of service"):
             core.begin(start(), NOW_S)
 
+    def test_a_drain_that_is_never_stored_lapses(self):
+        core = make_core()
+        core.push_out(NOW_S)
+        core.take_view(1, False, NOW_S + 301.0)
+        core.reserve(reserve(), NOW_S + 301.0)
+        assert core.members
+
     def test_again_starts_nothing(self):
         core = make_core()
         core.reserve(reserve(), NOW_S)
--- /dev/null
+++ b/tests/cover/test_command_line.py
@@ -0,0 +1,100 @@
+"""The command line: exit codes, help, and files that are checked before sending."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from cicadabank.client.cli import app, main
+
+NOBODY = "http://127.0.0.1:9"
+
+
+def run(monkeypatch, *arguments):
+    monkeypatch.setattr("sys.argv", ["cicadabank", *arguments])
+    with pytest.raises(SystemExit) as caught:
+        main()
+    return int(caught.value.code or 0)
+
+
+class TestExitCodes:
+    @pytest.mark.parametrize(
+        ("arguments", "code"),
+        [
+            (["get", "workspace", "--entry", NOBODY], 6),
+            (["get", "planet", "--entry", NOBODY], 2),
+            (["watch", "planet", "--entry", NOBODY], 2),
+            (["apply", "-f", "/nowhere.json", "--entry", NOBODY], 2),
+            (["config", "check", "/nowhere.json"], 2),
+            (["no-such-command"], 2),
+            (["drain"], 2),
+            (["stand-in", "fault", "127.0.0.1:9", "down", "1"], 1),
+        ],
+    )
+    def test_say_what_went_wrong(self, monkeypatch, capsys, arguments, code):
+        assert run(monkeypatch, *arguments) == code
+        captured = capsys.readouterr()
+        assert "Traceback" not in captured.err + captured.out
+
+    def test_error_as_json(self, monkeypatch, capsys):
+        arguments = ("get", "job", "x", "--entry", NOBODY, "--output", "json")
+        assert run(monkeypatch, *arguments) == 6
+        error = json.loads(capsys.readouterr().err)["error"]
+        assert error["code"] == "unreachable"
+        assert error["action"]
+
+
+class TestApply:
+    @pytest.mark.parametrize(
+        ("document", "text"),
+        [
+            ({"kind": "planet"}, "resource 1: the kind 'planet' does not exist"),
+            ({"kind": "workspace", "name": "a"}, "'quota_accelerators' is missing"),
+            (
+                [{"kind": "workspace", "name": "a", "quota_accelerators": 1}, 5],
+                "object",
+            ),
+            (
+                {
+                    "kind": "workspace",
+                    "name": "a",
+                    "quota_accelerators": 1,
+                    "service_levels": [{"name": "x", "measure": "speed"}],
+                },
+                "the measure 'speed' does not exist",
+            ),
+        ],
+    )
+    def test_checks_the_whole_file_first(
+        self, monkeypatch, capsys, tmp_path, document, text
+    ):
+        file = tmp_path / "resources.json"
+        file.write_text(json.dumps(document))
+        assert run(monkeypatch, "apply", "-f", str(file), "--entry", NOBODY) == 2
+        assert text in capsys.readouterr().err
+
+
+class TestHelp:
+    @pytest.mark.parametrize(
+        "command",
+        [
+            "apply",
+            "get",
+            "watch",
+            "delete",
+            "drain",
+            "restore",
+            "cancel",
+            "explain",
+            "answer",
+            "request",
+            "entry",
+            "agent",
+            "config",
+            "report",
+            "stand-in",
+        ],
+    )
+    def test_each_command_has_one(self, capsys, command):
+        app([command, "--help"], exit_on_error=False, result_action="return_value")
+        assert "Usage" in capsys.readouterr().out
--- a/tests/processes/test_silent_connection.py
+++ b/tests/processes/test_silent_connection.py
@@ -11,6 +11,7 @@
 from cicadabank.entry.internal.config import Seen
 from cicadabank.entry.internal.minions import MinionTask
 from cicadabank.entry.internal.requests import RequestCall, RequestService, RetryTask
+from cicadabank.entry.internal.tally import TallyTask
 from cicadabank.local import Ports
 from cicadabank.model import Workspace
 from cicadabank.platform import TableClient
@@ -46,7 +47,9 @@
         minions.ask(minions.on_beat, beat, Seen(ConfigView(), 0.0))
         table = TableClient(store)
         pool = ChannelPool()
-        service = RequestService(entry, table, None, pool, minions, retries)
+        tally = stack.enter_context(running(TallyTask(table, "entry-1")))
+        parts = (entry, table, None, pool, minions, retries, tally)
+        service = RequestService(*parts)
         yield SimpleNamespace(service=service, relay=relay, minion=minion)
         pool.close()
         table.close()
--- a/tests/processes/test_target_faults.py
+++ b/tests/processes/test_target_faults.py
@@ -8,6 +8,8 @@
 
 import pytest
 from cicadabank.client import ApiError
+from cicadabank.client.internal.reports import read_record
+from cicadabank.report import burn_report
 
 from tests.support.deployments import bench_running
 
@@ -55,6 +57,17 @@
         bench.fault("worker-1", "fail_all", 0)
         assert {record["state"] for record in records} == {"done"}
 
+    def test_burn_names_the_job_that_was_lost(self, bench):
+        level = {"name": "proofs", "measure": "completion", "threshold_s": 600.0}
+        fields = {"name": "glaze", "quota_accelerators": 32, "service_levels": [level]}
+        bench.client.apply("workspace", fields)
+        reports = burn_report(read_record(bench.client, "glaze"), time.time())
+        jobs = bench.client.call("GET", "/v1/jobs", workspace="glaze")["jobs"]
+        lost = [job["job"] for job in jobs if job["state"] == "outcome-unknown"]
+        assert [what for what, _ in reports[0].culprits] == lost
+        assert reports[0].windows["1h"].bad == len(lost) == 1
+        assert reports[0].windows["1h"].events == len(jobs)
+
 
 class TestMinionFaults:
     def test_leaving_minion_cuts_no_request_off(self, bench):
