Fit heartbeats into a node's share, and tell news at once

The default is now 40/s for each holder. The price of rare heartbeats was late news: an ended member was reported with the next one. Agents now send a heartbeat within 0.3 s of a change, and a worker whose reservation is not answered is left out until it is heard of again.

The unused field max_queued_jobs is gone.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -299,7 +299,7 @@
         "config": config_slopes(),
         "watchers": watcher_slopes(),
         "job_row_bytes": row_sizes(),
-        "placement_ms": placement_cost(1_000),
+        "placement_ms": placement_cost(1_000, 1),
         "decision_ms_per_heartbeat": round(beat_cost(1_000), 4),
         "tick": tick_cost(1_000),
         "takeover": takeover_cost(1_000),
--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -11,6 +11,7 @@
 from typing import Any, NamedTuple
 
 import numpy as np
+from cicadabank.settings import EntrySettings
 
 DOCS = Path(__file__).parent.parent / "docs"
 BEGIN, END = "<!-- tables: begin -->", "<!-- tables: end -->"
@@ -24,7 +25,7 @@
 DAY_S = 86_400.0
 SESSION_RENEW_S = 1.5
 SUMMARY_READ_S = 2.0
-BEATS_PER_S = 100.0
+BEATS_PER_S = EntrySettings._field_defaults["beats_per_s"]
 CORE_BOUND = 0.036
 MEMORY_BOUND_MB = 256.0
 BYTES_BOUND_PER_S = 8_192.0
--- a/benchmarks/decision_cost.py
+++ b/benchmarks/decision_cost.py
@@ -34,10 +34,10 @@
 CELL_WORKERS = 1_000
 
 
-def filled(workers: int) -> Fleet:
+def filled(workers: int, domains: int = 22) -> Fleet:
     """Return a fleet with its share of 71,000 standing tasks booked."""
     source = random.Random(SEED)
-    fleet = Fleet(fleet_infos(workers, 22))
+    fleet = Fleet(fleet_infos(workers, domains))
     standing = STANDING_TASKS * workers // FLEETS[-1]
     names = list(fleet.workers)
     number = 0
@@ -51,9 +51,9 @@
     return fleet
 
 
-def placement_cost(workers: int) -> dict:
+def placement_cost(workers: int, domains: int = 22) -> dict:
     """Return milliseconds for each placement, booking and release, by gang size."""
-    fleet = filled(workers)
+    fleet = filled(workers, domains)
     results = {}
     for gang in GANGS:
         times = []
--- a/benchmarks/order.py
+++ b/benchmarks/order.py
@@ -54,7 +54,7 @@
 @contextmanager
 def greedy() -> Iterator[None]:
     """Start whatever fits, and hold nothing for those that wait."""
-    with mock.patch.object(planner, "_refresh_hold", lambda *_: None):
+    with mock.patch.object(planner, "refresh_hold", lambda *_: None):
         yield
 
 
--- a/packages/agent/src/cicadabank/agent/internal/core.py
+++ b/packages/agent/src/cicadabank/agent/internal/core.py
@@ -290,6 +290,11 @@
             return []
         return [m for m in self.members.values() if m.started and m.state not in ENDED]
 
+    def has_news(self) -> bool:
+        """Whether a member's state has changed since the holder was told."""
+        members = self.members.values()
+        return any(self._told.get(m.attempt) != m.state for m in members)
+
     def beat(self, info: control_pb2.TargetInfo) -> control_pb2.Beat:
         """Return the next heartbeat: all members, or those that have changed."""
         states = {m.attempt: m.state for m in self.members.values()}
--- a/packages/agent/src/cicadabank/agent/internal/task.py
+++ b/packages/agent/src/cicadabank/agent/internal/task.py
@@ -15,6 +15,7 @@
 
 TICK_S = 0.1
 FIRST_BEAT_INTERVAL_S = 0.3
+NEWS_INTERVAL_S = 0.3
 READY_SILENCE_S = 10.0
 
 
@@ -57,6 +58,7 @@
             self._reporter = EveryEntryReporter(settings.entries, pool, self.post)
         self._interval_s = FIRST_BEAT_INTERVAL_S
         self._beat_due_s = 0.0
+        self._news_due_s = 0.0
         self._usage_due_s = 0.0
         self.answered_s = float("-inf")
         self._info = _target_info(settings)
@@ -74,7 +76,9 @@
             if now_s >= self._usage_due_s:
                 self._usage_due_s = now_s + self.settings.usage_interval_s
                 self.driver.poll_usage()
-        if now_s >= self._beat_due_s:
+        news = now_s >= self._news_due_s and self.core.has_news()
+        if now_s >= self._beat_due_s or news:
+            self._news_due_s = now_s + NEWS_INTERVAL_S
             self._beat_due_s = now_s + self._interval_s
             self._beat(now_s)
 
@@ -153,7 +157,7 @@
     return control_pb2.TargetInfo(
         name=settings.name,
         kind=settings.target,
-        address=settings.listen,
+        address=settings.advertise or settings.listen,
         cell=settings.cell,
         domain=settings.domain,
         rack=settings.rack,
--- a/packages/decisions/src/cicadabank/decisions/internal/gangs.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/gangs.py
@@ -85,6 +85,8 @@
     if attempt.phase is not Phase.RESERVING or worker not in attempt.members:
         return
     if not result.accepted:
+        if not result.answered:
+            _suspect(state, worker)
         give_up(
             state, attempt, now_s, f"{worker} did not reserve: {result.reason}", worker
         )
@@ -96,6 +98,13 @@
     commit_start(state, attempt)
 
 
+def _suspect(state: CellState, worker: str) -> None:
+    """Place nothing on a worker that did not answer, until its next heartbeat."""
+    if worker in state.workers:
+        state.workers[worker].silent = True
+        state.refresh_worker(worker)
+
+
 def commit_start(state: CellState, attempt: Attempt) -> None:
     """Store that the gang starts, before any worker is told to."""
     entry = state.jobs[attempt.job]
--- /dev/null
+++ b/packages/decisions/src/cicadabank/decisions/internal/holds.py
@@ -0,0 +1,116 @@
+"""Holds: room kept for the first job that must wait."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+
+from cicadabank.decisions.internal.attempts import Attempt, JobEntry, Phase
+from cicadabank.decisions.internal.fleet import Fleet, Worker
+from cicadabank.decisions.internal.placement import GangShape, place
+from cicadabank.decisions.internal.state import CellState, Hold
+
+HOLD_RELEASE_BATCHES = 16
+SHORTEST_HOLD_S = 60.0
+
+
+def shunned_workers(
+    state: CellState, entry: JobEntry, shape: GangShape
+) -> frozenset[str]:
+    """Return the workers on which a job has failed, if others could ever hold it.
+
+    A job that has failed wherever it fits is tried there again: what is left of its
+    tries then tells a bad job from bad workers, and it doesn't wait without end.
+    """
+    failed_on = state.health.failed_on(entry.row.job)
+    if not failed_on:
+        return failed_on
+    others = [
+        worker.info
+        for name, worker in state.fleet.workers.items()
+        if name not in failed_on and state.worker_usable(name)
+    ]
+    return failed_on if place(Fleet(others), shape) else frozenset()
+
+
+def refresh_hold(state: CellState, entry: JobEntry, now_s: float) -> None:
+    """Hold room for a job, or keep what is held for it."""
+    hold = state.hold
+    if hold and hold.job == entry.row.job and _hold_stands(state, hold, now_s):
+        return
+    state.hold = _make_hold(state, entry, now_s)
+
+
+def _hold_stands(state: CellState, hold: Hold, now_s: float) -> bool:
+    """Whether a hold is kept.
+
+    Moving it whenever another place seems sooner would let backfilled jobs onto every
+    place in turn, and the job that waits would never get one. Only a hold that took
+    twice as long as expected is made anew.
+    """
+    expected_s = max(SHORTEST_HOLD_S, hold.until_s - hold.made_s)
+    if now_s > hold.until_s + expected_s:
+        return False
+    return all(state.worker_usable(worker) for worker in hold.workers)
+
+
+def _make_hold(state: CellState, entry: JobEntry, now_s: float) -> Hold | None:
+    """Find where the job will fit first as running gangs end.
+
+    At their expected times.
+    """
+    shape = GangShape.of(entry.row.spec)
+    ending = sorted(
+        (
+            (_expected_end_s(state, attempt, now_s), attempt.name)
+            for attempt in _running(state)
+        ),
+    )
+    batch = max(1, len(ending) // HOLD_RELEASE_BATCHES)
+    shunned = shunned_workers(state, entry, shape)
+    limit: Callable[[Worker], int] = partial(_limit_for_hold, entry, shunned)
+    released: list[Attempt] = []
+    found: Hold | None = None
+    for first in range(0, len(ending), batch):
+        for _, name in ending[first : first + batch]:
+            attempt = state.attempts[name]
+            released.append(attempt)
+            for worker in attempt.share:
+                state.fleet.release(worker, name)
+        members = place(state.fleet, shape, limit)
+        if members:
+            until_s = ending[min(first + batch, len(ending)) - 1][0]
+            workers = frozenset(member.worker for member in members)
+            found = Hold(entry.row.job, workers, until_s, now_s)
+            break
+    for attempt in released:
+        for member in attempt.members.values():
+            if not member.ended and member.worker in state.fleet.workers:
+                state.fleet.book(
+                    member.worker, attempt.name, member.tasks, attempt.need
+                )
+    return found
+
+
+def _running(state: CellState) -> list[Attempt]:
+    return [
+        a for a in state.attempts.values() if a.phase in (Phase.RUNNING, Phase.STOPPING)
+    ]
+
+
+def _limit_for_hold(entry: JobEntry, shunned: frozenset[str], worker: Worker) -> int:
+    if worker.info.name in shunned:
+        return 0
+    if entry.row.spec.idempotent or entry.row.spec.checkpointable:
+        return worker.free
+    return worker.info.accelerators - worker.homed
+
+
+def _expected_end_s(state: CellState, attempt: Attempt, now_s: float) -> float:
+    if attempt.phase is Phase.STOPPING:
+        return now_s
+    spec = state.jobs[attempt.job].row.spec
+    expected_s = state.estimates.expected_s(spec.workspace, spec.estimate_s)
+    # A gang that has outrun its estimate is expected to run as long again.
+    ran_s = now_s - attempt.running_since_s
+    return now_s + (expected_s - ran_s if ran_s < expected_s else ran_s)
--- a/packages/decisions/src/cicadabank/decisions/internal/planner.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/planner.py
@@ -2,23 +2,25 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from functools import partial
 
-from cicadabank.decisions.internal.attempts import Attempt, JobEntry, Phase
+from cicadabank.decisions.internal.attempts import JobEntry
+from cicadabank.decisions.internal.claims import (
+    advance_claims,
+    claim,
+    free_home,
+    relayout,
+)
 from cicadabank.decisions.internal.fleet import Fleet, Worker
-from cicadabank.decisions.internal.gangs import begin, reserve, stop
-from cicadabank.decisions.internal.homes import Home, lay_out
+from cicadabank.decisions.internal.gangs import begin
+from cicadabank.decisions.internal.holds import refresh_hold, shunned_workers
 from cicadabank.decisions.internal.messages import CommitJob
 from cicadabank.decisions.internal.outcomes import refused_row
 from cicadabank.decisions.internal.placement import GangShape, nearest_possible, place
-from cicadabank.decisions.internal.state import CellState, Hold
-from cicadabank.decisions.internal.victims import Borrower, choose_victims
-from cicadabank.model import Adjacency, Member, describe_shape
+from cicadabank.decisions.internal.state import CellState
+from cicadabank.model import describe_shape
 
 JOBS_SCANNED = 256
-HOLD_RELEASE_BATCHES = 16
-SHORTEST_HOLD_S = 60.0
 
 
 def plan(state: CellState, now_s: float) -> None:
@@ -37,7 +39,7 @@
             continue
         if first_blocked:
             first_blocked = False
-            _refresh_hold(state, entry, now_s)
+            refresh_hold(state, entry, now_s)
     if first_blocked:
         state.hold = None
     state.plan_due = False
@@ -112,7 +114,7 @@
     shape = GangShape.of(spec)
     for worker in [w for w, until_s in entry.avoid.items() if until_s <= now_s]:
         del entry.avoid[worker]
-    home = _free_home(state, entry, shape)
+    home = free_home(state, entry, shape)
     if home is not None:
         begin(
             state,
@@ -123,29 +125,12 @@
             f"in its own home {home[0].name}",
         )
         return True
-    shunned = _shunned(state, entry, shape)
+    shunned = shunned_workers(state, entry, shape)
     members = place(state.fleet, shape, partial(_limit, state, entry, shunned, now_s))
     if members:
         begin(state, entry, members, "", now_s, "on free accelerators")
         return True
-    return _claim(state, entry, shape, now_s)
-
-
-def _shunned(state: CellState, entry: JobEntry, shape: GangShape) -> frozenset[str]:
-    """Return the workers on which a job has failed, if others could ever hold it.
-
-    A job that has failed wherever it fits is tried there again: what is left of its
-    tries then tells a bad job from bad workers, and it doesn't wait without end.
-    """
-    failed_on = state.health.failed_on(entry.row.job)
-    if not failed_on:
-        return failed_on
-    others = [
-        worker.info
-        for name, worker in state.fleet.workers.items()
-        if name not in failed_on and state.worker_usable(name)
-    ]
-    return failed_on if place(Fleet(others), shape) else frozenset()
+    return claim(state, entry, shape, now_s)
 
 
 def _limit(
@@ -184,290 +169,3 @@
         if attempt in state.attempts and not state.attempts[attempt].home
     )
     return worker.info.accelerators - worker.homed - outside
-
-
-def _home_left(state: CellState, home: Home) -> dict[str, int]:
-    left = dict(home.share)
-    for attempt in state.attempts.values():
-        if attempt.home == home.name:
-            for worker, count in attempt.share.items():
-                left[worker] = left.get(worker, 0) - count
-    return left
-
-
-def _home_members(
-    state: CellState, entry: JobEntry, shape: GangShape, home: Home
-) -> list[Member]:
-    """Return the members of a gang inside a home, without regard to borrowers."""
-    left = _home_left(state, home)
-    if any(not state.worker_homeable(worker) for worker in left):
-        return []
-    if shape.domain and any(
-        state.fleet.workers[worker].info.domain != shape.domain for worker in left
-    ):
-        return []
-    rooms = [
-        (count // shape.need.accelerators, worker) for worker, count in left.items()
-    ]
-    rooms = [
-        (room, worker)
-        for room, worker in rooms
-        if room > 0 and worker not in entry.avoid
-    ]
-    rooms.sort(key=lambda pair: (-pair[0], pair[1]))
-    members: list[Member] = []
-    tasks = shape.tasks
-    for room, worker in rooms:
-        if tasks:
-            members.append(Member(worker, min(room, tasks)))
-            tasks -= members[-1].tasks
-    if tasks or not _adjacent(state, members, shape.adjacency):
-        return []
-    return members
-
-
-def _adjacent(state: CellState, members: list[Member], adjacency: str) -> bool:
-    infos = [state.fleet.workers[member.worker].info for member in members]
-    if adjacency == Adjacency.WORKER:
-        return len(infos) == 1
-    if adjacency == Adjacency.RACK:
-        return len({(info.domain, info.rack) for info in infos}) == 1
-    return True
-
-
-def _homes_of(state: CellState, workspace: str) -> list[Home]:
-    homes = [home for home in state.layout.homes if home.workspace == workspace]
-    return sorted(homes, key=lambda home: home.accelerators)
-
-
-def _free_home(
-    state: CellState, entry: JobEntry, shape: GangShape
-) -> tuple[Home, list[Member]] | None:
-    for home in _homes_of(state, entry.row.spec.workspace):
-        members = _home_members(state, entry, shape, home)
-        if members and all(
-            state.fleet.workers[m.worker].room_for(shape.need) >= m.tasks
-            for m in members
-        ):
-            return home, members
-    return None
-
-
-def _claim(state: CellState, entry: JobEntry, shape: GangShape, now_s: float) -> bool:
-    """Reclaim the home whose borrowers lose the least."""
-    best: tuple[float, Home, list[Member], list[Borrower]] | None = None
-    borrowers: list[Borrower] | None = None
-    for home in _homes_of(state, entry.row.spec.workspace):
-        members = _home_members(state, entry, shape, home)
-        if not members:
-            continue
-        borrowers = _borrowers(state, now_s) if borrowers is None else borrowers
-        victims = choose_victims(_shortfall(state, shape, members), borrowers)
-        cost = sum(victim.lost_work_s for victim in victims)
-        if victims and (best is None or cost < best[0]):
-            best = (cost, home, members, victims)
-    if best is None:
-        return False
-    _, home, members, victims = best
-    cause = f"reclaims home {home.name} from {len(victims)} borrowers"
-    claimant = begin(state, entry, members, home.name, now_s, cause, claiming=True)
-    for victim in victims:
-        attempt = state.attempts[victim.attempt]
-        spec = state.jobs[attempt.job].row.spec
-        reason = f"preempt: home {home.name} reclaimed by {claimant.job}"
-        stop(state, attempt, reason, now_s, checkpoint=spec.checkpointable)
-    return True
-
-
-def _shortfall(
-    state: CellState, shape: GangShape, members: list[Member]
-) -> dict[str, int]:
-    """Return what is missing on each worker, counted in accelerators.
-
-    A lack of cores or memory counts as the accelerators of the tasks that lack them.
-    """
-    missing = {}
-    for member in members:
-        worker = state.fleet.workers[member.worker]
-        lacking = member.tasks - worker.room_for(shape.need)
-        if lacking > 0:
-            wanted = member.tasks * shape.need.accelerators
-            missing[member.worker] = max(1, wanted - max(0, worker.free))
-    return missing
-
-
-def _borrowers(state: CellState, now_s: float) -> list[Borrower]:
-    """Return the running gangs outside of homes that can be stopped at once."""
-    return [
-        Borrower(
-            attempt.name,
-            attempt.share,
-            max(0.0, now_s - attempt.saved_s),
-            state.jobs[attempt.job].row.spec.checkpointable,
-        )
-        for attempt in state.attempts.values()
-        if attempt.phase is Phase.RUNNING
-        and not attempt.home
-        and _stoppable(state, attempt)
-    ]
-
-
-def _stoppable(state: CellState, attempt: Attempt) -> bool:
-    spec = state.jobs[attempt.job].row.spec
-    if not (spec.idempotent or spec.checkpointable):
-        return False
-    return not any(state.workers[worker].silent for worker in attempt.share)
-
-
-def advance_claims(state: CellState, now_s: float) -> None:
-    """Reserve the claimed homes that their borrowers have left."""
-    for attempt in list(state.attempts.values()):
-        if attempt.phase is Phase.CLAIMING and all(
-            _settled(state.fleet.workers[worker]) for worker in attempt.members
-        ):
-            reserve(state, attempt, now_s)
-
-
-def _settled(worker: Worker) -> bool:
-    return worker.free >= 0 and worker.cores_free >= 0 and worker.memory_free_mb >= 0
-
-
-def relayout(state: CellState) -> None:
-    """Lay the homes out anew over the workers that take work."""
-    workers = [
-        worker.info
-        for name, worker in state.fleet.workers.items()
-        if state.worker_homeable(name)
-    ]
-    guarantees = [g for g in state.view.guarantees.values() if g.cell == state.cell]
-    pinned: dict[str, int] = {}
-    for attempt in state.attempts.values():
-        if (
-            not attempt.home
-            and attempt.job in state.jobs
-            and not _repeatable(state, attempt)
-        ):
-            for worker, count in attempt.share.items():
-                pinned[worker] = pinned.get(worker, 0) + count
-    before = state.layout
-    state.layout = lay_out(guarantees, workers, before.homes, pinned)
-    state.fleet.set_homed(state.layout.homed())
-    state.layout_stale = False
-    if state.layout.missing and state.layout.missing != before.missing:
-        for workspace, shape in state.layout.missing:
-            text = f"no home for {shape.accelerators} accelerators of {workspace!r}"
-            state.record("", "guarantee-at-risk", text)
-    rematch(state)
-
-
-def _repeatable(state: CellState, attempt: Attempt) -> bool:
-    spec = state.jobs[attempt.job].row.spec
-    return spec.idempotent or spec.checkpointable
-
-
-def rematch(state: CellState) -> None:
-    """Match running gangs to the homes of their workspaces.
-
-    The others are borrowers.
-    """
-    left = {home.name: dict(home.share) for home in state.layout.homes}
-    owners = {home.name: home.workspace for home in state.layout.homes}
-    attempts = sorted(
-        state.attempts.values(), key=lambda a: (not a.home, -sum(a.share.values()))
-    )
-    for attempt in attempts:
-        entry = state.jobs.get(attempt.job)
-        if entry is None:
-            continue
-        own = [name for name in left if owners[name] == entry.row.spec.workspace]
-        own.sort(key=lambda name: name != attempt.home)
-        attempt.home = next((n for n in own if _covers(left[n], attempt.share)), "")
-        if attempt.home:
-            for worker, count in attempt.share.items():
-                left[attempt.home][worker] -= count
-
-
-def _covers(left: dict[str, int], share: dict[str, int]) -> bool:
-    return all(left.get(worker, 0) >= count for worker, count in share.items())
-
-
-def _refresh_hold(state: CellState, entry: JobEntry, now_s: float) -> None:
-    hold = state.hold
-    if hold and hold.job == entry.row.job and _hold_stands(state, hold, now_s):
-        return
-    state.hold = _make_hold(state, entry, now_s)
-
-
-def _hold_stands(state: CellState, hold: Hold, now_s: float) -> bool:
-    """Whether a hold is kept.
-
-    Moving it whenever another place seems sooner would let backfilled jobs onto every
-    place in turn, and the job that waits would never get one. Only a hold that took
-    twice as long as expected is made anew.
-    """
-    expected_s = max(SHORTEST_HOLD_S, hold.until_s - hold.made_s)
-    if now_s > hold.until_s + expected_s:
-        return False
-    return all(state.worker_usable(worker) for worker in hold.workers)
-
-
-def _make_hold(state: CellState, entry: JobEntry, now_s: float) -> Hold | None:
-    """Find where the job will fit first as running gangs end.
-
-    At their expected times.
-    """
-    shape = GangShape.of(entry.row.spec)
-    ending = sorted(
-        (
-            (_expected_end_s(state, attempt, now_s), attempt.name)
-            for attempt in _running(state)
-        ),
-    )
-    batch = max(1, len(ending) // HOLD_RELEASE_BATCHES)
-    shunned = _shunned(state, entry, shape)
-    limit: Callable[[Worker], int] = partial(_limit_for_hold, entry, shunned)
-    released: list[Attempt] = []
-    found: Hold | None = None
-    for first in range(0, len(ending), batch):
-        for _, name in ending[first : first + batch]:
-            attempt = state.attempts[name]
-            released.append(attempt)
-            for worker in attempt.share:
-                state.fleet.release(worker, name)
-        members = place(state.fleet, shape, limit)
-        if members:
-            until_s = ending[min(first + batch, len(ending)) - 1][0]
-            workers = frozenset(member.worker for member in members)
-            found = Hold(entry.row.job, workers, until_s, now_s)
-            break
-    for attempt in released:
-        for member in attempt.members.values():
-            if not member.ended and member.worker in state.fleet.workers:
-                state.fleet.book(
-                    member.worker, attempt.name, member.tasks, attempt.need
-                )
-    return found
-
-
-def _running(state: CellState) -> list[Attempt]:
-    return [
-        a for a in state.attempts.values() if a.phase in (Phase.RUNNING, Phase.STOPPING)
-    ]
-
-
-def _limit_for_hold(entry: JobEntry, shunned: frozenset[str], worker: Worker) -> int:
-    if worker.info.name in shunned:
-        return 0
-    if entry.row.spec.idempotent or entry.row.spec.checkpointable:
-        return worker.free
-    return worker.info.accelerators - worker.homed
-
-
-def _expected_end_s(state: CellState, attempt: Attempt, now_s: float) -> float:
-    if attempt.phase is Phase.STOPPING:
-        return now_s
-    spec = state.jobs[attempt.job].row.spec
-    expected_s = state.estimates.expected_s(spec.workspace, spec.estimate_s)
-    # A gang that has outrun its estimate is expected to run as long again.
-    ran_s = now_s - attempt.running_since_s
-    return now_s + (expected_s - ran_s if ran_s < expected_s else ran_s)
--- a/packages/model/src/cicadabank/model/internal/resources.py
+++ b/packages/model/src/cicadabank/model/internal/resources.py
@@ -24,7 +24,6 @@
 
     name: str
     quota_accelerators: int
-    max_queued_jobs: int = 10_000
     requests_per_s: float = 1000.0
     service_levels: tuple[ServiceLevel, ...] = ()
 
--- a/packages/settings/src/cicadabank/settings/internal/kinds.py
+++ b/packages/settings/src/cicadabank/settings/internal/kinds.py
@@ -46,7 +46,7 @@
     session_renew_s: float = 1.5
     config_poll_s: float = 0.5
     beat_interval_s: float = 1.0
-    beats_per_s: float = 100.0
+    beats_per_s: float = 40.0
     queue_scan_s: float = 1.0
     shutdown_s: float = 20.0
     retry_share: float = 0.1
@@ -63,6 +63,8 @@
 
     Attributes
     ----------
+    advertise : str
+        Address under which entries reach the agent, if it isn't `listen`.
     freshness_s : float
         Greatest age of the configuration under which a task is started.
     """
@@ -85,6 +87,7 @@
     usage_interval_s: float = 0.25
     answer_inline_bytes: int = 32_768
     shutdown_s: float = 20.0
+    advertise: str = ""
     health_listen: str = ""
     statsd: str = ""
     log_level: str = "INFO"
--- a/packages/settings/src/cicadabank/settings/internal/load.py
+++ b/packages/settings/src/cicadabank/settings/internal/load.py
@@ -143,6 +143,7 @@
         yield from _address(name, getattr(settings, name))
     yield from _optional_address("statsd", settings.statsd)
     yield from _optional_address("objects", settings.objects)
+    yield from _optional_address("advertise", settings.advertise)
     yield from _optional_address("health_listen", settings.health_listen)
     yield from _entries(settings.entries, required=True)
     yield from _names(settings, "name", "cell", "domain", "rack")
--- a/tests/cover/test_agent.py
+++ b/tests/cover/test_agent.py
@@ -192,3 +192,14 @@
         core.reserve(self.carried(), NOW_S)
         with pytest.raises(OrderRefusedError, match="view is older"):
             core.begin(start(attempt="b"), NOW_S + 1.2)
+
+
+class TestNews:
+    def test_a_changed_member_is_news_until_it_is_told(self):
+        core = make_core()
+        assert not core.has_news()
+        core.reserve(reserve(), NOW_S)
+        assert core.has_news()
+        beat = core.beat(control_pb2.TargetInfo(name="w"))
+        core.beat_answered(beat, control_pb2.BeatReply(epoch=5), NOW_S)
+        assert not core.has_news()
--- a/tests/cover/test_cell.py
+++ b/tests/cover/test_cell.py
@@ -287,3 +287,18 @@
         job = world.submit(spec(tasks=4, domain="erie"))
         world.advance(3.0)
         assert world.row(job).state is JobState.REFUSED
+
+
+class TestSilentWorker:
+    def test_one_that_does_not_answer_is_left_out_at_once(self):
+        world = make_world()
+        first = world.submit(spec(tasks=4, domain="erie"), run_s=0.5)
+        world.advance(3.0)
+        worker = world.row(first).members[0].worker
+        world.agents[worker].frozen = True
+        second = world.submit(spec(tasks=4, domain="erie"), run_s=0.5)
+        world.advance(2.2)
+        assert world.holder.core.state.workers[worker].silent
+        world.advance(3.0)
+        assert world.row(second).state is JobState.DONE
+        assert world.row(second).members[0].worker != worker
--- a/tests/processes/test_entry_stop.py
+++ b/tests/processes/test_entry_stop.py
@@ -58,6 +58,31 @@
         assert (record["state"], record["attempts"]) == ("done", 1)
         assert took_s < 3.0  # sooner than the session's lease
 
+    def test_two_at_once_cut_nothing_off(self, bench):
+        bench.deployment.wait_ready(2, 2)
+        answers = []
+
+        def call(number):
+            plan = f'{{"run_s": 2.0, "answer": "{number}"}}'
+            request = {"workspace": "glaze", "payload": plan, "idempotent": False}
+            with bench.entry(number % 2) as client:
+                answers.append(client.request(request)["answer"] == str(number))
+
+        threads = [threading.Thread(target=call, args=(n,)) for n in range(12)]
+        for thread in threads:
+            thread.start()
+        time.sleep(1.0)
+        names = ("entry-1", "entry-2")
+        for name in names:
+            bench.deployment.signal(name, signal.SIGTERM)
+        for thread in threads:
+            thread.join()
+        codes = [bench.deployment.processes[name].wait(30) for name in names]
+        for name in names:
+            bench.deployment.start(name)
+        assert answers == [True] * 12
+        assert codes == [0, 0]
+
 
 class TestConfiguration:
     def test_one_of_racing_operators_wins_and_the_others_are_told_who(self, bench):
--- /dev/null
+++ b/tests/support/fake_agents.py
@@ -0,0 +1,243 @@
+"""Fake agents: the real logic over fake runners that outlive them."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from cicadabank.agent import AgentCore, OrderRefusedError
+from cicadabank.decisions import (
+    BeatEvent,
+    OrderResult,
+    Report,
+    SendReserve,
+    SendStart,
+)
+from cicadabank.wire import control_pb2
+
+BEAT_S = 1.0
+FRESHNESS_S = 3.0
+LEASE_S = 10.0
+RESERVATION_S = 6.0
+ENDED = ("done", "failed", "stopped")
+
+
+class FakeTask(NamedTuple):
+    attempt: str
+    job: str
+    tasks: int
+    accelerators: int
+    begin_s: float
+    epoch: int
+    started_at_s: float
+
+
+class FakeRunner:
+    """A worker's runner: survives its agent."""
+
+    def __init__(self, world, name):
+        self.world = world
+        self.name = name
+        self.tasks: dict[str, FakeTask] = {}
+        self.states: dict[str, str] = {}
+        self.lease_until: dict[str, float] = {}
+        self.began: set[str] = set()
+
+    def start(self, task, lease_s):
+        self.tasks[task.attempt] = task
+        self.states[task.attempt] = "held"
+        self.lease_until[task.attempt] = self.world.now_s + lease_s
+
+    def advance(self, now_s):
+        for attempt, task in self.tasks.items():
+            if self.states[attempt] in ENDED:
+                continue
+            if now_s > self.lease_until[attempt]:
+                self.states[attempt] = "stopped"
+            elif now_s >= task.begin_s:
+                if attempt not in self.began:
+                    self.began.add(attempt)
+                    self.world.note_run(self, task)
+                self.states[attempt] = "running"
+                if now_s >= task.begin_s + self.world.run_s(task.job):
+                    bad = task.job in self.world.failing
+                    self.states[attempt] = "failed" if bad else "done"
+
+    def stop(self, attempt):
+        if self.states.get(attempt) in ("held", "running"):
+            self.states[attempt] = "stopped"
+
+
+class _Usage(NamedTuple):
+    attempt: str
+    state: str
+    epoch: int
+    run_s: float = 1.0
+    checkpoint: str = ""
+    reason: str = ""
+    answer: bytes = b"x"
+
+
+class FakeAgent:
+    """The real agent logic over a fake runner."""
+
+    def __init__(self, world, info):
+        self.world = world
+        self.info = info
+        self.runner = FakeRunner(world, info.name)
+        self.frozen = False
+        self.cut = False
+        self.beat_due_s = 0.0
+        self.restart()
+
+    def replace_vm(self):
+        """Lose all that runs here, and come back empty."""
+        self.runner = FakeRunner(self.world, self.info.name)
+        self.restart()
+
+    def restart(self):
+        self.core = AgentCore(
+            self.world.make_id("run"), self.info.accelerators, FRESHNESS_S
+        )
+        self._take_usage()
+
+    def _take_usage(self):
+        usage = [
+            _Usage(a, state, self.runner.tasks[a].epoch)
+            for a, state in self.runner.states.items()
+        ]
+        self.core.take_usage(usage, self.world.now_s)
+
+    def order(self, order, epoch):
+        try:
+            return self._order(order, epoch)
+        except OrderRefusedError as error:
+            member = self.core.members.get(order.attempt)
+            started = bool(member and member.started)
+            return OrderResult(True, False, started, error.message)
+
+    def _order(self, order, epoch):
+        now_s = self.world.now_s
+        if isinstance(order, SendReserve):
+            message = control_pb2.Reserve(
+                attempt=order.attempt,
+                epoch=epoch,
+                incarnation=order.incarnation,
+                accelerators=order.accelerators,
+                tasks=order.tasks,
+                ttl_s=RESERVATION_S,
+            )
+            self.core.reserve(message, now_s)
+            return OrderResult(True, True, False)
+        if isinstance(order, SendStart):
+            return self._start(order, epoch, now_s)
+        return self._stop(order, epoch)
+
+    def _start(self, order, epoch, now_s):
+        message = control_pb2.Start(
+            attempt=order.attempt,
+            epoch=epoch,
+            incarnation=order.incarnation,
+            delay_s=order.delay_s,
+            lease_duration_s=LEASE_S,
+        )
+        member = self.core.begin(message, now_s)
+        if member is not None:
+            task = FakeTask(
+                order.attempt,
+                self.world.job_of[order.attempt],
+                member.tasks,
+                member.accelerators,
+                now_s + order.delay_s,
+                epoch,
+                now_s,
+            )
+            self.world.note_start(self, task)
+            self.runner.start(task, self.core.lease_until_s - now_s)
+        return OrderResult(True, True, True)
+
+    def _stop(self, order, epoch):
+        message = control_pb2.Stop(
+            attempt=order.attempt, epoch=epoch, incarnation=order.incarnation
+        )
+        member = self.core.stopped(message)
+        if member is not None:
+            self.runner.advance(self.world.now_s)
+            if order.attempt not in self.runner.began:
+                member.started = False
+            self.runner.stop(order.attempt)
+            member.state = "stopped"
+        known = self.core.members.get(order.attempt)
+        checkpoint = "checkpoint:1" if order.checkpoint and known else ""
+        started = self.core.may_have_started(message)
+        return OrderResult(True, True, started, "", checkpoint)
+
+    def tick(self):
+        now_s = self.world.now_s
+        self.runner.advance(now_s)
+        if self.frozen:
+            return
+        self._take_usage()
+        for member in self.core.lapsed(now_s):
+            member.state = "stopped"
+            self.runner.stop(member.attempt)
+        if now_s >= self.beat_due_s and not self.cut:
+            self.beat_due_s = now_s + BEAT_S
+            self._beat()
+
+    def _beat(self):
+        holder = self.world.holder
+        if not holder.alive or holder.frozen or self.world.lost():
+            return
+        info = control_pb2.TargetInfo(name=self.info.name)
+        beat = self.core.beat(info)
+        reports = tuple(
+            Report(r.attempt, r.state, run_s=r.run_s, started=r.started)
+            for r in beat.reports
+        )
+        event = BeatEvent(
+            self.info.name,
+            beat.incarnation,
+            self.info if beat.full else None,
+            beat.full,
+            reports,
+            beat.digest,
+        )
+        now_s = self.world.now_s
+        answer = holder.core.on_beat(event, now_s)
+        holder.carry_out()
+        if self.world.lost():
+            return
+        view = holder.core.state.view
+        domain = view.domains.get(self.info.domain)
+        reply = control_pb2.BeatReply(
+            epoch=holder.epoch,
+            config_version=view.version,
+            domain_out=bool(domain and domain.out),
+            view_age_s=now_s - holder.view_seen_s,
+            lease_duration_s=LEASE_S,
+            want_full=answer.want_full,
+            acknowledged=answer.acknowledged,
+        )
+        if answer.want_full:
+            self.beat_due_s = 0.0
+        self.core.beat_answered(beat, reply, now_s)
+        for attempt in answer.unknown:
+            self.runner.stop(attempt)
+            self.core.drop(attempt)
+            self._forget(attempt)
+        for attempt in answer.acknowledged:
+            self._forget(attempt)
+        for attempt, task in self.runner.tasks.items():
+            if task.epoch <= self.core.epoch:
+                self.runner.lease_until[attempt] = max(
+                    self.runner.lease_until[attempt], self.core.lease_until_s
+                )
+
+    def _forget(self, attempt):
+        if self.runner.states.get(attempt) in ENDED:
+            for table in (
+                self.runner.states,
+                self.runner.tasks,
+                self.runner.lease_until,
+            ):
+                del table[attempt]
--- /dev/null
+++ b/tests/support/fake_holders.py
@@ -0,0 +1,177 @@
+"""A fake table, and a cell's holder with the real decisions over it."""
+
+from __future__ import annotations
+
+import itertools
+
+from cicadabank.decisions import (
+    CellCore,
+    CellTimings,
+    CommitJob,
+    CommitStatus,
+    OrderResult,
+    ReloadJob,
+    SendReserve,
+    SendStart,
+    SendStop,
+)
+from cicadabank.model import JobRow
+
+CONFIG_POLL_S = 0.5
+ORDER_TIMEOUT_S = 1.4
+LEASE_S = 10.0
+OUTAGE_LEASE_S = 20.0
+
+
+class FakeTable:
+    """Job rows under versions, and the epoch of the cell."""
+
+    def __init__(self):
+        self.rows: dict[str, tuple[JobRow, int, str]] = {}
+        self.epoch = 0
+        self.down = False
+        self._versions = itertools.count(1)
+
+    def put(self, row, version, operation):
+        """Write a row if it has this version; return the new version or None."""
+        if self.rows.get(row.job, (None, 0, ""))[1] != version:
+            return None
+        new = next(self._versions)
+        self.rows[row.job] = (row, new, operation)
+        return new
+
+    def open_jobs(self):
+        rows = [(row, v) for row, v, _ in self.rows.values() if not row.terminal]
+        return sorted(rows)
+
+
+class FakeHolder:
+    """A cell's holder: the real decisions, fake input and output."""
+
+    def __init__(self, world):
+        self.world = world
+        world.table.epoch += 1
+        self.epoch = world.table.epoch
+        self.alive = True
+        self.frozen = False
+        self.view_seen_s = world.now_s
+        self.poll_due_s = 0.0
+        self.core = CellCore(
+            "lakes",
+            self.epoch,
+            world.now_s,
+            CellTimings(lease_duration_s=LEASE_S, outage_lease_s=OUTAGE_LEASE_S),
+            lambda: world.now_s,
+            world.make_id,
+        )
+        self.loaded = False
+
+    def tick(self):
+        if not self.alive or self.frozen:
+            return
+        world = self.world
+        if not world.table.down and world.now_s >= self.poll_due_s:
+            self.poll_due_s = world.now_s + CONFIG_POLL_S
+            self._poll()
+        self.core.on_tick(world.now_s)
+        self.carry_out()
+
+    def _poll(self):
+        world = self.world
+        if world.table.epoch != self.epoch:
+            self.alive = False
+            return
+        self.view_seen_s = world.now_s
+        if world.view is not self.core.state.view:
+            self.core.on_config(world.view, world.now_s)
+        rows = world.table.open_jobs()
+        if not self.loaded:
+            self.loaded = True
+            self.core.load(rows, world.now_s)
+            return
+        for row, version in rows:
+            if row.job not in self.core.state.jobs or row.cancel_requested:
+                operation = world.table.rows[row.job][2]
+                self.core.on_job(row, version, operation, world.now_s)
+
+    def carry_out(self):
+        for action in self.core.take_actions():
+            self._do(action)
+
+    def _do(self, action):
+        world = self.world
+        if isinstance(action, (SendReserve, SendStart, SendStop)):
+            if action.attempt in self.core.state.attempts:
+                job = self.core.state.attempts[action.attempt].job
+                world.job_of[action.attempt] = job
+            self._send(action)
+        elif isinstance(action, CommitJob):
+            world.after(world.delay(), lambda: self._commit(action))
+        elif isinstance(action, ReloadJob):
+            world.after(world.delay(), lambda: self._reload(action.job))
+
+    def _send(self, order):
+        world = self.world
+        sent_s = world.now_s
+
+        def answer(result):
+            if self.alive:
+                world.after_thaw(self, lambda: self._replied(order, result))
+
+        def arrive():
+            agent = world.agents[order.worker]
+            if agent.cut or agent.frozen or world.lost():
+                late_s = max(0.0, sent_s + ORDER_TIMEOUT_S - world.now_s)
+                world.after(late_s, lambda: answer(OrderResult(False)))
+                return
+            result = agent.order(order, self.epoch)
+            if world.lost():
+                late_s = max(0.0, sent_s + ORDER_TIMEOUT_S - world.now_s)
+                world.after(late_s, lambda: answer(OrderResult(False)))
+            else:
+                world.after(world.delay(), lambda: answer(result))
+
+        world.after(world.delay(), arrive)
+
+    def _replied(self, order, result):
+        self.core.on_order_reply(order, result, self.world.now_s)
+        self.carry_out()
+
+    def _commit(self, commit):
+        status, version = self._try_commit(commit)
+
+        def done():
+            if self.alive:
+                self.core.on_commit(commit, status, version or 0, self.world.now_s)
+                self.carry_out()
+                if self.core.state.fenced:
+                    self.alive = False
+
+        self.world.after_thaw(self, done)
+
+    def _try_commit(self, commit):
+        table = self.world.table
+        if table.down:
+            return CommitStatus.UNKNOWN, 0
+        if table.epoch != self.epoch:
+            return CommitStatus.FENCED, 0
+        version = table.put(commit.row, commit.version, commit.operation)
+        self.world.note_row(commit.row, version)
+        if self.world.lost():
+            return CommitStatus.UNKNOWN, 0
+        if version is None:
+            _row, version, operation = table.rows[commit.job]
+            if operation == commit.operation:
+                return CommitStatus.COMMITTED, version
+            return CommitStatus.CONFLICT, 0
+        return CommitStatus.COMMITTED, version
+
+    def _reload(self, job):
+        if not self.alive:
+            return
+        if self.world.table.down:
+            self.core.on_reload_failed(job, self.world.now_s)
+        else:
+            row, version, operation = self.world.table.rows[job]
+            self.core.on_job(row, version, operation, self.world.now_s)
+        self.carry_out()
