--- a/tests/cover/test_cell.py
+++ b/tests/cover/test_cell.py
@@ -32,6 +32,13 @@
         assert world.row(job).state is JobState.DONE
         assert sum(member.tasks for member in world.row(job).members) == 8
 
+    def test_running_one_is_not_said_not_to_have_run(self):
+        world = make_world()
+        job = world.submit(spec(), run_s=20.0)
+        world.advance(3.0)
+        row = world.row(job)
+        assert (row.state, row.ran) == (JobState.RUNNING, "unknown")
+
     def test_waits_until_it_fits_whole(self):
         world = make_world()
         first = world.submit(spec(tasks=6), run_s=10.0)
--- /dev/null
+++ b/tests/cover/test_stand_ins.py
@@ -0,0 +1,106 @@
+"""The stand-ins keep to the interfaces that they stand for, faults included."""
+
+from __future__ import annotations
+
+import time
+
+import grpc
+import pytest
+from cicadabank.local import Ports
+from cicadabank.settings import StandInSettings
+from cicadabank.standin import stand_in_running
+from cicadabank.wire import targets_pb2, targets_pb2_grpc
+
+
+@pytest.fixture
+def worker():
+    address = Ports().address()
+    settings = StandInSettings("stand-in", "worker", "worker-1", address)
+    with (
+        stand_in_running(settings) as runner,
+        grpc.insecure_channel(address) as channel,
+    ):
+        yield runner, targets_pb2_grpc.RunnerStub(channel)
+
+
+def start(attempt="a", **fields):
+    given = {"tasks": 4, "accelerators": 4, "epoch": 2, "lease_duration_s": 5.0}
+    payload = b'{"run_s": 30}'
+    return targets_pb2.TaskStart(
+        attempt=attempt, payload=payload, **{**given, **fields}
+    )
+
+
+def usage(stub, attempt="a"):
+    report = stub.Usage(targets_pb2.Empty())
+    return next((t for t in report.tasks if t.attempt == attempt), None)
+
+
+class TestRunner:
+    @pytest.mark.parametrize(
+        ("fields", "reason"),
+        [
+            ({"epoch": 1}, "epoch 1 is below 2"),
+            ({"accelerators": 5}, "4 of 8 accelerators are busy"),
+            ({"not_after_unix_s": 1.0}, "after its bound"),
+        ],
+    )
+    def test_refuses_a_start(self, worker, fields, reason):
+        _, stub = worker
+        assert stub.Start(start()).accepted
+        reply = stub.Start(start("b", **fields))
+        assert not reply.accepted
+        assert reason in reply.reason
+
+    def test_starting_again_changes_nothing(self, worker):
+        runner, stub = worker
+        assert stub.Start(start()).accepted
+        assert stub.Start(start()).accepted
+        assert runner.starts == ["a"]
+
+    def test_task_ends_with_its_lease(self, worker):
+        _, stub = worker
+        stub.Start(start(lease_duration_s=0.05))
+        time.sleep(0.1)
+        assert (usage(stub).state, usage(stub).reason) == ("stopped", "lease-lapsed")
+
+    def test_renewal_keeps_it(self, worker):
+        _, stub = worker
+        stub.Start(start(lease_duration_s=0.3))
+        renewal = targets_pb2.LeaseRenewal(
+            attempts=["a", "b"], lease_duration_s=5.0, epoch=2
+        )
+        assert list(stub.Renew(renewal).unknown) == ["b"]
+        time.sleep(0.4)
+        assert usage(stub).state == "running"
+
+    def test_throttle_slows_it_down(self, worker):
+        _, stub = worker
+        stub.Start(start())
+        stub.Throttle(targets_pb2.TaskThrottle(attempt="a", share=0.0))
+        before = usage(stub).run_s
+        time.sleep(0.1)
+        assert usage(stub).run_s == before
+        assert usage(stub).cores == 0.0
+
+    def test_resumes_from_its_checkpoint(self, worker):
+        _, stub = worker
+        stub.Start(start())
+        time.sleep(0.1)
+        ref = targets_pb2.TaskRef(attempt="a", epoch=2)
+        checkpoint = stub.Checkpoint(ref).checkpoint
+        stub.Stop(ref)
+        stub.Start(start("b", checkpoint=checkpoint))
+        assert usage(stub, "b").run_s >= 0.1
+
+    def test_stale_usage_is_reported_late(self, worker):
+        runner, stub = worker
+        runner.faults.set("usage_lag_s", 60.0)
+        stub.Start(start())
+        assert usage(stub) is None
+
+    def test_fault_that_fails_everything(self, worker):
+        runner, stub = worker
+        runner.faults.set("fail_all", 1.0)
+        stub.Start(start())
+        assert usage(stub).state == "failed"
