--- a/packages/client/src/cicadabank/client/internal/operators.py
+++ b/packages/client/src/cicadabank/client/internal/operators.py
@@ -29,7 +29,7 @@
 
 def apply(
     *,
-    file: Annotated[str, Parameter(name=["--file", "-f"])],
+    file: Annotated[str, Parameter(name=["--file", "-f"], allow_leading_hyphen=True)],
     if_version: int | None = None,
     common: Common = DEFAULT,
 ) -> None:
--- a/packages/entry/src/cicadabank/entry/internal/app.py
+++ b/packages/entry/src/cicadabank/entry/internal/app.py
@@ -158,14 +158,15 @@
         return not self.http.stopping and self.config.seen.age_s() < READY_VIEW_AGE_S
 
     def status(self) -> dict:
-        """Return what this entry knows and holds."""
-        cells = [task.ask(task.status) for task in list(self.cells.values())]
+        """Return what this entry knows and holds, and the state of all cells."""
+        cells = [cell["status"] for cell in self._describe_cells().values()]
         return {
             "entry": self.settings.name,
             "ready": self.ready(),
             "config_version": self.config.seen.view.version,
             "config_age_s": round(min(1e9, self.config.seen.age_s()), 3),
-            "held_cells": cells,
+            "held_cells": sorted(self.cells),
+            "cells": cells,
             "holders": {
                 c: self.session.holder_address(c) for c in self.session.cells()
             },
@@ -174,17 +175,30 @@
         }
 
     def targets(self) -> list[dict]:
-        """Return the targets that this entry hears."""
+        """Return the targets of all cells, as their holders know them."""
         found = self.minions.ask(self.minions.targets)
-        held = list(self.cells.values())
-        for task in held:
-            found += task.ask(task.targets)
-        holding = {task.held.cell for task in held}
+        described = self._describe_cells()
+        for cell in described.values():
+            found += cell["targets"]
         for summary in self.summaries.summaries():
-            if summary.cell not in holding:
+            if summary.cell not in described:
                 found += announced_workers(summary)
         return found
 
+    def _describe_cells(self) -> dict[str, dict]:
+        """Return the state of every cell whose holder answers."""
+        found = {}
+        for name in self.session.cells():
+            task = self.cells.get(name)
+            address = self.session.holder_address(name)
+            if task is not None:
+                found[name] = task.ask(task.describe)
+            elif address and address != self.own_address:
+                description = self.peers.describe(address, name)
+                if description is not None:
+                    found[name] = description
+        return found
+
     def drain(self) -> None:
         """Answer what is open, settle starts under way, and hand the cells over."""
         logger.info("the entry drains")
--- a/packages/entry/src/cicadabank/entry/internal/cell.py
+++ b/packages/entry/src/cicadabank/entry/internal/cell.py
@@ -379,6 +379,10 @@
             ],
         }
 
+    def describe(self) -> dict:
+        """Return the numbers of the cell and its workers."""
+        return {"status": self.status(), "targets": self.targets()}
+
     def stop_placing(self) -> None:
         """Start no more jobs; what is under way is finished."""
         self.core.state.stopping = True
--- a/packages/entry/src/cicadabank/entry/internal/services.py
+++ b/packages/entry/src/cicadabank/entry/internal/services.py
@@ -11,6 +11,7 @@
 from cicadabank.entry.internal.config import ConfigTask
 from cicadabank.entry.internal.minions import MinionTask
 from cicadabank.entry.internal.session import SessionTask
+from cicadabank.model import decode, encode
 from cicadabank.tasks import clock_s
 from cicadabank.wire import ChannelPool, control_pb2, control_pb2_grpc
 
@@ -85,6 +86,17 @@
             cell.post(cell.wake, request.job)
         return control_pb2.Empty()
 
+    def Describe(self, request, context):  # noqa: N802
+        """Tell the state of a held cell, for operators who ask another entry."""
+        cell = self._cells.get(request.cell)
+        if cell is None:
+            return control_pb2.CellDescription()
+        try:
+            document = cell.ask(cell.describe, timeout_s=PEER_TIMEOUT_S)
+        except FutureTimeoutError:
+            return control_pb2.CellDescription()
+        return control_pb2.CellDescription(document=encode(document))
+
     def PushView(self, request, context):  # noqa: N802
         """Take a failure domain out at once."""
         if request.out:
@@ -124,6 +136,15 @@
         for stub in self._stubs():
             stub.PushView.future(push, timeout=PEER_TIMEOUT_S)
 
+    def describe(self, address: str, cell: str) -> dict | None:
+        """Return what a cell's holder tells of it, or None if it doesn't answer."""
+        stub = control_pb2_grpc.PeerStub(self._pool.get(address))
+        try:
+            reply = stub.Describe(control_pb2.Poke(cell=cell), timeout=PEER_TIMEOUT_S)
+        except grpc.RpcError:
+            return None
+        return decode(reply.document) if reply.document else None
+
     def store_ages_s(self) -> list[float]:
         """Return how long ago each entry that answers last wrote to the table."""
         calls = [
--- a/packages/report/src/cicadabank/report/internal/explain.py
+++ b/packages/report/src/cicadabank/report/internal/explain.py
@@ -11,6 +11,7 @@
     "unknown": "Its tasks may have been started; whether they "
     "ran to their end is not known.",
 }
+RUNNING_TEXT = "Its start is stored; its tasks are running, or about to."
 EVENT_TEXT = {
     "submitted": "the job was accepted",
     "start": "the start of the whole gang was stored",
@@ -55,7 +56,7 @@
         f"{spec['accelerators_per_task']} accelerators "
         f"each ({total} together) within one {spec['adjacency']}"
         + (f"; {', '.join(traits)}." if traits else "."),
-        RAN_TEXT[record["ran"]],
+        RUNNING_TEXT if record["state"] == "running" else RAN_TEXT[record["ran"]],
     ]
     if record["reason"]:
         lines.append(f"Reason: {record['reason']}.")
--- a/tests/cover/test_command_line.py
+++ b/tests/cover/test_command_line.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import io
 import json
+from types import SimpleNamespace
 
 import pytest
 from cicadabank.client.cli import app, main
@@ -73,6 +75,12 @@
         assert run(monkeypatch, "apply", "-f", str(file), "--entry", NOBODY) == 2
         assert text in capsys.readouterr().err
 
+    def test_reads_standard_input(self, monkeypatch, capsys):
+        document = io.BytesIO(b'{"kind": "planet"}')
+        monkeypatch.setattr("sys.stdin", SimpleNamespace(buffer=document))
+        assert run(monkeypatch, "apply", "-f", "-", "--entry", NOBODY) == 2
+        assert "the kind 'planet' does not exist" in capsys.readouterr().err
+
 
 class TestHelp:
     @pytest.mark.parametrize(
--- a/tests/processes/test_holder_faults.py
+++ b/tests/processes/test_holder_faults.py
@@ -38,6 +38,20 @@
         assert {record["state"] for record in records} == {"done"}
 
 
+class TestEveryEntry:
+    def test_tells_the_state_of_a_cell_that_another_one_holds(self, bench):
+        bench.deployment.wait_ready(4, 2)
+        holder = bench.holder()
+        with bench.other(holder) as other:
+            status = other.call("GET", "/v1/status")
+            targets = other.call("GET", "/v1/targets")["targets"]
+        assert status["held_cells"] == []
+        assert [cell["cell"] for cell in status["cells"]] == ["lakes"]
+        workers = [t for t in targets if t["kind"] == "worker"]
+        assert {worker["free"] for worker in workers} <= {0, 1, 2, 3, 4}
+        assert len(workers) == 4
+
+
 class TestFrozenHolder:
     def test_woken_one_starts_nothing_twice(self, bench):
         bench.deployment.wait_ready(4, 2)
