Take wall-clock bounds out of the tests; test a reclaim under a slow table

The silent-connection tests depended on a minion's single heartbeat being under 3 s old; heartbeats go on now.

--- a/tests/cover/test_cell.py
+++ b/tests/cover/test_cell.py
@@ -159,6 +159,16 @@
         world.advance(2.5)
         assert world.row(job).state is JobState.RUNNING
 
+    def test_slow_table_adds_its_delay_only(self):
+        world = make_world(guarantees=[self.GUARANTEE])
+        for _ in range(8):
+            world.submit(spec("books", tasks=2), run_s=500.0)
+        world.advance(3.0)
+        world.table_delay_s = 2.0
+        job = world.submit(spec(tasks=8, urgent=True), run_s=5.0)
+        world.advance(2.5 + world.table_delay_s)
+        assert world.row(job).state is JobState.RUNNING
+
     def test_two_workspaces_reclaim_at_once(self):
         both = [self.GUARANTEE._replace(workspace=w) for w in ("glaze", "books")]
         world = make_world(guarantees=both)
--- a/tests/processes/test_silent_connection.py
+++ b/tests/processes/test_silent_connection.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from contextlib import ExitStack
+import threading
+from contextlib import ExitStack, contextmanager
 from types import SimpleNamespace
 
 import pytest
@@ -25,6 +26,22 @@
 WORKSPACE = Workspace("glaze", 8)
 
 
+@contextmanager
+def beating(minions, beat):
+    """Send a minion's heartbeat again and again, on a connection of its own."""
+    ended = threading.Event()
+
+    def run():
+        while not ended.wait(0.5):
+            minions.post(minions.on_beat, beat, Seen(ConfigView(), 0.0))
+
+    thread = threading.Thread(target=run)
+    thread.start()
+    yield
+    ended.set()
+    thread.join()
+
+
 @pytest.fixture
 def parts():
     ports = Ports()
@@ -45,6 +62,7 @@
             ),
         )
         minions.ask(minions.on_beat, beat, Seen(ConfigView(), 0.0))
+        stack.enter_context(beating(minions, beat))
         table = TableClient(store)
         pool = ChannelPool()
         tally = stack.enter_context(running(TallyTask(table, "entry-1")))
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -29,6 +29,7 @@
         self.now_s = 100.0
         self.loss = 0.0
         self.longest_delay_s = 0.05
+        self.table_delay_s = 0.0
         self.table = FakeTable()
         self.view = ConfigView()
         self.failing: set[str] = set()
