Send agents of a cut-off holder on to the next one

Cause, found by reading: a holder that alone loses the table stops renewing leases, but still accepted heartbeats with a lease of 0, and an agent that isn't accepted and is named no other holder stayed where it was. Its tasks would have ended with their leases although another entry held the cell. Now such a heartbeat is not accepted, and the agent asks the next entry. Before: test_asks_the_next_entry_when_nobody_else_is_named failed, both cases. After: it passes, and with one entry cut off from the table a running gang goes on under the next holder, one attempt (process test, 54 s with its stop). The relay used by the tests did not cut open connections at first (a close in one thread doesn't wake another's recv): mended in the relay.

--- a/packages/agent/src/cicadabank/agent/internal/reporter.py
+++ b/packages/agent/src/cicadabank/agent/internal/reporter.py
@@ -75,8 +75,7 @@
     def send(self, beat: control_pb2.Beat, take: TakeReply) -> None:
         """Send a heartbeat to the holder, or to the next entry if it is silent."""
         if self._at.failures >= FAILURES_BEFORE_NEXT:
-            self._next = (self._next + 1) % len(self._entries)
-            self._go(self._entries[self._next])
+            self._go_on()
         self._at.send(beat, partial(self._take, take))
 
     def _take(
@@ -89,6 +88,14 @@
             take(beat, reply, sent_s)
         elif reply.holder and reply.holder != self._at.address:
             self._go(reply.holder)
+        else:
+            # An entry that is cut off from the table may still take itself for the
+            # holder while another has taken the cell over.
+            self._go_on()
+
+    def _go_on(self) -> None:
+        self._next = (self._next + 1) % len(self._entries)
+        self._go(self._entries[self._next])
 
     def _go(self, address: str) -> None:
         self._at = Destination(address, self._pool, self._post)
--- a/packages/entry/src/cicadabank/entry/internal/app.py
+++ b/packages/entry/src/cicadabank/entry/internal/app.py
@@ -96,6 +96,7 @@
             self.minions,
             self.config,
             self.settings.beat_interval_s,
+            self.renewal.allowed,
         )
         peer = PeerService(self.cells, self.session, self._out_here)
         return [
--- a/packages/entry/src/cicadabank/entry/internal/services.py
+++ b/packages/entry/src/cicadabank/entry/internal/services.py
@@ -35,12 +35,14 @@
         minions: MinionTask,
         config: ConfigTask,
         beat_interval_s: float,
+        may_renew: Callable[[], bool],
     ):
         self._cells = cells
         self._session = session
         self._minions = minions
         self._config = config
         self._interval_s = beat_interval_s
+        self._may_renew = may_renew
 
     def Report(self, request, context):  # noqa: N802
         """Take in a heartbeat."""
@@ -48,7 +50,7 @@
             ask = partial(
                 self._minions.ask, self._minions.on_beat, request, self._config.seen
             )
-        elif request.cell in self._cells:
+        elif request.cell in self._cells and self._may_renew():
             cell = self._cells[request.cell]
             ask = partial(cell.ask, cell.on_beat, request)
         else:
--- a/tests/support/relay.py
+++ b/tests/support/relay.py
@@ -28,14 +28,19 @@
         with suppress(OSError):
             while True:
                 caller, _ = self._server.accept()
-                target = socket.create_connection(self._target)
-                self._count += 1
-                self._sockets += [caller, target]
-                for ends in ((caller, target), (target, caller)):
-                    arguments = (*ends, self._count)
-                    threading.Thread(
-                        target=self._pass_on, args=arguments, daemon=True
-                    ).start()
+                self._connect(caller)
+
+    def _connect(self, caller):
+        try:
+            target = socket.create_connection(self._target)
+        except OSError:
+            caller.close()
+            return
+        self._count += 1
+        self._sockets += [caller, target]
+        for ends in ((caller, target), (target, caller)):
+            arguments = (*ends, self._count)
+            threading.Thread(target=self._pass_on, args=arguments, daemon=True).start()
 
     def _pass_on(self, source, sink, number):
         with suppress(OSError):
@@ -49,8 +54,10 @@
 
     def close(self):
         for end in (self._server, *self._sockets):
+            # Only a shutdown ends what another thread waits for.
             with suppress(OSError):
-                end.close()
+                end.shutdown(socket.SHUT_RDWR)
+            end.close()
 
 
 @contextmanager
