Look past a long backlog of one workspace

Found by reading the planner as a newcomer: a plan looked at the first 256 queued jobs only, so 400 waiting jobs of one workspace, or 400 over its quota, hid all others, even a guaranteed one: the first promise broken by a queue. Before: test_backlog_of_others_does_not_hide_it and test_backlog_over_its_quota_holds_nobody_up failed. After: both pass; 154 contract tests in 7 s, the state machine in 26 s.

Ways: a larger limit (the same fault later); every job tried at each tick (10,000 queued jobs of 0.1 ms are a second of a core); bounded tries for each workspace and passing over shapes that have just found no room: taken.

--- a/packages/decisions/src/cicadabank/decisions/internal/planner.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/planner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from functools import partial
 
 from cicadabank.decisions.internal.attempts import JobEntry
@@ -20,34 +21,71 @@
 from cicadabank.decisions.internal.state import CellState
 from cicadabank.model import describe_shape
 
-JOBS_SCANNED = 256
+TRIES_PER_WORKSPACE = 64
+PLAN_INTERVAL_S = 0.5
 
 
 def plan(state: CellState, now_s: float) -> None:
-    """Start what can start; claim homes; hold room for the first job that must wait."""
+    """Start what can start; claim homes; hold room for the first job that must wait.
+
+    A workspace's tries are bounded, and its jobs of a shape that has just found no room
+    are passed over: another workspace's job behind a long backlog is looked at, too.
+    """
+    if not state.plan_due and now_s - state.planned_s < PLAN_INTERVAL_S:
+        return
+    state.plan_due, state.planned_s = False, now_s
     if state.layout_stale:
         relayout(state)
     advance_claims(state, now_s)
+    backlog = _Backlog()
     first_blocked = True
     for rank in _candidates(state, now_s):
         entry = state.jobs.get(rank[2])
         if entry is None or entry.attempt or entry.pending:
             continue
-        if _refuse_impossible(state, entry, now_s) or not _within_quota(state, entry):
+        if backlog.passes_over(entry) or not _within_quota(state, entry):
             continue
-        if _try_start(state, entry, now_s):
+        if _refuse_impossible(state, entry, now_s) or _try_start(state, entry, now_s):
             continue
+        backlog.found_no_room(entry)
         if first_blocked:
             first_blocked = False
             refresh_hold(state, entry, now_s)
     if first_blocked:
         state.hold = None
-    state.plan_due = False
+
+
+class _Backlog:
+    """What one plan has found of the jobs that must wait."""
+
+    def __init__(self) -> None:
+        self._tries: dict[str, int] = {}
+        self._shapes: set[tuple] = set()
+
+    @staticmethod
+    def _shape(entry: JobEntry) -> tuple:
+        spec = entry.row.spec
+        # A shorter job may fit before a hold where a longer one doesn't.
+        length = math.frexp(max(1.0, spec.estimate_s))[1]
+        traits = (spec.urgent, spec.idempotent, spec.checkpointable, length)
+        return (spec.workspace, GangShape.of(spec), traits)
+
+    def passes_over(self, entry: JobEntry) -> bool:
+        """Whether a job is not worth a try in this plan."""
+        if self._tries.get(entry.row.spec.workspace, 0) >= TRIES_PER_WORKSPACE:
+            return True
+        return self._shape(entry) in self._shapes
+
+    def found_no_room(self, entry: JobEntry) -> None:
+        """Note that a job was tried and must wait."""
+        workspace = entry.row.spec.workspace
+        self._tries[workspace] = self._tries.get(workspace, 0) + 1
+        self._shapes.add(self._shape(entry))
 
 
 def _candidates(state: CellState, now_s: float) -> list[tuple[bool, float, str]]:
     """Return the jobs to look at; one that has starved goes before urgent ones."""
-    ranks = list(state.queue.islice(0, JOBS_SCANNED))
+    ranks = list(state.queue)
     limit_s = now_s - state.timings.starvation_s
     starved = [
         r for r in ranks if r[2] in state.jobs and state.jobs[r[2]].queued_s < limit_s
--- a/packages/decisions/src/cicadabank/decisions/internal/state.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/state.py
@@ -106,6 +106,7 @@
         self.layout = Layout([], [])
         self.layout_stale = True
         self.plan_due = True
+        self.planned_s = float("-inf")
         self.hold: Hold | None = None
         self.health = WorkerHealth()
         self.estimates = EstimateBook()
--- a/tests/cover/test_cell.py
+++ b/tests/cover/test_cell.py
@@ -159,6 +159,26 @@
         world.advance(2.5)
         assert world.row(job).state is JobState.RUNNING
 
+    def test_backlog_of_others_does_not_hide_it(self):
+        world = make_world(guarantees=[self.GUARANTEE])
+        for _ in range(400):
+            world.submit(spec("books", tasks=2), run_s=500.0)
+        world.advance(3.0)
+        job = world.submit(spec(tasks=8), run_s=5.0)
+        world.advance(2.5)
+        assert world.row(job).state is JobState.RUNNING
+
+    def test_backlog_over_its_quota_holds_nobody_up(self):
+        world = make_world()
+        small = {**WORKSPACES, "books": Workspace("books", 2)}
+        world.configure(workspaces=small)
+        for _ in range(400):
+            world.submit(spec("books", tasks=2), run_s=500.0)
+        world.advance(3.0)
+        job = world.submit(spec(tasks=4), run_s=5.0)
+        world.advance(2.5)
+        assert world.row(job).state is JobState.RUNNING
+
     def test_slow_table_adds_its_delay_only(self):
         world = make_world(guarantees=[self.GUARANTEE])
         for _ in range(8):
