Set the tests' deployments up in one place; remove a function nothing calls

Two process tests repeated how a layout is run and configured; all use layout_running now. gangs.reload had lost its last caller. No assertion is changed.

--- a/packages/decisions/src/cicadabank/decisions/internal/gangs.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/gangs.py
@@ -7,7 +7,6 @@
 from cicadabank.decisions.internal.messages import (
     CommitJob,
     OrderResult,
-    ReloadJob,
     SendReserve,
     SendStart,
     SendStop,
@@ -318,8 +317,3 @@
     if attempt.reason == "done":
         run_s = max((m.run_s for m in attempt.members.values()), default=0.0)
         state.estimates.observe(spec.workspace, spec.estimate_s, run_s)
-
-
-def reload(state: CellState, job: str) -> None:
-    """Ask for a job's row as it stands."""
-    state.out.append(ReloadJob(job))
--- a/tests/processes/test_agent_paths.py
+++ b/tests/processes/test_agent_paths.py
@@ -6,10 +6,9 @@
 from contextlib import ExitStack
 
 import pytest
-from cicadabank.client import Client
-from cicadabank.local import Ports, Size, deployment_running, make_layout
+from cicadabank.local import Ports, Size, make_layout
 
-from tests.support.deployments import DOMAINS, OVERRIDES, Bench, in_force
+from tests.support.deployments import DOMAINS, OVERRIDES, layout_running
 from tests.support.relay import relay_running
 
 
@@ -23,14 +22,7 @@
         relay = stack.enter_context(relay_running(agent["listen"]))
         agent["advertise"] = relay.address
         folder = tmp_path_factory.mktemp("bench")
-        deployment = stack.enter_context(deployment_running(layout, folder))
-        deployment.wait_ready(4, 0)
-        client = stack.enter_context(Client(layout.http, "test"))
-        bench = Bench(deployment, client)
-        client.apply("workspace", {"name": "glaze", "quota_accelerators": 32})
-        for address in layout.http:
-            with Client([address]) as one:
-                bench.wait(lambda one=one: in_force(one, 1), "the configuration")
+        bench = stack.enter_context(layout_running(layout, folder, 4, 0))
         yield bench, relay
 
 
--- a/tests/processes/test_cut_off_entry.py
+++ b/tests/processes/test_cut_off_entry.py
@@ -5,10 +5,9 @@
 from contextlib import ExitStack
 
 import pytest
-from cicadabank.client import Client
-from cicadabank.local import Ports, Size, deployment_running, make_layout
+from cicadabank.local import Ports, Size, make_layout
 
-from tests.support.deployments import DOMAINS, OVERRIDES, Bench, in_force
+from tests.support.deployments import DOMAINS, OVERRIDES, layout_running
 from tests.support.relay import relay_running
 
 
@@ -22,14 +21,7 @@
         for name in ("entry-1", "entry-2"):
             relays[name] = stack.enter_context(relay_running(layout.store))
             layout.settings[name]["table"] = relays[name].address
-        deployment = stack.enter_context(deployment_running(layout, tmp_path))
-        deployment.wait_ready(4, 0)
-        client = stack.enter_context(Client(layout.http, "test"))
-        bench = Bench(deployment, client)
-        client.apply("workspace", {"name": "glaze", "quota_accelerators": 32})
-        for address in layout.http:
-            with Client([address]) as one:
-                bench.wait(lambda one=one: in_force(one, 1), "the configuration")
+        bench = stack.enter_context(layout_running(layout, tmp_path, 4, 0))
         yield bench, relays
 
 
--- a/tests/support/deployments.py
+++ b/tests/support/deployments.py
@@ -87,6 +87,13 @@
     """Run a deployment with the workspaces that the tests use."""
     size = Size(DOMAINS, "lakes", 2, workers, minions, agents, accelerators=4)
     layout = make_layout(size, Ports(), OVERRIDES)
+    with layout_running(layout, folder, workers, minions) as bench:
+        yield bench
+
+
+@contextmanager
+def layout_running(layout, folder, workers, minions) -> Iterator[Bench]:
+    """Run the processes of a layout with the workspaces that the tests use."""
     with deployment_running(layout, folder) as deployment:
         deployment.wait_ready(workers, minions)
         with Client(layout.http, "test") as client:
