--- a/packages/decisions/src/cicadabank/decisions/internal/state.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/state.py
@@ -41,7 +41,15 @@
 class WorkerState:
     """What the holder knows of a worker beyond its size."""
 
-    __slots__ = ("heard_s", "incarnation", "leaving", "lost", "reported", "silent")
+    __slots__ = (
+        "heard_s",
+        "incarnation",
+        "leaving",
+        "lost",
+        "reported",
+        "reported_early",
+        "silent",
+    )
 
     def __init__(self, incarnation: str, now_s: float):
         self.incarnation = incarnation
@@ -50,6 +58,7 @@
         self.silent = False
         self.lost = False
         self.reported: dict[str, str] = {}  # attempt -> state
+        self.reported_early = False  # before the cell's jobs were loaded
 
     def digest(self) -> int:
         """Return the digest that the agent sends of the same reports."""
--- a/tests/cover/test_cell.py
+++ b/tests/cover/test_cell.py
@@ -107,6 +107,20 @@
         assert world.row(job).state is JobState.DONE
         assert world.run_jobs[job] == 1
 
+    @pytest.mark.parametrize("load_delay_s", [0.0, 0.5, 1.5, 3.5])
+    @pytest.mark.parametrize("run_s", [5.0, 20.0], ids=["ends", "runs"])
+    def test_what_is_reported_before_the_jobs_are_loaded_counts(
+        self, load_delay_s, run_s
+    ):
+        world = make_world()
+        world.load_delay_s = load_delay_s
+        job = world.submit(spec(idempotent=False), run_s=run_s)
+        world.advance(2.0)
+        world.replace_holder()
+        world.advance(22.0)
+        assert world.row(job).state is JobState.DONE
+        assert world.run_jobs[job] == 1
+
     def test_woken_holder_is_fenced(self):
         world = make_world()
         old = world.replace_holder(kill=False)
--- a/tests/nocover/test_cell_machine.py
+++ b/tests/nocover/test_cell_machine.py
@@ -102,8 +102,9 @@
         self.world.set_domain(domain, False)
 
     @precondition(lambda self: not self.world.table.down)
-    @rule(kill=st.booleans())
-    def replace_holder(self, kill):
+    @rule(kill=st.booleans(), load_delay_s=st.sampled_from([0.0, 1.2, 3.5]))
+    def replace_holder(self, kill, load_delay_s):
+        self.world.load_delay_s = load_delay_s
         self.world.replace_holder(kill)
 
     @rule()
--- a/tests/support/fake_holders.py
+++ b/tests/support/fake_holders.py
@@ -64,6 +64,7 @@
             lambda: world.now_s,
             world.make_id,
         )
+        self.loading = False
         self.loaded = False
 
     def tick(self):
@@ -86,14 +87,30 @@
             self.core.on_config(world.view, world.now_s)
         rows = world.table.open_jobs()
         if not self.loaded:
-            self.loaded = True
-            self.core.load(rows, world.now_s)
+            self._load(rows)
             return
         for row, version in rows:
             if row.job not in self.core.state.jobs or row.cancel_requested:
                 operation = world.table.rows[row.job][2]
                 self.core.on_job(row, version, operation, world.now_s)
 
+    def _load(self, rows):
+        """Take the jobs in once they are read; heartbeats may come before that."""
+        if self.loading:
+            return
+        self.loading = True
+
+        def read():
+            self.loaded = True
+            if self.alive:
+                self.core.load(rows, self.world.now_s)
+
+        delay_s = self.world.load_delay_s
+        if delay_s:
+            self.world.after(delay_s, lambda: self.world.after_thaw(self, read))
+        else:
+            read()
+
     def carry_out(self):
         for action in self.core.take_actions():
             self._do(action)
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -30,6 +30,7 @@
         self.loss = 0.0
         self.longest_delay_s = 0.05
         self.table_delay_s = 0.0
+        self.load_delay_s = 0.0
         self.table = FakeTable()
         self.view = ConfigView()
         self.failing: set[str] = set()
