Ask all entries in turn while a cell's holder is silent

Cause: an agent whose holder froze gave it up after two calls of 1.5 s, asked the next entry, and went straight back when that one still named the frozen holder, for another two calls. A takeover lasts as long as a session's lease, so the first answer mostly names the old holder.

Ruled out: shorter calls (a slow holder would look dead); believing the second entry at once (nobody holds the cell yet). The load is as before: one heartbeat an interval, to one entry at a time that has no call of this agent waiting.

--- a/packages/agent/src/cicadabank/agent/internal/reporter.py
+++ b/packages/agent/src/cicadabank/agent/internal/reporter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from functools import partial
 
@@ -50,6 +51,10 @@
 class HolderReporter:
     """Beats to the one entry that holds the worker's cell.
 
+    A holder that doesn't answer may still be named by the others until the cell is
+    taken over. So while the holder is silent, entries are asked in turn, it among them,
+    and a call that waits for one of them holds up none of the others.
+
     Parameters
     ----------
     entries : tuple of str
@@ -65,42 +70,76 @@
         post: Callable,
         moved: Callable[[], None],
     ):
-        self._entries = list(entries)
         self._pool = pool
         self._post = post
         self._moved = moved
-        self._next = 0
-        self._at = Destination(self._entries[0], pool, post)
+        self._entries = {entry: Destination(entry, pool, post) for entry in entries}
+        self._at = self._entries[entries[0]]
+        self._turn = deque(entries)
+        self._searching = False
+        self._epoch = 0
 
     def send(self, beat: control_pb2.Beat, take: TakeReply) -> None:
         """Send a heartbeat to the holder, or to the next entry if it is silent."""
-        if self._at.failures >= FAILURES_BEFORE_NEXT:
-            self._go_on()
-        self._at.send(beat, partial(self._take, take))
+        if not self._searching and self._at.failures >= FAILURES_BEFORE_NEXT:
+            self._search()
+        destination = self._next_asked() if self._searching else self._at
+        destination.send(beat, partial(self._take, take, destination))
+
+    def _next_asked(self) -> Destination:
+        for _ in range(len(self._turn)):
+            self._turn.rotate(-1)
+            destination = self._entries[self._turn[-1]]
+            if not destination.busy:
+                break
+        return destination
 
     def _take(
-        self, take: TakeReply, beat, reply: control_pb2.BeatReply, sent_s: float
+        self,
+        take: TakeReply,
+        asked: Destination,
+        beat,
+        reply: control_pb2.BeatReply,
+        sent_s: float,
     ) -> None:
         for entry in reply.entries:
-            if entry not in self._entries:
-                self._entries.append(entry)
-        if reply.accepted:
+            self._know(entry)
+        if reply.accepted and reply.epoch >= self._epoch:
+            self._epoch = reply.epoch
+            self._at, self._searching = asked, False
             take(beat, reply, sent_s)
-        elif reply.holder and reply.holder != self._at.address:
-            self._go(reply.holder)
+        elif not self._searching and asked is self._at:
+            self._refused(reply.holder)
+        elif self._searching and reply.holder:
+            self._ask_next(reply.holder)
+
+    def _refused(self, holder: str) -> None:
+        if holder and holder != self._at.address:
+            self._at = self._know(holder)
+            self._moved()
         else:
             # An entry that is cut off from the table may still take itself for the
             # holder while another has taken the cell over.
-            self._go_on()
-
-    def _go_on(self) -> None:
-        self._next = (self._next + 1) % len(self._entries)
-        self._go(self._entries[self._next])
+            self._search()
 
-    def _go(self, address: str) -> None:
-        self._at = Destination(address, self._pool, self._post)
+    def _search(self) -> None:
+        self._searching = True
+        self._turn.remove(self._at.address)
+        self._turn.append(self._at.address)
         self._moved()
 
+    def _ask_next(self, holder: str) -> None:
+        """Ask the named holder out of turn, unless it has just been silent."""
+        if self._know(holder).failures == 0:
+            self._turn.remove(holder)
+            self._turn.appendleft(holder)
+
+    def _know(self, address: str) -> Destination:
+        if address not in self._entries:
+            self._entries[address] = Destination(address, self._pool, self._post)
+            self._turn.append(address)
+        return self._entries[address]
+
 
 class EveryEntryReporter:
     """Beats to every live entry, since each of them routes to the minions."""
