Take local ports that no outgoing connection can take

Cause: a local deployment asked the system for free ports and gave them to processes started later. They lie in the range of outgoing connections, so a gRPC channel of a process that was started first could get the port of one started next; that one then ends with "port binding failed" and the deployment never gets ready. Seen once in 36 runs of one process test, three at a time.

Ruled out: listening first and handing the socket over (a process is started with a settings file only); retrying with other ports (others were told already).

--- a/packages/local/src/cicadabank/local/layouts.py
+++ b/packages/local/src/cicadabank/local/layouts.py
@@ -3,36 +3,46 @@
 from __future__ import annotations
 
 import json
+import random
 import socket
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any, NamedTuple
 
 WORKERS_PER_RACK = 3
+FREE_PORTS = range(24_000, 32_000)
 
 
 class Ports:
     """Hands out local addresses.
 
-    In order from a first port or free ones from the system.
+    In order from a first port, or free ones. Free ones lie below those that the
+    system gives to outgoing connections: such a connection could take a port between
+    the probe here and the process that is to listen on it.
     """
 
     def __init__(self, first: int = 0):
         self._next = first
-        self._taken: set[int] = set()
+        self._free = _free_ports()
 
     def address(self) -> str:
         """Return an address that was not handed out before."""
         if self._next:
             self._next += 1
             return f"127.0.0.1:{self._next - 1}"
-        while True:
-            with socket.socket() as probe:
-                probe.bind(("127.0.0.1", 0))
-                port = probe.getsockname()[1]
-            if port not in self._taken:
-                self._taken.add(port)
-                return f"127.0.0.1:{port}"
+        return f"127.0.0.1:{next(self._free)}"
+
+
+def _free_ports() -> Iterator[int]:
+    """Yield ports that nobody listens on, from a random one on, none twice."""
+    first = random.randrange(len(FREE_PORTS))
+    for port in (*FREE_PORTS[first:], *FREE_PORTS[:first]):
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        yield port
 
 
 class Size(NamedTuple):
