Start a job on a worker on probation if it fits nowhere else

Cause: a job that isn't idempotent avoids workers on probation, and a worker leaves probation by two successes. With nothing else in the queue to try on it, a job that needs that worker (the other domain holds a guarantee's home, which such a job can't borrow) waited without end on an idle cell.

Ruled out: the hold (it named the right workers), the quota, the start itself (0 attempts).

Now such a job first avoids workers on probation. Only if it would fit with them now, and never without them, it starts there. The question "never" looks at all workers, so it is asked last.

Before: the new case failed (queued after 6 s). After: done at once; a job that fits elsewhere still avoids the worker.

--- a/packages/decisions/src/cicadabank/decisions/internal/health.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/health.py
@@ -97,6 +97,11 @@
         """Whether a worker gets one job at a time only."""
         return worker in self._probation
 
+    @property
+    def any_on_probation(self) -> bool:
+        """Whether any worker is on probation."""
+        return bool(self._probation)
+
     def resting(self, worker: str, now_s: float) -> bool:
         """Whether a worker on probation gets nothing for now."""
         probation = self._probation.get(worker)
--- a/packages/decisions/src/cicadabank/decisions/internal/holds.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/holds.py
@@ -6,7 +6,7 @@
 from functools import partial
 
 from cicadabank.decisions.internal.attempts import Attempt, JobEntry, Phase
-from cicadabank.decisions.internal.fleet import Fleet, Worker
+from cicadabank.decisions.internal.fleet import Fleet, Need, Worker
 from cicadabank.decisions.internal.placement import GangShape, place
 from cicadabank.decisions.internal.state import CellState, Hold
 
@@ -23,14 +23,36 @@
     tries then tells a bad job from bad workers, and it doesn't wait without end.
     """
     failed_on = state.health.failed_on(entry.row.job)
-    if not failed_on:
+    if not failed_on or _can_do_without(state, entry, shape, failed_on):
         return failed_on
-    others = [
+    return frozenset()
+
+
+def suspects_needed(state: CellState, entry: JobEntry, shape: GangShape) -> bool:
+    """Whether a job could never start without workers on probation.
+
+    Nothing else may be left to be tried on them, and the job would wait without end.
+    """
+    suspects = frozenset(n for n in state.workers if state.health.on_probation(n))
+    return not _can_do_without(state, entry, shape, suspects)
+
+
+def _can_do_without(
+    state: CellState, entry: JobEntry, shape: GangShape, avoided: frozenset[str]
+) -> bool:
+    """Whether the other workers hold a job once what runs there has ended."""
+    fleet = Fleet(
         worker.info
         for name, worker in state.fleet.workers.items()
-        if name not in failed_on and state.worker_usable(name)
-    ]
-    return failed_on if place(Fleet(others), shape) else frozenset()
+        if name not in avoided and state.worker_usable(name)
+    )
+    spec = entry.row.spec
+    if not (spec.idempotent or spec.checkpointable):
+        for name in fleet.workers:
+            homed = state.fleet.workers[name].homed
+            if homed:
+                fleet.book(name, "homes", homed, Need(1))
+    return bool(place(fleet, shape))
 
 
 def refresh_hold(state: CellState, entry: JobEntry, now_s: float) -> None:
--- a/packages/decisions/src/cicadabank/decisions/internal/planner.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/planner.py
@@ -14,12 +14,16 @@
 )
 from cicadabank.decisions.internal.fleet import Fleet, Worker
 from cicadabank.decisions.internal.gangs import begin
-from cicadabank.decisions.internal.holds import refresh_hold, shunned_workers
+from cicadabank.decisions.internal.holds import (
+    refresh_hold,
+    shunned_workers,
+    suspects_needed,
+)
 from cicadabank.decisions.internal.messages import CommitJob
 from cicadabank.decisions.internal.outcomes import refused_row
 from cicadabank.decisions.internal.placement import GangShape, nearest_possible, place
 from cicadabank.decisions.internal.state import CellState
-from cicadabank.model import describe_shape
+from cicadabank.model import Member, describe_shape
 
 TRIES_PER_WORKSPACE = 64
 PLAN_INTERVAL_S = 0.5
@@ -163,14 +167,34 @@
             f"in its own home {home[0].name}",
         )
         return True
-    shunned = shunned_workers(state, entry, shape)
-    members = place(state.fleet, shape, partial(_limit, state, entry, shunned, now_s))
+    members = _on_free_accelerators(state, entry, shape, now_s)
     if members:
         begin(state, entry, members, "", now_s, "on free accelerators")
         return True
     return claim(state, entry, shape, now_s)
 
 
+def _on_free_accelerators(
+    state: CellState, entry: JobEntry, shape: GangShape, now_s: float
+) -> list[Member]:
+    """Return where a job that runs at most once avoids workers on probation, if it can.
+
+    The question whether it can is asked last: its answer takes a look at all workers.
+    """
+    shunned = shunned_workers(state, entry, shape)
+    limit = partial(_limit, state, entry, shunned, now_s)
+    if entry.row.spec.idempotent:
+        return place(state.fleet, shape, limit)
+    on_probation = state.health.on_probation
+    members = place(
+        state.fleet, shape, lambda w: 0 if on_probation(w.info.name) else limit(w)
+    )
+    if members or not state.health.any_on_probation:
+        return members
+    members = place(state.fleet, shape, limit)
+    return members if members and suspects_needed(state, entry, shape) else []
+
+
 def _limit(
     state: CellState,
     entry: JobEntry,
@@ -183,8 +207,6 @@
     spec = entry.row.spec
     if name in entry.avoid or name in shunned:
         return 0
-    if state.health.on_probation(name) and not spec.idempotent:
-        return 0
     hold = state.hold
     if hold and hold.job != entry.row.job and name in hold.workers and not spec.urgent:
         expected_s = state.estimates.expected_s(spec.workspace, spec.estimate_s)
--- a/tests/cover/test_cell.py
+++ b/tests/cover/test_cell.py
@@ -328,6 +328,41 @@
         assert world.row(job).state is JobState.FAILED
 
 
+class TestProbation:
+    GUARANTEE = Guarantee("glaze", "lakes", (GuaranteedShape(4),))
+
+    def _with_a_worker_on_probation(self):
+        """Put a worker on probation in the domain that has no home."""
+        world = make_world(guarantees=[self.GUARANTEE])
+        state = world.holder.core.state
+        home = state.layout.homes[0]
+        homed = {state.fleet.workers[name].info.domain for name in home.share}
+        suspect = min(
+            name
+            for name, worker in state.fleet.workers.items()
+            if worker.info.domain not in homed
+        )
+        for number in range(3):
+            state.health.failed(f"job-{number}", suspect, world.now_s)
+        world.advance(40.0)
+        assert state.health.on_probation(suspect)
+        return world, suspect
+
+    def test_job_that_must_run_once_avoids_its_worker(self):
+        world, suspect = self._with_a_worker_on_probation()
+        job = world.submit(spec("books", tasks=4, idempotent=False))
+        world.advance(6.0)
+        assert world.row(job).state is JobState.DONE
+        assert suspect not in {member.worker for member in world.row(job).members}
+
+    def test_job_that_fits_nowhere_else_does_not_wait_without_end(self):
+        world, suspect = self._with_a_worker_on_probation()
+        job = world.submit(spec("books", tasks=8, idempotent=False))
+        world.advance(6.0)
+        assert world.row(job).state is JobState.DONE
+        assert suspect in {member.worker for member in world.row(job).members}
+
+
 class TestGoneWorker:
     def test_is_forgotten_and_its_shape_no_longer_counts(self):
         world = make_world()
