Hold a gang's members until all have taken their start

Cause: members began 0.3 s after their start, but an unanswered start is given up after 1.5 s. A worker that was cut off or froze between its reservation and its start left the others running without it in between, and what ran must not run again if it isn't idempotent.

Ways weighed: a delay longer than the timeout (1.5 s more for every gang, against 2.5 s for urgent ones); a shorter timeout (a slow agent stops its gang); starting held, under a lease of 4 s, and an order to begin once all have replied (one more round trip). Taken: the last. A lost order to begin lets that member's short lease lapse, so a gang is never left half begun by a holder that dies either; a member that is held provably has not run. The view is checked again at the begin, and bounded on the runner's clock as at the start.

--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -15,6 +15,7 @@
     ConfigView,
     OrderResult,
     Report,
+    SendBegin,
     SendReserve,
     SendStart,
     SendStop,
@@ -135,9 +136,11 @@
                 self.jobs[action.job].ended_s = self.now_s
             committed = CommitStatus.COMMITTED
             self.core.on_commit(action, committed, version, self.now_s)
-        elif isinstance(action, SendReserve):
+        elif isinstance(action, SendReserve) or (
+            isinstance(action, SendStart) and action.hold_s
+        ):
             self._reply(action, OrderResult(True, True, False))
-        elif isinstance(action, SendStart):
+        elif isinstance(action, SendStart | SendBegin):
             self._start(action)
         elif isinstance(action, SendStop):
             self._stop(action)
@@ -145,7 +148,7 @@
     def _reply(self, order, result: OrderResult) -> None:
         self.core.on_order_reply(order, result, self.now_s)
 
-    def _start(self, order: SendStart) -> None:
+    def _start(self, order: SendStart | SendBegin) -> None:
         members = self._members.setdefault(order.attempt, set())
         members.add(order.worker)
         attempt = self.core.state.attempts[order.attempt]
--- a/packages/agent/src/cicadabank/agent/internal/core.py
+++ b/packages/agent/src/cicadabank/agent/internal/core.py
@@ -12,6 +12,7 @@
 from cicadabank.wire import control_pb2
 
 ENDED = frozenset({"done", "failed", "stopped"})
+HELD = "held"
 PUSHED_OUT_S = 300.0
 
 
@@ -43,17 +44,21 @@
 
 
 class MemberTask:
-    """A gang's member on this target."""
+    """A gang's member on this target.
+
+    `ordered` says that the runner was told to start it, `started` that it may have
+    begun to run: a member that is held has not.
+    """
 
     __slots__ = (
         "accelerators",
         "answer",
         "answer_object",
         "attempt",
-        "begin_s",
         "checkpoint",
         "epoch",
         "expires_s",
+        "ordered",
         "reason",
         "run_s",
         "start_open_until_s",
@@ -69,10 +74,10 @@
         self.tasks = tasks
         self.accelerators = accelerators
         self.state = "reserved"
+        self.ordered = False
         self.started = False
         self.expires_s = 0.0
         self.view = View()
-        self.begin_s = 0.0  # when its start delay ends
         self.start_open_until_s = (
             0.0  # until then a start without reply may take effect
         )
@@ -160,7 +165,7 @@
             If the member must not start; it has not.
         """
         member = self.members.get(order.attempt)
-        if member is not None and member.started:
+        if member is not None and member.ordered:
             return None
         self._check_origin(order.epoch, order.incarnation)
         self._expire(now_s)
@@ -168,13 +173,40 @@
         if member is None:
             raise OrderRefusedError("the reservation has expired or was released")
         self._check_view(self._newest(member.view), now_s)
-        member.state = "starting"
-        member.started = True
+        member.ordered = True
+        member.started = not order.hold_s
+        member.state = "starting" if member.started else HELD
         member.epoch = order.epoch
-        member.begin_s = now_s + order.delay_s
         self.lease_until_s = max(self.lease_until_s, now_s + order.lease_duration_s)
         return member
 
+    def release(self, order: control_pb2.Begin, now_s: float) -> MemberTask | None:
+        """Let a held member begin; None if it may have begun already.
+
+        Raises
+        ------
+        OrderRefusedError
+            If the member must not begin; it has not.
+        """
+        member = self.members.get(order.attempt)
+        if member is not None and member.started and member.state not in ENDED:
+            return None
+        self._check_origin(order.epoch, order.incarnation)
+        if member is None or member.state != HELD:
+            raise OrderRefusedError("the member is not held here any more")
+        self._check_view(self._newest(member.view), now_s)
+        member.started = True
+        member.state = "starting"
+        self.lease_until_s = max(self.lease_until_s, now_s + order.lease_duration_s)
+        return member
+
+    def release_refused(self, attempt: str) -> None:
+        """Note that the target itself did not let a member begin."""
+        member = self.members.get(attempt)
+        if member is not None and member.state == "starting":
+            member.started = False
+            member.state = HELD
+
     def start_bound_s(self, member: MemberTask, now_s: float) -> float:
         """Return for how long from now a start is still covered by its view."""
         return self._newest(member.view).seen_s + self.freshness_s - now_s
@@ -265,16 +297,18 @@
             member.run_s = task.run_s
             member.checkpoint = task.checkpoint or member.checkpoint
             if task.state in ENDED:
+                member.started = member.started or task.state != "stopped"
                 member.reason = task.reason
                 member.answer = task.answer
                 member.state = task.state
             elif task.state == "running":
+                member.started = True
                 member.state = "running"
 
     def _adopt(self, task) -> MemberTask:
         member = MemberTask(task.attempt, task.epoch, 0, 0)
-        member.started = True
-        member.state = "starting"
+        member.ordered = member.started = True
+        member.state = HELD if task.state == HELD else "starting"
         self.members[task.attempt] = member
         self.epoch = max(self.epoch, task.epoch)
         return member
@@ -288,7 +322,7 @@
         self._expire(now_s)
         if now_s <= self.lease_until_s or self.lease_until_s == float("-inf"):
             return []
-        return [m for m in self.members.values() if m.started and m.state not in ENDED]
+        return [m for m in self.members.values() if m.ordered and m.state not in ENDED]
 
     def has_news(self) -> bool:
         """Whether a member's state has changed since the holder was told."""
--- a/packages/agent/src/cicadabank/agent/internal/driver.py
+++ b/packages/agent/src/cicadabank/agent/internal/driver.py
@@ -11,7 +11,7 @@
 
 import grpc
 from cicadabank.agent.errors import OrderRefusedError
-from cicadabank.agent.internal.core import ENDED, AgentCore, MemberTask
+from cicadabank.agent.internal.core import ENDED, HELD, AgentCore, MemberTask
 from cicadabank.tasks import clock_s, unix_s
 from cicadabank.wire import ChannelPool, control_pb2, targets_pb2, targets_pb2_grpc
 from loguru import logger
@@ -109,44 +109,75 @@
             tasks=member.tasks,
             accelerators=member.accelerators,
             epoch=order.epoch,
-            # The runner checks this bound on its own: this process may be paused
-            # between
-            # the check above and the runner's start.
-            not_after_unix_s=unix_s()
-            + self.clock_ahead_s
-            + self.core.start_bound_s(member, now_s),
-            delay_s=order.delay_s,
-            lease_duration_s=max(0.0, self.core.lease_until_s - now_s),
+            not_after_unix_s=self._not_after_unix_s(member, now_s),
+            held=bool(order.hold_s),
+            lease_duration_s=order.hold_s or max(0.0, self.core.lease_until_s - now_s),
             payload=order.payload,
             checkpoint=order.checkpoint,
         )
+        self._send_start("Start", request, member, self._reply_started, reply)
+
+    def begin(self, order: control_pb2.Begin, reply: Reply) -> None:
+        """Let a held member begin, checking the view again."""
+        now_s = clock_s()
+        try:
+            member = self.core.release(order, now_s)
+        except OrderRefusedError as error:
+            reply(control_pb2.OrderReply(accepted=False, reason=error.message))
+            return
+        if member is None:
+            reply(control_pb2.OrderReply(accepted=True, started=True))
+            return
+        request = targets_pb2.TaskBegin(
+            attempt=order.attempt,
+            epoch=order.epoch,
+            not_after_unix_s=self._not_after_unix_s(member, now_s),
+            lease_duration_s=max(0.0, self.core.lease_until_s - now_s),
+        )
+        self._send_start("Begin", request, member, self._reply_begun, reply)
+
+    def _not_after_unix_s(self, member: MemberTask, now_s: float) -> float:
+        """Return the bound that the runner checks on its own clock.
+
+        This process may be paused between its own check and the runner's start.
+        """
+        bound_s = self.core.start_bound_s(member, now_s)
+        return unix_s() + self.clock_ahead_s + bound_s
+
+    def _send_start(
+        self, method: str, request, member: MemberTask, answered: Callable, reply: Reply
+    ) -> None:
+        now_s = clock_s()
         member.start_open_until_s = now_s + self.core.start_bound_s(member, now_s)
-        self._after_start[order.attempt] = []
-        self._call("Start", request, partial(self._started, member, reply))
+        self._after_start[member.attempt] = []
+        self._call(method, request, partial(self._started, member, answered, reply))
 
     def _started(
-        self, member: MemberTask, reply: Reply, answer: targets_pb2.TaskStarted | None
+        self,
+        member: MemberTask,
+        answered: Callable,
+        reply: Reply,
+        answer: targets_pb2.TaskStarted | None,
     ) -> None:
         if answer is not None:
             member.start_open_until_s = 0.0
-        self._reply_started(member.attempt, reply, answer)
+        answered(member, reply, answer)
         for waiting in self._after_start.pop(member.attempt, ()):
             waiting()
 
     def _reply_started(
-        self, attempt: str, reply: Reply, answer: targets_pb2.TaskStarted | None
+        self, member: MemberTask, reply: Reply, answer: targets_pb2.TaskStarted | None
     ) -> None:
-        if answer is None:
-            reply(
-                control_pb2.OrderReply(
-                    accepted=False, started=True, reason="the runner did not answer"
-                )
-            )
-        elif answer.accepted:
-            reply(control_pb2.OrderReply(accepted=True, started=True))
-        else:
-            self.core.start_refused(attempt, answer.reason)
-            reply(control_pb2.OrderReply(accepted=False, reason=answer.reason))
+        if answer is not None and not answer.accepted:
+            self.core.start_refused(member.attempt, answer.reason)
+        reply(_order_reply(member, answer))
+
+    def _reply_begun(
+        self, member: MemberTask, reply: Reply, answer: targets_pb2.TaskStarted | None
+    ) -> None:
+        if answer is not None and not answer.accepted:
+            self.core.release_refused(member.attempt)
+        reply(_order_reply(member, answer))
 
     def stop(self, order: control_pb2.Stop, reply: Reply) -> None:
         """Stop a member, after a checkpoint if one is asked for."""
@@ -190,8 +221,6 @@
                 )
             )
             return
-        if now_s < member.begin_s:
-            member.started = False
         if member.state not in ENDED:
             member.state = "stopped"
             member.reason = "stopped by order"
@@ -239,7 +268,8 @@
 
     def renew_leases(self) -> None:
         """Pass the lease that is left on to the runner."""
-        running = [m.attempt for m in self.core.members.values() if m.started]
+        members = self.core.members.values()
+        running = [m.attempt for m in members if m.started and m.state != HELD]
         left_s = self.core.lease_until_s - clock_s()
         if running and left_s > 0:
             request = targets_pb2.LeaseRenewal(
@@ -284,3 +314,15 @@
             # Not stored yet: the member is reported as running until its answer is
             # safe.
             task.state, task.answer = "running", b""
+
+
+def _order_reply(
+    member: MemberTask, answer: targets_pb2.TaskStarted | None
+) -> control_pb2.OrderReply:
+    """Return the reply to an order that the runner has answered so, or not at all."""
+    if answer is None:
+        reason = "the runner did not answer"
+        return control_pb2.OrderReply(started=member.started, reason=reason)
+    return control_pb2.OrderReply(
+        accepted=answer.accepted, started=member.started, reason=answer.reason
+    )
--- a/packages/agent/src/cicadabank/agent/internal/service.py
+++ b/packages/agent/src/cicadabank/agent/internal/service.py
@@ -42,6 +42,10 @@
         """Start a reserved member."""
         return self._order(self._task.start_member, request, context)
 
+    def BeginMember(self, request, context):  # noqa: N802
+        """Let a held member begin."""
+        return self._order(self._task.begin_member, request, context)
+
     def StopMember(self, request, context):  # noqa: N802
         """Stop a member, or release its reservation."""
         return self._order(self._task.stop_member, request, context)
--- a/packages/agent/src/cicadabank/agent/internal/task.py
+++ b/packages/agent/src/cicadabank/agent/internal/task.py
@@ -127,6 +127,11 @@
         self.metrics.count("starts")
         self.driver.start(order, reply)
 
+    def begin_member(self, order, reply) -> None:
+        """Let a held member begin."""
+        self._log(order, "begin")
+        self.driver.begin(order, reply)
+
     def stop_member(self, order, reply) -> None:
         """Stop a member."""
         self._log(order, "stop")
--- a/packages/decisions/src/cicadabank/decisions/internal/attempts.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/attempts.py
@@ -16,6 +16,7 @@
     RESERVING = "reserving"
     COMMITTING = "committing"
     STARTING = "starting"
+    BEGINNING = "beginning"  # all members are held, and are told to begin
     RUNNING = "running"
     RECOVERING = "recovering"  # known from the table only, after a takeover
     STOPPING = "stopping"
--- a/packages/decisions/src/cicadabank/decisions/internal/core.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/core.py
@@ -15,8 +15,10 @@
     CommitJob,
     CommitStatus,
     ConfigView,
+    Order,
     OrderResult,
     ReloadJob,
+    SendBegin,
     SendReserve,
     SendStart,
     SendStop,
@@ -262,7 +264,7 @@
 
     def on_order_reply(
         self,
-        order: SendReserve | SendStart | SendStop,
+        order: Order,
         result: OrderResult,
         now_s: float,
     ) -> None:
@@ -285,6 +287,10 @@
     def _(self, order: SendStart, attempt, result, now_s) -> None:
         gangs.on_start_reply(self.state, attempt, order.worker, result, now_s)
 
+    @_reply.register
+    def _(self, order: SendBegin, attempt, result, now_s) -> None:
+        gangs.on_begin_reply(self.state, attempt, order.worker, result, now_s)
+
     @_reply.register
     def _(self, order: SendStop, attempt, result, now_s) -> None:
         gangs.on_stop_reply(self.state, attempt, order.worker, result, now_s)
--- a/packages/decisions/src/cicadabank/decisions/internal/gangs.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/gangs.py
@@ -7,6 +7,7 @@
 from cicadabank.decisions.internal.messages import (
     CommitJob,
     OrderResult,
+    SendBegin,
     SendReserve,
     SendStart,
     SendStop,
@@ -17,6 +18,7 @@
 
 REFUSED_WORKER_PAUSE_S = 1.0
 PRE_COMMIT_PHASES = (Phase.CLAIMING, Phase.RESERVING)
+STARTING_PHASES = (Phase.STARTING, Phase.BEGINNING, Phase.RECOVERING)
 
 
 def begin(
@@ -126,18 +128,19 @@
 def start(state: CellState, attempt: Attempt, now_s: float) -> None:
     """Tell every worker of a committed gang to start.
 
-    Members of a gang start after a delay. Until it has passed, a missing reply
-    can still be met by stopping the others before any of them has begun.
+    The members of a gang are held until all workers have replied, so that a worker
+    that can't be reached leaves none of the others running. A worker that isn't told
+    to begin in time drops its member by itself.
     """
     entry = state.jobs[attempt.job]
     attempt.committed = True
     attempt.phase = Phase.STARTING
     attempt.deadline_s = now_s + state.timings.start_timeout_s
-    delay_s = state.timings.gang_start_delay_s if len(attempt.members) > 1 else 0.0
-    attempt.running_since_s = attempt.saved_s = now_s + delay_s
+    hold_s = state.timings.gang_hold_s if len(attempt.members) > 1 else 0.0
+    attempt.running_since_s = attempt.saved_s = now_s
     for member in attempt.members.values():
         member.replied = False
-        member.started = True
+        member.started = not hold_s
         state.out.append(
             SendStart(
                 member.worker,
@@ -145,7 +148,7 @@
                 member.incarnation,
                 entry.row.spec.payload,
                 entry.row.checkpoint,
-                delay_s,
+                hold_s,
             )
         )
 
@@ -163,17 +166,48 @@
             state.jobs[attempt.job].avoid[worker] = now_s + REFUSED_WORKER_PAUSE_S
         stop(state, attempt, f"start-refused: {worker}: {result.reason}", now_s)
         return
-    member_started(state, attempt, worker)
+    member_started(state, attempt, worker, now_s)
 
 
-def member_started(state: CellState, attempt: Attempt, worker: str) -> None:
-    """Note one started member; the gang runs once all have."""
+def member_started(
+    state: CellState, attempt: Attempt, worker: str, now_s: float
+) -> None:
+    """Note a member that its worker has started, or holds; all of them may begin."""
     attempt.members[worker].replied = True
-    attempt.members[worker].started = True
-    if all(m.replied or m.ended for m in attempt.members.values()):
-        if attempt.phase in (Phase.STARTING, Phase.RECOVERING):
-            attempt.phase = Phase.RUNNING
-            state.record(attempt.job, "running", "all members started", attempt.name)
+    if not all(m.replied or m.ended for m in attempt.members.values()):
+        return
+    if attempt.phase is Phase.STARTING and len(attempt.members) > 1:
+        _send_begins(state, attempt, now_s)
+    elif attempt.phase in STARTING_PHASES:
+        attempt.phase = Phase.RUNNING
+        state.record(attempt.job, "running", "all members started", attempt.name)
+
+
+def _send_begins(state: CellState, attempt: Attempt, now_s: float) -> None:
+    attempt.phase = Phase.BEGINNING
+    attempt.deadline_s = now_s + state.timings.start_timeout_s
+    attempt.running_since_s = attempt.saved_s = now_s
+    for member in attempt.members.values():
+        if not member.ended:
+            member.replied = False
+            member.started = True
+            order = SendBegin(member.worker, attempt.name, member.incarnation)
+            state.out.append(order)
+
+
+def on_begin_reply(
+    state: CellState, attempt: Attempt, worker: str, result: OrderResult, now_s: float
+) -> None:
+    """Count the members that have begun; stop the whole gang if one has not."""
+    member = attempt.members.get(worker)
+    if member is None or attempt.phase is not Phase.BEGINNING:
+        return
+    if result.accepted:
+        member_started(state, attempt, worker, now_s)
+        return
+    if result.answered:
+        member.started = result.started
+    stop(state, attempt, f"begin-refused: {worker}: {result.reason}", now_s)
 
 
 def stop(
@@ -238,7 +272,7 @@
 
 def evaluate(state: CellState, attempt: Attempt, now_s: float) -> None:
     """Decide what the ends of members mean for the whole gang."""
-    if attempt.phase in (Phase.STARTING, Phase.RUNNING, Phase.RECOVERING):
+    if attempt.phase in (*STARTING_PHASES, Phase.RUNNING):
         outcomes = {m.outcome for m in attempt.members.values() if m.ended}
         if "failed" in outcomes:
             stop(state, attempt, "failed", now_s)
--- a/packages/decisions/src/cicadabank/decisions/internal/membership.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/membership.py
@@ -4,6 +4,7 @@
 
 from cicadabank.decisions.internal.attempts import Attempt, Phase
 from cicadabank.decisions.internal.gangs import (
+    STARTING_PHASES,
     end_member,
     evaluate,
     give_up,
@@ -16,6 +17,7 @@
 
 ENDED_STATES = frozenset({"done", "failed", "stopped"})
 STARTED_STATES = frozenset({"starting", "running"})
+HELD = "held"
 
 
 def on_beat(state: CellState, beat: BeatEvent, now_s: float) -> BeatAnswer:
@@ -96,8 +98,12 @@
     if report.checkpoint:
         member.checkpoint = report.checkpoint
     if report.state in STARTED_STATES:
-        if attempt.phase in (Phase.STARTING, Phase.RECOVERING):
-            member_started(state, attempt, worker)
+        member.started = True
+        if attempt.phase in STARTING_PHASES:
+            member_started(state, attempt, worker, now_s)
+    elif report.state == HELD:
+        if attempt.phase is Phase.STARTING:
+            member_started(state, attempt, worker, now_s)
     elif report.state in ENDED_STATES:
         _take_end(state, attempt, worker, report, now_s)
 
@@ -113,8 +119,8 @@
     member.answer_object = report.answer_object
     member.started = report.started
     end_member(state, attempt, member, report.state)
-    if attempt.phase in (Phase.STARTING, Phase.RECOVERING):
-        member_started(state, attempt, worker)
+    if attempt.phase in STARTING_PHASES:
+        member_started(state, attempt, worker, now_s)
     evaluate(state, attempt, now_s)
 
 
@@ -206,6 +212,8 @@
             give_up(state, attempt, now_s, f"{attempt.phase} took too long")
         elif attempt.phase is Phase.STARTING:
             stop(state, attempt, "start-unanswered", now_s)
+        elif attempt.phase is Phase.BEGINNING:
+            stop(state, attempt, "begin-unanswered", now_s)
         elif attempt.phase is Phase.RECOVERING and not _awaits_unheard(state, attempt):
             stop(state, attempt, "recovery: a member did not start", now_s)
 
--- a/packages/decisions/src/cicadabank/decisions/internal/messages.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/messages.py
@@ -13,7 +13,7 @@
     """The state of one member of a gang, as its worker's agent reports it."""
 
     attempt: str
-    state: str  # reserved, starting, running, done, failed, stopped
+    state: str  # reserved, held, starting, running, done, failed, stopped
     answer: bytes = b""
     answer_object: str = ""
     reason: str = ""
@@ -80,14 +80,29 @@
 
 
 class SendStart(NamedTuple):
-    """Start a member of a committed gang."""
+    """Start a member of a committed gang.
+
+    Attributes
+    ----------
+    hold_s : float
+        For this long the worker holds the member, and drops it unless it is told to
+        begin; 0 lets it begin at once.
+    """
 
     worker: str
     attempt: str
     incarnation: str
     payload: str
     checkpoint: str
-    delay_s: float
+    hold_s: float
+
+
+class SendBegin(NamedTuple):
+    """Let a member that is held begin, since all of its gang are."""
+
+    worker: str
+    attempt: str
+    incarnation: str
 
 
 class SendStop(NamedTuple):
@@ -133,4 +148,5 @@
     attempt: str = ""
 
 
-Action = SendReserve | SendStart | SendStop | CommitJob | ReloadJob | Record
+Order = SendReserve | SendStart | SendBegin | SendStop
+Action = Order | CommitJob | ReloadJob | Record
--- a/packages/decisions/src/cicadabank/decisions/internal/state.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/state.py
@@ -29,7 +29,7 @@
     outage_lease_s: float = 300.0
     reserve_timeout_s: float = 1.5
     start_timeout_s: float = 1.5
-    gang_start_delay_s: float = 0.3
+    gang_hold_s: float = 4.0
     claim_timeout_s: float = 4.0
     stop_retry_s: float = 1.0
     recovery_s: float = 5.0
--- a/packages/entry/src/cicadabank/entry/internal/cell.py
+++ b/packages/entry/src/cicadabank/entry/internal/cell.py
@@ -11,6 +11,7 @@
     CommitJob,
     Record,
     ReloadJob,
+    SendBegin,
     SendReserve,
     SendStart,
     SendStop,
@@ -37,6 +38,9 @@
 TICK_S = 0.1
 SUMMARY_INTERVAL_S = 2.0
 DIRECT_FRESHNESS_S = 3.0
+UNSETTLED_PHASES = frozenset(
+    {"claiming", "reserving", "committing", "starting", "beginning", "saving"}
+)
 
 
 class CellTask(Task):
@@ -110,6 +114,7 @@
 
     @_do.register(SendReserve)
     @_do.register(SendStart)
+    @_do.register(SendBegin)
     @_do.register(SendStop)
     def _(self, action) -> None:
         link = self._links.get(action.worker)
@@ -390,7 +395,6 @@
     def unsettled(self) -> int:
         """Return how many attempts are between their placement and their start."""
         return sum(
-            attempt.phase
-            in ("reserving", "committing", "starting", "claiming", "saving")
+            attempt.phase in UNSETTLED_PHASES
             for attempt in self.core.state.attempts.values()
         )
--- a/packages/entry/src/cicadabank/entry/internal/links.py
+++ b/packages/entry/src/cicadabank/entry/internal/links.py
@@ -12,6 +12,7 @@
     BeatEvent,
     OrderResult,
     Report,
+    SendBegin,
     SendReserve,
     SendStart,
     SendStop,
@@ -26,7 +27,7 @@
 DIRECT_USAGE_SILENCE_S = 2.0
 
 Reply = Callable[[OrderResult], None]
-Order = SendReserve | SendStart | SendStop
+Order = SendReserve | SendStart | SendBegin | SendStop
 NOT_ANSWERED = OrderResult(answered=False, reason="no answer")
 
 
@@ -76,12 +77,21 @@
             attempt=order.attempt,
             epoch=self.epoch,
             incarnation=order.incarnation,
-            delay_s=order.delay_s,
+            hold_s=order.hold_s,
             payload=order.payload.encode(),
             checkpoint=order.checkpoint,
             lease_duration_s=self.lease_duration_s,
         )
 
+    def begin(self, order: SendBegin) -> control_pb2.Begin:
+        """Return the message that lets a held member begin."""
+        return control_pb2.Begin(
+            attempt=order.attempt,
+            epoch=self.epoch,
+            incarnation=order.incarnation,
+            lease_duration_s=self.lease_duration_s,
+        )
+
     def stop(self, order: SendStop) -> control_pb2.Stop:
         """Return the message for a stop."""
         return control_pb2.Stop(
@@ -124,6 +134,10 @@
     def _(self, order: SendStart, reply: Reply) -> None:
         self._call("StartMember", self._context.start(order), reply, ORDER_TIMEOUT_S)
 
+    @send.register
+    def _(self, order: SendBegin, reply: Reply) -> None:
+        self._call("BeginMember", self._context.begin(order), reply, ORDER_TIMEOUT_S)
+
     @send.register
     def _(self, order: SendStop, reply: Reply) -> None:
         self._call("StopMember", self._context.stop(order), reply, STOP_TIMEOUT_S)
@@ -187,6 +201,10 @@
     def _(self, order: SendStart, reply: Reply) -> None:
         self.driver.start(self._context.start(order), partial(_forward, reply))
 
+    @send.register
+    def _(self, order: SendBegin, reply: Reply) -> None:
+        self.driver.begin(self._context.begin(order), partial(_forward, reply))
+
     @send.register
     def _(self, order: SendStop, reply: Reply) -> None:
         self.driver.stop(self._context.stop(order), partial(_forward, reply))
--- a/packages/settings/src/cicadabank/settings/internal/load.py
+++ b/packages/settings/src/cicadabank/settings/internal/load.py
@@ -133,6 +133,11 @@
             f"expected at least {takeover_s:g}, so that running tasks outlast the "
             "takeover of their cell, at $.timings.lease_duration_s"
         )
+    if settings.timings.gang_hold_s < 2 * settings.timings.start_timeout_s:
+        yield (
+            "expected at least twice start_timeout_s, so that a gang is told to begin "
+            "in time, at $.timings.gang_hold_s"
+        )
     if not settings.cells:
         yield "expected at least one cell at $.cells"
 
--- a/packages/standin/src/cicadabank/standin/internal/runner.py
+++ b/packages/standin/src/cicadabank/standin/internal/runner.py
@@ -18,7 +18,7 @@
     def __init__(self, start: targets_pb2.TaskStart, now_s: float):
         self.start = start
         self.state = "held"
-        self.begin_s = now_s + start.delay_s
+        self.may_begin = not start.held
         self.lease_until_s = now_s + start.lease_duration_s
         self.reason = ""
         self.answer = b""
@@ -45,7 +45,7 @@
         if now_s > self.lease_until_s:
             self._end("stopped", "lease-lapsed", now_s)
             return
-        if self.state == "held" and now_s >= self.begin_s:
+        if self.state == "held" and self.may_begin:
             self.state = "running"
         if self.state != "running":
             return
@@ -63,6 +63,10 @@
     def _end(self, state: str, reason: str, now_s: float) -> None:
         self.state, self.reason, self.ended_s = state, reason, now_s
 
+    def begin(self, now_s: float, lease_duration_s: float) -> None:
+        self.may_begin = True
+        self.lease_until_s = max(self.lease_until_s, now_s + lease_duration_s)
+
     def stop(self, now_s: float) -> None:
         if self.state not in ENDED:
             self._end("stopped", "stopped by order", now_s)
@@ -105,12 +109,32 @@
         self.faults.after_write(context)
         return targets_pb2.TaskStarted(accepted=not reason, reason=reason)
 
-    def _refusal(self, request: targets_pb2.TaskStart) -> str:
+    def Begin(self, request, context):  # noqa: N802
+        """Let the tasks of a held attempt run; beginning again changes nothing."""
+        self.faults.before(context)
+        with self._lock:
+            now_s = self._advance()
+            task = self._tasks.get(request.attempt)
+            reason = self._out_of_order(request)
+            if not reason and (task is None or task.state in ENDED):
+                reason = "the attempt is not held here"
+            if not reason:
+                task.begin(now_s, request.lease_duration_s)
+        self.faults.after_write(context)
+        return targets_pb2.TaskStarted(accepted=not reason, reason=reason)
+
+    def _out_of_order(self, request) -> str:
         if request.epoch < self._epoch:
             return f"the epoch {request.epoch} is below {self._epoch}"
         self._epoch = request.epoch
         if request.not_after_unix_s and self._clock_s() > request.not_after_unix_s:
-            return "the start arrived after its bound"
+            return "the order arrived after its bound"
+        return ""
+
+    def _refusal(self, request: targets_pb2.TaskStart) -> str:
+        reason = self._out_of_order(request)
+        if reason:
+            return reason
         self._advance()
         busy = sum(
             t.start.accelerators for t in self._tasks.values() if t.state not in ENDED
--- a/tests/cover/test_agent.py
+++ b/tests/cover/test_agent.py
@@ -4,7 +4,7 @@
 
 import pytest
 from cicadabank.agent import AgentCore, OrderRefusedError
-from cicadabank.wire import control_pb2
+from cicadabank.wire import control_pb2, targets_pb2
 
 NOW_S = 1000.0
 
@@ -26,11 +26,20 @@
     return control_pb2.Start(**{**given, "lease_duration_s": 10.0, **fields})
 
 
+def begin(**fields):
+    given = {"attempt": "a", "epoch": 5, "incarnation": "run-1"}
+    return control_pb2.Begin(**{**given, "lease_duration_s": 10.0, **fields})
+
+
 def stop(**fields):
     given = {"attempt": "a", "epoch": 5, "incarnation": "run-1"}
     return control_pb2.Stop(**{**given, **fields})
 
 
+def usage(attempt, state):
+    return targets_pb2.TaskUsage(attempt=attempt, state=state, epoch=5)
+
+
 class TestReserve:
     @pytest.mark.parametrize(
         ("core", "order", "reason"),
@@ -101,6 +110,61 @@
         assert core.begin(start(), NOW_S) is None
 
 
+class TestBegin:
+    def _held(self):
+        core = make_core()
+        core.reserve(reserve(), NOW_S)
+        core.begin(start(hold_s=4.0), NOW_S)
+        assert core.members["a"].state == "held"
+        return core
+
+    def test_held_member_has_not_started(self):
+        core = self._held()
+        assert not core.members["a"].started
+        assert not core.may_have_started(stop())
+
+    def test_lets_it_begin_once(self):
+        core = self._held()
+        assert core.release(begin(), NOW_S) is not None
+        assert core.members["a"].started
+        assert core.release(begin(), NOW_S) is None
+
+    @pytest.mark.parametrize(
+        ("order", "at_s", "reason"),
+        [
+            (begin(epoch=4), NOW_S, "epoch 4 is below 5"),
+            (begin(incarnation="run-0"), NOW_S, "earlier run"),
+            (begin(attempt="b"), NOW_S, "not held here"),
+            (begin(), NOW_S + 3.5, "view is older"),
+        ],
+        ids=["old-epoch", "old-incarnation", "unknown", "paused-before"],
+    )
+    def test_refuses(self, order, at_s, reason):
+        core = self._held()
+        with pytest.raises(OrderRefusedError, match=reason):
+            core.release(order, at_s)
+        assert not core.members["a"].started
+
+    def test_refuses_when_the_domain_went_out_meanwhile(self):
+        core = self._held()
+        core.push_out(NOW_S)
+        with pytest.raises(OrderRefusedError, match="out of service"):
+            core.release(begin(), NOW_S)
+
+    def test_refuses_one_whose_hold_has_lapsed(self):
+        core = self._held()
+        core.take_usage([usage("a", "stopped")], NOW_S + 4.0)
+        with pytest.raises(OrderRefusedError, match="not held here"):
+            core.release(begin(), NOW_S + 1.0)
+        assert not core.members["a"].report().started
+
+    def test_restarted_agent_can_not_say_that_it_never_started(self):
+        core = make_core()
+        core.take_usage([usage("a", "held")], NOW_S)
+        assert core.members["a"].state == "held"
+        assert core.members["a"].report().started
+
+
 class TestStop:
     def test_refuses_a_replaced_holder(self):
         core = make_core()
--- a/tests/cover/test_settings.py
+++ b/tests/cover/test_settings.py
@@ -39,6 +39,11 @@
                 {"timings": {"lease_duration_s": 5.0}},
                 "at $.timings.lease_duration_s",
             ),
+            (
+                "entry-1",
+                {"timings": {"gang_hold_s": 2.0}},
+                "at $.timings.gang_hold_s",
+            ),
             ("entry-1", {"kind": "oven"}, "expected one of entry, agent, stand-in"),
             ("agent-worker-1", {"entries": []}, "at $.entries"),
             ("agent-worker-1", {"accelerators": 0}, "at $.accelerators"),
--- a/tests/support/fake_agents.py
+++ b/tests/support/fake_agents.py
@@ -9,6 +9,7 @@
     BeatEvent,
     OrderResult,
     Report,
+    SendBegin,
     SendReserve,
     SendStart,
 )
@@ -26,7 +27,7 @@
     job: str
     tasks: int
     accelerators: int
-    begin_s: float
+    held: bool
     epoch: int
     started_at_s: float
 
@@ -40,7 +41,7 @@
         self.tasks: dict[str, FakeTask] = {}
         self.states: dict[str, str] = {}
         self.lease_until: dict[str, float] = {}
-        self.began: set[str] = set()
+        self.began: dict[str, float] = {}
 
     def start(self, task, lease_s):
         self.tasks[task.attempt] = task
@@ -53,15 +54,19 @@
                 continue
             if now_s > self.lease_until[attempt]:
                 self.states[attempt] = "stopped"
-            elif now_s >= task.begin_s:
+            elif not task.held:
                 if attempt not in self.began:
-                    self.began.add(attempt)
+                    self.began[attempt] = now_s
                     self.world.note_run(self, task)
                 self.states[attempt] = "running"
-                if now_s >= task.begin_s + self.world.run_s(task.job):
+                if now_s >= self.began[attempt] + self.world.run_s(task.job):
                     bad = task.job in self.world.failing
                     self.states[attempt] = "failed" if bad else "done"
 
+    def begin(self, attempt, lease_s):
+        self.tasks[attempt] = self.tasks[attempt]._replace(held=False)
+        self.lease_until[attempt] = self.world.now_s + lease_s
+
     def stop(self, attempt):
         if self.states.get(attempt) in ("held", "running"):
             self.states[attempt] = "stopped"
@@ -130,6 +135,8 @@
             return OrderResult(True, True, False)
         if isinstance(order, SendStart):
             return self._start(order, epoch, now_s)
+        if isinstance(order, SendBegin):
+            return self._begin(order, epoch, now_s)
         return self._stop(order, epoch)
 
     def _start(self, order, epoch, now_s):
@@ -137,7 +144,7 @@
             attempt=order.attempt,
             epoch=epoch,
             incarnation=order.incarnation,
-            delay_s=order.delay_s,
+            hold_s=order.hold_s,
             lease_duration_s=LEASE_S,
         )
         member = self.core.begin(message, now_s)
@@ -147,12 +154,28 @@
                 self.world.job_of[order.attempt],
                 member.tasks,
                 member.accelerators,
-                now_s + order.delay_s,
+                bool(order.hold_s),
                 epoch,
                 now_s,
             )
             self.world.note_start(self, task)
-            self.runner.start(task, self.core.lease_until_s - now_s)
+            lease_s = order.hold_s or self.core.lease_until_s - now_s
+            self.runner.start(task, lease_s)
+        return OrderResult(True, True, self.core.members[order.attempt].started)
+
+    def _begin(self, order, epoch, now_s):
+        message = control_pb2.Begin(
+            attempt=order.attempt,
+            epoch=epoch,
+            incarnation=order.incarnation,
+            lease_duration_s=LEASE_S,
+        )
+        self.runner.advance(now_s)
+        self._take_usage()
+        member = self.core.release(message, now_s)
+        if member is not None:
+            self.world.note_start(self, self.runner.tasks[order.attempt])
+            self.runner.begin(order.attempt, self.core.lease_until_s - now_s)
         return OrderResult(True, True, True)
 
     def _stop(self, order, epoch):
@@ -162,8 +185,6 @@
         member = self.core.stopped(message)
         if member is not None:
             self.runner.advance(self.world.now_s)
-            if order.attempt not in self.runner.began:
-                member.started = False
             self.runner.stop(order.attempt)
             member.state = "stopped"
         known = self.core.members.get(order.attempt)
@@ -228,7 +249,7 @@
         for attempt in answer.acknowledged:
             self._forget(attempt)
         for attempt, task in self.runner.tasks.items():
-            if task.epoch <= self.core.epoch:
+            if task.epoch <= self.core.epoch and not task.held:
                 self.runner.lease_until[attempt] = max(
                     self.runner.lease_until[attempt], self.core.lease_until_s
                 )
--- a/tests/support/fake_holders.py
+++ b/tests/support/fake_holders.py
@@ -11,6 +11,7 @@
     CommitStatus,
     OrderResult,
     ReloadJob,
+    SendBegin,
     SendReserve,
     SendStart,
     SendStop,
@@ -117,7 +118,7 @@
 
     def _do(self, action):
         world = self.world
-        if isinstance(action, (SendReserve, SendStart, SendStop)):
+        if isinstance(action, (SendReserve, SendStart, SendBegin, SendStop)):
             if action.attempt in self.core.state.attempts:
                 job = self.core.state.attempts[action.attempt].job
                 world.job_of[action.attempt] = job
@@ -139,12 +140,14 @@
 
         def arrive():
             agent = world.agents[order.worker]
+            world.before_order(order)
             if agent.cut or agent.frozen or world.lost():
                 late_s = max(0.0, sent_s + ORDER_TIMEOUT_S - world.now_s)
                 world.after(late_s, lambda: answer(OrderResult(False)))
                 return
             result = agent.order(order, self.epoch)
-            if world.lost():
+            world.after_order(order)
+            if agent.cut or agent.frozen or world.lost():
                 late_s = max(0.0, sent_s + ORDER_TIMEOUT_S - world.now_s)
                 world.after(late_s, lambda: answer(OrderResult(False)))
             else:
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -18,6 +18,7 @@
 
 STEP_S = 0.1
 SESSION_LEASE_S = 6.0
+LONGEST_ALONE_S = 30.0  # a takeover, its recovery, and the lease of what it can't reach
 
 
 class World:
@@ -39,6 +40,9 @@
         self.run_jobs: Counter[str] = Counter()
         self.out_since_s: dict[str, float] = {}
         self.broken: list[str] = []
+        self.partly_s: Counter[str] = Counter()
+        self.before_order = lambda order: None
+        self.after_order = lambda order: None
         self._messages: list = []
         self._order = itertools.count()
         self.agents = {
@@ -148,13 +152,33 @@
         if row.ran == "no" and self.run_jobs[row.job]:
             self.broken.append(f"{row.job} is said not to have run, and has")
 
+    def _note_partly_running(self):
+        """Add up how long some of a gang's members run before all have begun."""
+        began: dict[str, int] = {}
+        running: set[str] = set()
+        for agent in self.agents.values():
+            for attempt, state in agent.runner.states.items():
+                began[attempt] = began.get(attempt, 0)
+                began[attempt] += attempt in agent.runner.began
+                if state == "running":
+                    running.add(attempt)
+        for attempt in running:
+            job = self.job_of[attempt]
+            row = self.row(job)
+            if row.attempt == attempt and began[attempt] < len(row.members):
+                self.partly_s[attempt] += STEP_S
+                if self.partly_s[attempt] > LONGEST_ALONE_S:
+                    self.broken.append(f"{job} has begun on only some workers")
+
     def check_gangs(self):
         """No member may go on alone for longer than a lease and its margins."""
+        self._note_partly_running()
         members: dict[str, list[tuple[str, float]]] = {}
         for agent in self.agents.values():
-            for attempt, task in agent.runner.tasks.items():
+            for attempt in agent.runner.tasks:
                 state = agent.runner.states[attempt]
-                members.setdefault(attempt, []).append((state, task.begin_s))
+                begin_s = agent.runner.began.get(attempt, 0.0)
+                members.setdefault(attempt, []).append((state, begin_s))
         for attempt, states in members.items():
             job = self.job_of[attempt]
             wanted = len(self.row(job).members)
@@ -163,7 +187,7 @@
             running = [begin_s for state, begin_s in states if state == "running"]
             if running and len(states) < wanted:
                 alone_s = self.now_s - max(running)
-                if alone_s > 40.0:
+                if alone_s > LONGEST_ALONE_S:
                     self.broken.append(f"{job} runs on only some for {alone_s:.0f} s")
 
     def heal(self):
