Count a start only once the runner has taken it

Cause: an agent called a member "starting" as soon as it had sent the start to the runner, and its next heartbeat told so at once. The holder took that for started and ignored the reply that came 1 s later: the runner did not answer. Nothing looked for members that the runner never had, so the job was running for ever, and a gang's others ran without it. A runner that restarts beside a living agent had the same end.

Found by the test of a start held up between agent and runner past a drain: the job was not back in the queue after 40 s (trace: "all members started" 65 ms after the order, with the runner's connection held). Ruled out: the runner's bound (its usage showed nothing started); the relay; a lost lease.

Now the agent says "ordered" until the runner has answered, which counts for nothing, and a fresh usage report that doesn't know a member ends it: as never started if its order was never answered and its bound has passed.

--- a/packages/agent/src/cicadabank/agent/internal/core.py
+++ b/packages/agent/src/cicadabank/agent/internal/core.py
@@ -12,7 +12,9 @@
 from cicadabank.wire import control_pb2
 
 ENDED = frozenset({"done", "failed", "stopped"})
+ORDERED = "ordered"  # the runner was told, and has not answered
 HELD = "held"
+RENEWED = frozenset({"starting", "running"})
 PUSHED_OUT_S = 300.0
 
 
@@ -61,6 +63,7 @@
         "ordered",
         "reason",
         "run_s",
+        "settled_s",
         "start_open_until_s",
         "started",
         "state",
@@ -81,6 +84,7 @@
         self.start_open_until_s = (
             0.0  # until then a start without reply may take effect
         )
+        self.settled_s = float("inf")  # from then on the runner knows it, or never will
         self.answer = b""
         self.answer_object = ""
         self.reason = ""
@@ -175,7 +179,7 @@
         self._check_view(self._newest(member.view), now_s)
         member.ordered = True
         member.started = not order.hold_s
-        member.state = "starting" if member.started else HELD
+        member.state = ORDERED
         member.epoch = order.epoch
         self.lease_until_s = max(self.lease_until_s, now_s + order.lease_duration_s)
         return member
@@ -196,17 +200,30 @@
             raise OrderRefusedError("the member is not held here any more")
         self._check_view(self._newest(member.view), now_s)
         member.started = True
-        member.state = "starting"
+        member.state = ORDERED
         self.lease_until_s = max(self.lease_until_s, now_s + order.lease_duration_s)
         return member
 
     def release_refused(self, attempt: str) -> None:
         """Note that the target itself did not let a member begin."""
         member = self.members.get(attempt)
-        if member is not None and member.state == "starting":
+        if member is not None and member.state == ORDERED:
             member.started = False
             member.state = HELD
 
+    def order_taken(self, attempt: str, now_s: float) -> None:
+        """Note that the runner has taken a start, or an order to begin."""
+        member = self.members.get(attempt)
+        if member is not None and member.state == ORDERED:
+            member.state = "starting" if member.started else HELD
+            member.settled_s = now_s
+
+    def order_unanswered(self, attempt: str, bound_s: float) -> None:
+        """Note that the runner may take an order until a bound."""
+        member = self.members.get(attempt)
+        if member is not None and member.settled_s == float("inf"):
+            member.settled_s = bound_s
+
     def start_bound_s(self, member: MemberTask, now_s: float) -> float:
         """Return for how long from now a start is still covered by its view."""
         return self._newest(member.view).seen_s + self.freshness_s - now_s
@@ -286,8 +303,16 @@
             return member.started
         return order.incarnation != self.incarnation
 
-    def take_usage(self, tasks: list, now_s: float) -> None:
-        """Take in what the runner says of its tasks, adopting those not known."""
+    def take_usage(self, tasks: list, seen_s: float) -> None:
+        """Take in what the runner said of its tasks, adopting those not known.
+
+        Parameters
+        ----------
+        tasks : list of TaskUsage
+        seen_s : float
+            When the runner said so, or earlier, on the agent's own clock.
+        """
+        self._note_forgotten({task.attempt for task in tasks}, seen_s)
         for task in tasks:
             member = self.members.get(task.attempt)
             if member is None:
@@ -305,6 +330,19 @@
                 member.started = True
                 member.state = "running"
 
+    def _note_forgotten(self, known: set[str], seen_s: float) -> None:
+        """End the members that the runner should know and doesn't.
+
+        It has restarted, or an order without an answer never reached it.
+        """
+        for member in self.members.values():
+            gone = member.ordered and member.state not in ENDED
+            if not gone or member.attempt in known or seen_s <= member.settled_s:
+                continue
+            member.started = member.started and member.state != ORDERED
+            member.state = "stopped"
+            member.reason = "the worker does not know it"
+
     def _adopt(self, task) -> MemberTask:
         member = MemberTask(task.attempt, task.epoch, 0, 0)
         member.ordered = member.started = True
@@ -327,7 +365,9 @@
     def has_news(self) -> bool:
         """Whether a member's state has changed since the holder was told."""
         members = self.members.values()
-        return any(self._told.get(m.attempt) != m.state for m in members)
+        return any(
+            self._told.get(m.attempt) != m.state and m.state != ORDERED for m in members
+        )
 
     def beat(self, info: control_pb2.TargetInfo) -> control_pb2.Beat:
         """Return the next heartbeat: all members, or those that have changed."""
--- a/packages/agent/src/cicadabank/agent/internal/driver.py
+++ b/packages/agent/src/cicadabank/agent/internal/driver.py
@@ -11,7 +11,7 @@
 
 import grpc
 from cicadabank.agent.errors import OrderRefusedError
-from cicadabank.agent.internal.core import ENDED, HELD, AgentCore, MemberTask
+from cicadabank.agent.internal.core import ENDED, RENEWED, AgentCore, MemberTask
 from cicadabank.tasks import clock_s, unix_s
 from cicadabank.wire import ChannelPool, control_pb2, targets_pb2, targets_pb2_grpc
 from loguru import logger
@@ -159,8 +159,12 @@
         reply: Reply,
         answer: targets_pb2.TaskStarted | None,
     ) -> None:
-        if answer is not None:
+        if answer is None:
+            self.core.order_unanswered(member.attempt, member.start_open_until_s)
+        else:
             member.start_open_until_s = 0.0
+            if answer.accepted:
+                self.core.order_taken(member.attempt, clock_s())
         answered(member, reply, answer)
         for waiting in self._after_start.pop(member.attempt, ()):
             waiting()
@@ -269,7 +273,7 @@
     def renew_leases(self) -> None:
         """Pass the lease that is left on to the runner."""
         members = self.core.members.values()
-        running = [m.attempt for m in members if m.started and m.state != HELD]
+        running = [m.attempt for m in members if m.state in RENEWED]
         left_s = self.core.lease_until_s - clock_s()
         if running and left_s > 0:
             request = targets_pb2.LeaseRenewal(
@@ -299,7 +303,7 @@
         for task in report.tasks:
             if len(task.answer) > self._inline_bytes and self._keep_answer is not None:
                 self._move_answer(task)
-        self.core.take_usage(list(report.tasks), clock_s())
+        self.core.take_usage(list(report.tasks), asked_s - report.lag_s)
 
     def _move_answer(self, task: targets_pb2.TaskUsage) -> None:
         member = self.core.members.get(task.attempt)
--- a/tests/cover/test_agent.py
+++ b/tests/cover/test_agent.py
@@ -115,6 +115,7 @@
         core = make_core()
         core.reserve(reserve(), NOW_S)
         core.begin(start(hold_s=4.0), NOW_S)
+        core.order_taken("a", NOW_S)
         assert core.members["a"].state == "held"
         return core
 
@@ -158,6 +159,12 @@
             core.release(begin(), NOW_S + 1.0)
         assert not core.members["a"].report().started
 
+    def test_is_not_told_to_be_held_before_the_runner_has_it(self):
+        core = make_core()
+        core.reserve(reserve(), NOW_S)
+        core.begin(start(hold_s=4.0), NOW_S)
+        assert core.members["a"].report().state == "ordered"
+
     def test_restarted_agent_can_not_say_that_it_never_started(self):
         core = make_core()
         core.take_usage([usage("a", "held")], NOW_S)
@@ -165,6 +172,32 @@
         assert core.members["a"].report().started
 
 
+class TestUsage:
+    def _started(self):
+        core = make_core()
+        core.reserve(reserve(), NOW_S)
+        core.begin(start(), NOW_S)
+        return core
+
+    def test_start_that_the_runner_never_got_is_known_not_to_have_started(self):
+        core = self._started()
+        core.order_unanswered("a", NOW_S + 3.0)
+        core.take_usage([], NOW_S + 2.9)
+        assert core.members["a"].state == "ordered"
+        core.take_usage([], NOW_S + 3.1)
+        report = core.members["a"].report()
+        assert (report.state, report.started) == ("stopped", False)
+
+    def test_task_that_the_runner_has_lost_is_stopped(self):
+        core = self._started()
+        core.order_taken("a", NOW_S + 0.1)
+        core.take_usage([], NOW_S)
+        assert core.members["a"].state == "starting"
+        core.take_usage([], NOW_S + 0.2)
+        report = core.members["a"].report()
+        assert (report.state, report.started) == ("stopped", True)
+
+
 class TestStop:
     def test_refuses_a_replaced_holder(self):
         core = make_core()
--- a/tests/cover/test_cell.py
+++ b/tests/cover/test_cell.py
@@ -88,6 +88,17 @@
         assert world.row(job).state is JobState.UNKNOWN
         assert world.run_jobs[job] == 1
 
+    @pytest.mark.parametrize(
+        ("idempotent", "end"), [(True, JobState.DONE), (False, JobState.UNKNOWN)]
+    )
+    def test_runner_that_lost_its_tasks_ends_the_attempt(self, idempotent, end):
+        world = make_world()
+        job = world.submit(spec(tasks=4, idempotent=idempotent), run_s=8.0)
+        world.advance(2.0)
+        world.agents[world.row(job).members[0].worker].lose_tasks()
+        world.advance(14.0)
+        assert world.row(job).state is end
+
     def test_agent_restart_loses_nothing(self):
         world = make_world()
         job = world.submit(spec(tasks=4, idempotent=False), run_s=8.0)
--- a/tests/nocover/test_cell_machine.py
+++ b/tests/nocover/test_cell_machine.py
@@ -89,6 +89,10 @@
     def restart_agent(self, worker):
         self.world.agents[worker].restart()
 
+    @rule(worker=st.sampled_from(WORKERS))
+    def restart_runner(self, worker):
+        self.world.agents[worker].lose_tasks()
+
     @rule(worker=st.sampled_from(WORKERS))
     def replace_worker(self, worker):
         self.world.agents[worker].replace_vm()
--- a/tests/support/fake_agents.py
+++ b/tests/support/fake_agents.py
@@ -94,6 +94,10 @@
         self.beat_due_s = 0.0
         self.restart()
 
+    def lose_tasks(self):
+        """Lose all that runs here, while the agent goes on."""
+        self.runner = FakeRunner(self.world, self.info.name)
+
     def replace_vm(self):
         """Lose all that runs here, and come back empty."""
         self.runner = FakeRunner(self.world, self.info.name)
@@ -161,6 +165,7 @@
             self.world.note_start(self, task)
             lease_s = order.hold_s or self.core.lease_until_s - now_s
             self.runner.start(task, lease_s)
+            self.core.order_taken(order.attempt, now_s)
         return OrderResult(True, True, self.core.members[order.attempt].started)
 
     def _begin(self, order, epoch, now_s):
@@ -176,6 +181,7 @@
         if member is not None:
             self.world.note_start(self, self.runner.tasks[order.attempt])
             self.runner.begin(order.attempt, self.core.lease_until_s - now_s)
+            self.core.order_taken(order.attempt, now_s)
         return OrderResult(True, True, True)
 
     def _stop(self, order, epoch):
--- a/tests/support/relay.py
+++ b/tests/support/relay.py
@@ -12,7 +12,8 @@
     """Passes bytes between callers and a target.
 
     After `silence`, the connections that are open pass nothing on in either
-    direction and stay open; new ones work.
+    direction and stay open; new ones work. Between `hold` and `release` all bytes
+    wait, as if the process behind them were paused.
     """
 
     def __init__(self, target):
@@ -20,6 +21,8 @@
         self._target = (host, int(port))
         self._server = socket.create_server(("127.0.0.1", 0))
         self._silenced: set[int] = set()
+        self._open = threading.Event()
+        self._open.set()
         self._count = 0
         self._sockets: list[socket.socket] = []
         self.address = f"127.0.0.1:{self._server.getsockname()[1]}"
@@ -45,6 +48,7 @@
     def _pass_on(self, source, sink, number):
         with suppress(OSError):
             while data := source.recv(65536):
+                self._open.wait()
                 if number not in self._silenced:
                     sink.sendall(data)
             sink.shutdown(socket.SHUT_WR)
@@ -52,7 +56,14 @@
     def silence(self):
         self._silenced = set(range(1, self._count + 1))
 
+    def hold(self):
+        self._open.clear()
+
+    def release(self):
+        self._open.set()
+
     def close(self):
+        self.release()
         for end in (self._server, *self._sockets):
             # Only a shutdown ends what another thread waits for.
             with suppress(OSError):
