Let a stopping agent stay until its worker's tasks have ended

Cause: an agent waited for requests of a minion, and left a worker after 1.5 s. Its tasks were then under a lease that nobody renewed: 10 s of work, a lease of 7 s, and a job that isn't idempotent ended as outcome-unknown by a planned stop.

Ways weighed: no change, since the next agent adopts (nobody may start one: the VM leaves); stopping the tasks with a checkpoint (not every task can); staying until they have ended and the holder has acknowledged them, within shutdown_s. Taken: the last; longer tasks outlive the agent under their lease as before.

Before: the new process test, 12 short jobs beside one of 10 s, a second signal: outcome-unknown. After: 13 of 13 done at the first attempt, nothing new placed on the leaving worker, exit code 0.

--- a/packages/agent/src/cicadabank/agent/internal/app.py
+++ b/packages/agent/src/cicadabank/agent/internal/app.py
@@ -39,15 +39,24 @@
 
 
 def _leave(task: AgentTask, shutdown_s: float) -> None:
-    """Announce the leave, and stay until the requests in flight are answered."""
+    """Announce the leave, and stay until what is under way has ended.
+
+    Requests in flight are answered. Members run on and are reported, and their leases
+    renewed; longer ones outlive this process under their lease, which the next agent
+    takes over.
+    """
     task.post(task.leave)
     started_s = clock_s()
     while clock_s() - started_s < shutdown_s:
         waited_s = clock_s() - started_s
-        if waited_s >= LEAVE_NOTICE_S and not task.gate.in_flight:
+        if waited_s >= LEAVE_NOTICE_S and not task.busy:
             return
         time.sleep(0.05)
-    logger.warning("{} requests were still in flight at the end", task.gate.in_flight)
+    logger.warning(
+        "{} requests and {} members were still under way at the end",
+        task.gate.in_flight,
+        len(task.core.members),
+    )
 
 
 def run_agent(settings: AgentSettings) -> None:
--- a/packages/agent/src/cicadabank/agent/internal/task.py
+++ b/packages/agent/src/cicadabank/agent/internal/task.py
@@ -68,6 +68,11 @@
         """Whether an entry has answered of late."""
         return clock_s() - self.answered_s < READY_SILENCE_S
 
+    @property
+    def busy(self) -> bool:
+        """Whether requests are in flight, or members not ended and acknowledged."""
+        return bool(self.gate.in_flight or self.core.members)
+
     def on_tick(self) -> None:
         """Poll the target, enforce leases and send the heartbeat that is due."""
         now_s = clock_s()
--- a/tests/processes/test_target_faults.py
+++ b/tests/processes/test_target_faults.py
@@ -57,6 +57,22 @@
         bench.fault("worker-1", "fail_all", 0)
         assert {record["state"] for record in records} == {"done"}
 
+    def test_stopping_agent_stays_until_its_tasks_have_ended(self, bench):
+        bench.deployment.wait_ready(4, 2)
+        job = bench.submit(run_s=10.0, tasks=4, idempotent=False)
+        worker = bench.running(job)["members"][0]["worker"]
+        others = [bench.submit(run_s=0.5, tasks=4) for _ in range(6)]
+        for _ in range(2):
+            bench.deployment.signal(f"agent-{worker}", signal.SIGTERM)
+            time.sleep(1.0)
+        others += [bench.submit(run_s=0.5, tasks=4) for _ in range(6)]
+        records = [bench.ended(name) for name in (job, *others)]
+        assert bench.deployment.processes[f"agent-{worker}"].wait(30) == 0
+        bench.deployment.start(f"agent-{worker}")
+        assert {record["state"] for record in records} == {"done"}
+        assert {record["attempts"] for record in records} == {1}
+        assert worker not in {r["members"][0]["worker"] for r in records[7:]}
+
     def test_burn_names_the_job_that_was_lost(self, bench):
         level = {"name": "proofs", "measure": "completion", "threshold_s": 600.0}
         fields = {"name": "glaze", "quota_accelerators": 32, "service_levels": [level]}
