Wait longer for a start; split the agent's members and views from its core

The job and its record were right; the wait was too short for what it protects, now that the others of a gang are held and run nothing meanwhile.

Starts and begins are waited for up to 2.5 s by the holder, 2 s by the agent; a gang is held for 6 s. Costs nothing where answers come; a worker that freezes between reservation and start holds its gang up by 1 s more. Reservations are as before, since the view that they carry is counted by their timeout.

--- a/packages/agent/src/cicadabank/agent/__init__.py
+++ b/packages/agent/src/cicadabank/agent/__init__.py
@@ -2,9 +2,10 @@
 
 from cicadabank.agent.errors import AgentError, OrderRefusedError
 from cicadabank.agent.internal.app import agent_running, run_agent
-from cicadabank.agent.internal.core import AgentCore, View
+from cicadabank.agent.internal.core import AgentCore
 from cicadabank.agent.internal.driver import RunnerDriver
 from cicadabank.agent.internal.requests import minion_outcome
+from cicadabank.agent.internal.views import View
 
 __all__ = [
     "AgentCore",
--- a/packages/agent/src/cicadabank/agent/internal/core.py
+++ b/packages/agent/src/cicadabank/agent/internal/core.py
@@ -5,106 +5,15 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
-
 from cicadabank.agent.errors import OrderRefusedError
+from cicadabank.agent.internal.members import ENDED, HELD, ORDERED, MemberTask
+from cicadabank.agent.internal.views import View, carried_view
 from cicadabank.decisions import digest_of
 from cicadabank.wire import control_pb2
 
-ENDED = frozenset({"done", "failed", "stopped"})
-ORDERED = "ordered"  # the runner was told, and has not answered
-HELD = "held"
-RENEWED = frozenset({"starting", "running"})
 PUSHED_OUT_S = 300.0
 
 
-class View(NamedTuple):
-    """The configuration as far as a target needs it.
-
-    Attributes
-    ----------
-    seen_s : float
-        When this was surely so, on the agent's own clock.
-    """
-
-    version: int = 0
-    domain_out: bool = False
-    seen_s: float = float("-inf")
-
-
-def _carried_view(order: control_pb2.Reserve, now_s: float) -> View:
-    """Return the view that a reservation carries.
-
-    How long the order was on its way isn't known here. But the holder sends the start
-    only if it had the reply to the reservation within `reply_within_s` of sending it,
-    so for this gang's start, and for no other, it was no longer on its way than that.
-    """
-    if not order.reply_within_s:
-        return View()
-    seen_s = now_s - order.reply_within_s - order.view_age_s
-    return View(order.config_version, order.domain_out, seen_s)
-
-
-class MemberTask:
-    """A gang's member on this target.
-
-    `ordered` says that the runner was told to start it, `started` that it may have
-    begun to run: a member that is held has not.
-    """
-
-    __slots__ = (
-        "accelerators",
-        "answer",
-        "answer_object",
-        "attempt",
-        "checkpoint",
-        "epoch",
-        "expires_s",
-        "ordered",
-        "reason",
-        "run_s",
-        "settled_s",
-        "start_open_until_s",
-        "started",
-        "state",
-        "tasks",
-        "view",
-    )
-
-    def __init__(self, attempt: str, epoch: int, tasks: int, accelerators: int):
-        self.attempt = attempt
-        self.epoch = epoch
-        self.tasks = tasks
-        self.accelerators = accelerators
-        self.state = "reserved"
-        self.ordered = False
-        self.started = False
-        self.expires_s = 0.0
-        self.view = View()
-        self.start_open_until_s = (
-            0.0  # until then a start without reply may take effect
-        )
-        self.settled_s = float("inf")  # from then on the runner knows it, or never will
-        self.answer = b""
-        self.answer_object = ""
-        self.reason = ""
-        self.checkpoint = ""
-        self.run_s = 0.0
-
-    def report(self) -> control_pb2.MemberReport:
-        """Return what the cell's holder is told of this member."""
-        return control_pb2.MemberReport(
-            attempt=self.attempt,
-            state=self.state,
-            answer=self.answer,
-            answer_object=self.answer_object,
-            reason=self.reason,
-            checkpoint=self.checkpoint,
-            run_s=self.run_s,
-            started=self.started,
-        )
-
-
 class AgentCore:
     """Decides what may start on one worker.
 
@@ -140,7 +49,7 @@
             If the member must not or can't be reserved.
         """
         self._check_origin(order.epoch, order.incarnation)
-        view = self._newest(_carried_view(order, now_s))
+        view = self._newest(carried_view(order, now_s))
         self._check_view(view, now_s)
         self._expire(now_s)
         member = self.members.get(order.attempt)
@@ -160,7 +69,7 @@
             member.expires_s = now_s + order.ttl_s
             member.view = view
 
-    def begin(self, order: control_pb2.Start, now_s: float) -> MemberTask | None:
+    def start(self, order: control_pb2.Start, now_s: float) -> MemberTask | None:
         """Let a reserved member leave the barrier; None if it has left already.
 
         Raises
@@ -184,7 +93,7 @@
         self.lease_until_s = max(self.lease_until_s, now_s + order.lease_duration_s)
         return member
 
-    def release(self, order: control_pb2.Begin, now_s: float) -> MemberTask | None:
+    def begin(self, order: control_pb2.Begin, now_s: float) -> MemberTask | None:
         """Let a held member begin; None if it may have begun already.
 
         Raises
@@ -204,7 +113,7 @@
         self.lease_until_s = max(self.lease_until_s, now_s + order.lease_duration_s)
         return member
 
-    def release_refused(self, attempt: str) -> None:
+    def begin_refused(self, attempt: str) -> None:
         """Note that the target itself did not let a member begin."""
         member = self.members.get(attempt)
         if member is not None and member.state == ORDERED:
--- a/packages/agent/src/cicadabank/agent/internal/driver.py
+++ b/packages/agent/src/cicadabank/agent/internal/driver.py
@@ -11,12 +11,14 @@
 
 import grpc
 from cicadabank.agent.errors import OrderRefusedError
-from cicadabank.agent.internal.core import ENDED, RENEWED, AgentCore, MemberTask
+from cicadabank.agent.internal.core import AgentCore
+from cicadabank.agent.internal.members import ENDED, RENEWED, MemberTask
 from cicadabank.tasks import clock_s, unix_s
 from cicadabank.wire import ChannelPool, control_pb2, targets_pb2, targets_pb2_grpc
 from loguru import logger
 
 RUNNER_TIMEOUT_S = 1.0
+START_TIMEOUT_S = 2.0
 CHECKPOINT_TIMEOUT_S = 2.0
 
 Reply = Callable[[control_pb2.OrderReply], None]
@@ -90,7 +92,7 @@
         """Start a reserved member, checking the view at this very moment."""
         now_s = clock_s()
         try:
-            member = self.core.begin(order, now_s)
+            member = self.core.start(order, now_s)
         except OrderRefusedError as error:
             started = order.attempt in self.core.members and bool(
                 self.core.members[order.attempt].started
@@ -121,7 +123,7 @@
         """Let a held member begin, checking the view again."""
         now_s = clock_s()
         try:
-            member = self.core.release(order, now_s)
+            member = self.core.begin(order, now_s)
         except OrderRefusedError as error:
             reply(control_pb2.OrderReply(accepted=False, reason=error.message))
             return
@@ -150,7 +152,8 @@
         now_s = clock_s()
         member.start_open_until_s = now_s + self.core.start_bound_s(member, now_s)
         self._after_start[member.attempt] = []
-        self._call(method, request, partial(self._started, member, answered, reply))
+        done = partial(self._started, member, answered, reply)
+        self._call(method, request, done, START_TIMEOUT_S)
 
     def _started(
         self,
@@ -180,7 +183,7 @@
         self, member: MemberTask, reply: Reply, answer: targets_pb2.TaskStarted | None
     ) -> None:
         if answer is not None and not answer.accepted:
-            self.core.release_refused(member.attempt)
+            self.core.begin_refused(member.attempt)
         reply(_order_reply(member, answer))
 
     def stop(self, order: control_pb2.Stop, reply: Reply) -> None:
--- a/packages/decisions/src/cicadabank/decisions/internal/state.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/state.py
@@ -28,8 +28,8 @@
     silent_after_s: float = 3.0
     outage_lease_s: float = 300.0
     reserve_timeout_s: float = 1.5
-    start_timeout_s: float = 1.5
-    gang_hold_s: float = 4.0
+    start_timeout_s: float = 2.5
+    gang_hold_s: float = 6.0
     claim_timeout_s: float = 4.0
     stop_retry_s: float = 1.0
     recovery_s: float = 5.0
--- a/packages/entry/src/cicadabank/entry/internal/links.py
+++ b/packages/entry/src/cicadabank/entry/internal/links.py
@@ -22,6 +22,7 @@
 from cicadabank.wire import ChannelPool, control_pb2, control_pb2_grpc
 
 ORDER_TIMEOUT_S = 1.4
+START_TIMEOUT_S = 2.4
 STOP_TIMEOUT_S = 3.5
 RESERVATION_S = 6.0
 DIRECT_USAGE_SILENCE_S = 2.0
@@ -132,11 +133,11 @@
 
     @send.register
     def _(self, order: SendStart, reply: Reply) -> None:
-        self._call("StartMember", self._context.start(order), reply, ORDER_TIMEOUT_S)
+        self._call("StartMember", self._context.start(order), reply, START_TIMEOUT_S)
 
     @send.register
     def _(self, order: SendBegin, reply: Reply) -> None:
-        self._call("BeginMember", self._context.begin(order), reply, ORDER_TIMEOUT_S)
+        self._call("BeginMember", self._context.begin(order), reply, START_TIMEOUT_S)
 
     @send.register
     def _(self, order: SendStop, reply: Reply) -> None:
--- a/tests/cover/test_agent.py
+++ b/tests/cover/test_agent.py
@@ -86,7 +86,7 @@
         core = make_core()
         core.reserve(reserve(), NOW_S)
         with pytest.raises(OrderRefusedError, match=reason):
-            core.begin(order, at_s)
+            core.start(order, at_s)
         assert not any(member.started for member in core.members.values())
 
     def test_refuses_when_the_domain_went_out_after_the_reservation(self):
@@ -94,7 +94,7 @@
         core.reserve(reserve(), NOW_S)
         core.push_out(NOW_S)
         with pytest.raises(OrderRefusedError, match="out of service"):
-            core.begin(start(), NOW_S)
+            core.start(start(), NOW_S)
 
     def test_a_drain_that_is_never_stored_lapses(self):
         core = make_core()
@@ -106,15 +106,15 @@
     def test_again_starts_nothing(self):
         core = make_core()
         core.reserve(reserve(), NOW_S)
-        assert core.begin(start(), NOW_S) is not None
-        assert core.begin(start(), NOW_S) is None
+        assert core.start(start(), NOW_S) is not None
+        assert core.start(start(), NOW_S) is None
 
 
 class TestBegin:
     def _held(self):
         core = make_core()
         core.reserve(reserve(), NOW_S)
-        core.begin(start(hold_s=4.0), NOW_S)
+        core.start(start(hold_s=4.0), NOW_S)
         core.order_taken("a", NOW_S)
         assert core.members["a"].state == "held"
         return core
@@ -126,9 +126,9 @@
 
     def test_lets_it_begin_once(self):
         core = self._held()
-        assert core.release(begin(), NOW_S) is not None
+        assert core.begin(begin(), NOW_S) is not None
         assert core.members["a"].started
-        assert core.release(begin(), NOW_S) is None
+        assert core.begin(begin(), NOW_S) is None
 
     @pytest.mark.parametrize(
         ("order", "at_s", "reason"),
@@ -143,26 +143,26 @@
     def test_refuses(self, order, at_s, reason):
         core = self._held()
         with pytest.raises(OrderRefusedError, match=reason):
-            core.release(order, at_s)
+            core.begin(order, at_s)
         assert not core.members["a"].started
 
     def test_refuses_when_the_domain_went_out_meanwhile(self):
         core = self._held()
         core.push_out(NOW_S)
         with pytest.raises(OrderRefusedError, match="out of service"):
-            core.release(begin(), NOW_S)
+            core.begin(begin(), NOW_S)
 
     def test_refuses_one_whose_hold_has_lapsed(self):
         core = self._held()
         core.take_usage([usage("a", "stopped")], NOW_S + 4.0)
         with pytest.raises(OrderRefusedError, match="not held here"):
-            core.release(begin(), NOW_S + 1.0)
+            core.begin(begin(), NOW_S + 1.0)
         assert not core.members["a"].report().started
 
     def test_is_not_told_to_be_held_before_the_runner_has_it(self):
         core = make_core()
         core.reserve(reserve(), NOW_S)
-        core.begin(start(hold_s=4.0), NOW_S)
+        core.start(start(hold_s=4.0), NOW_S)
         assert core.members["a"].report().state == "ordered"
 
     def test_restarted_agent_can_not_say_that_it_never_started(self):
@@ -176,7 +176,7 @@
     def _started(self):
         core = make_core()
         core.reserve(reserve(), NOW_S)
-        core.begin(start(), NOW_S)
+        core.start(start(), NOW_S)
         return core
 
     def test_start_that_the_runner_never_got_is_known_not_to_have_started(self):
@@ -237,7 +237,7 @@
     def test_lapsed_members_are_stopped(self):
         core = make_core()
         core.reserve(reserve(), NOW_S)
-        core.begin(start(), NOW_S)
+        core.start(start(), NOW_S)
         assert core.lapsed(NOW_S + 9.0) == []
         assert [m.attempt for m in core.lapsed(NOW_S + 10.5)] == ["a"]
 
@@ -264,13 +264,13 @@
     def test_lets_a_member_start_between_rare_heartbeats(self):
         core = make_core(view_age_s=60.0)
         core.reserve(self.carried(), NOW_S)
-        assert core.begin(start(), NOW_S + 1.0) is not None
+        assert core.start(start(), NOW_S + 1.0) is not None
 
     def test_counts_the_way_of_the_order(self):
         core = make_core(view_age_s=60.0)
         core.reserve(self.carried(), NOW_S)
         with pytest.raises(OrderRefusedError, match="view is older"):
-            core.begin(start(), NOW_S + 1.2)
+            core.start(start(), NOW_S + 1.2)
 
     def test_says_that_the_domain_is_out(self):
         core = make_core()
@@ -288,7 +288,7 @@
         core.reserve(reserve(attempt="b", accelerators=1), NOW_S)
         core.reserve(self.carried(), NOW_S)
         with pytest.raises(OrderRefusedError, match="view is older"):
-            core.begin(start(attempt="b"), NOW_S + 1.2)
+            core.start(start(attempt="b"), NOW_S + 1.2)
 
 
 class TestNews:
--- a/tests/cover/test_settings.py
+++ b/tests/cover/test_settings.py
@@ -41,7 +41,7 @@
             ),
             (
                 "entry-1",
-                {"timings": {"gang_hold_s": 2.0}},
+                {"timings": {"gang_hold_s": 4.0}},
                 "at $.timings.gang_hold_s",
             ),
             ("entry-1", {"kind": "oven"}, "expected one of entry, agent, stand-in"),
--- a/tests/support/fake_agents.py
+++ b/tests/support/fake_agents.py
@@ -151,7 +151,7 @@
             hold_s=order.hold_s,
             lease_duration_s=LEASE_S,
         )
-        member = self.core.begin(message, now_s)
+        member = self.core.start(message, now_s)
         if member is not None:
             task = FakeTask(
                 order.attempt,
@@ -177,7 +177,7 @@
         )
         self.runner.advance(now_s)
         self._take_usage()
-        member = self.core.release(message, now_s)
+        member = self.core.begin(message, now_s)
         if member is not None:
             self.world.note_start(self, self.runner.tasks[order.attempt])
             self.runner.begin(order.attempt, self.core.lease_until_s - now_s)
--- a/tests/support/fake_holders.py
+++ b/tests/support/fake_holders.py
@@ -19,7 +19,8 @@
 from cicadabank.model import JobRow
 
 CONFIG_POLL_S = 0.5
-ORDER_TIMEOUT_S = 1.4
+RESERVE_TIMEOUT_S = 1.4
+ORDER_TIMEOUT_S = 2.4
 LEASE_S = 10.0
 OUTAGE_LEASE_S = 20.0
 
@@ -132,6 +133,8 @@
 
     def _send(self, order):
         world = self.world
+        reserve = isinstance(order, SendReserve)
+        timeout_s = RESERVE_TIMEOUT_S if reserve else ORDER_TIMEOUT_S
         sent_s = world.now_s
 
         def answer(result):
@@ -142,13 +145,13 @@
             agent = world.agents[order.worker]
             world.before_order(order)
             if agent.cut or agent.frozen or world.lost():
-                late_s = max(0.0, sent_s + ORDER_TIMEOUT_S - world.now_s)
+                late_s = max(0.0, sent_s + timeout_s - world.now_s)
                 world.after(late_s, lambda: answer(OrderResult(False)))
                 return
             result = agent.order(order, self.epoch)
             world.after_order(order)
             if agent.cut or agent.frozen or world.lost():
-                late_s = max(0.0, sent_s + ORDER_TIMEOUT_S - world.now_s)
+                late_s = max(0.0, sent_s + timeout_s - world.now_s)
                 world.after(late_s, lambda: answer(OrderResult(False)))
             else:
                 world.after(world.delay(), lambda: answer(result))
