--- a/benchmarks/fleets.py
+++ b/benchmarks/fleets.py
@@ -36,8 +36,14 @@
     ]
 
 
-def bursty_work(seed: int, workers: int, jobs: int, load: float) -> list[Work]:
-    """Return previews in bursts among gangs of 8, 16 and 24, some cancelled in waves.
+def bursty_work(
+    seed: int,
+    workers: int,
+    jobs: int,
+    load: float,
+    gangs: tuple[int, ...] = (8, 8, 16, 24),
+) -> list[Work]:
+    """Return previews in bursts among gangs, some cancelled in waves.
 
     Declared run times are off by up to ten times either way.
     """
@@ -50,7 +56,7 @@
             count = source.randint(5, 15)
             items += [_preview(source, at_s) for _ in range(count)]
         else:
-            items.append(_gang(source, at_s))
+            items.append(_gang(source, at_s, gangs))
         demand = sum(w.tasks * w.run_s for w in items)
         at_s = demand / (capacity * load)
     return _cancel_waves(source, sorted(items))
@@ -67,9 +73,9 @@
     return Work(at_s, tasks, run_s, _declared(source, run_s), "preview")
 
 
-def _gang(source: random.Random, at_s: float) -> Work:
+def _gang(source: random.Random, at_s: float, gangs: tuple[int, ...]) -> Work:
     run_s = source.uniform(300, 1500)
-    tasks = source.choice((8, 8, 16, 24))
+    tasks = source.choice(gangs)
     return Work(at_s, tasks, run_s, _declared(source, run_s), f"gang-{tasks}")
 
 
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -1,4 +1,6 @@
-"""Placement of gangs: first fit, best fit and the adjacent one, on the same work.
+"""Placement of gangs: first fit, best fit, the adjacent one, and one that spreads.
+
+All place the same work, at two loads and four seeds; figures are means of the seeds.
 
 The decision modules are driven directly by the events of starts and ends; jobs wait
 in one queue and any that fits may start.
@@ -8,17 +10,19 @@
 
 import heapq
 from collections.abc import Callable
+from statistics import mean
 
 from cicadabank.decisions import Fleet, GangShape, Need, place
 from cicadabank.model import Member
 
-from benchmarks.fleets import Work, bursty_work, fleet_infos
+from benchmarks.fleets import ACCELERATORS, Work, bursty_work, fleet_infos
 from benchmarks.results import percentiles, print_results
 
-SEED = 11
+SEEDS = (11, 12, 13, 14)
 WORKERS = 30
 JOBS = 1500
-LOAD = 0.75
+LOADS = (0.75, 0.95)
+GANGS = (8, 8, 16, 32)
 SAMPLE_EVERY = 10
 
 Place = Callable[[Fleet, GangShape], list[Member]]
@@ -48,9 +52,25 @@
     return []
 
 
+def spreading(fleet: Fleet, shape: GangShape) -> list[Member]:
+    """Take the emptiest failure domain, and place as adjacently as ours there."""
+    for domain in sorted(fleet.domains, key=fleet.domain_free, reverse=True):
+        members = place(fleet, shape._replace(domain=domain))
+        if members:
+            return members
+    return []
+
+
 def usable_share(fleet: Fleet, gang: int) -> float:
-    """Return the share of free accelerators that gangs within a rack can use."""
+    """Return the share of free accelerators that gangs can use.
+
+    Gangs of 8 within a worker, of 16 on whole workers of a rack, of 32 in a domain.
+    """
     free = sum(max(0, worker.free) for worker in fleet.workers.values())
+    if gang > 24:
+        by_domain = [fleet.domain_free(domain) for domain in fleet.domains]
+        usable = sum((count // gang) * gang for count in by_domain)
+        return usable / free if free else 1.0
     racks: dict[str, int] = {}
     for worker in fleet.workers.values():
         whole = worker.free if gang <= 8 else (worker.free == 8) * 8
@@ -73,9 +93,11 @@
         self.ends: list[tuple[float, int]] = []
         self.running: dict[int, list[Member]] = {}
         self.completion: dict[str, list[float]] = {}
-        self.shares: dict[int, list[float]] = {8: [], 16: [], 24: []}
+        self.shares: dict[int, list[float]] = {8: [], 16: [], 32: []}
         self.spread: list[int] = []
         self.largest: list[int] = []
+        self.largest_in_a_domain: list[int] = []
+        self.in_one_domain: list[float] = []
 
     def play(self) -> None:
         """Run the work to its end."""
@@ -135,34 +157,56 @@
         for worker in self.fleet.workers.values():
             racks[worker.info.rack] = racks.get(worker.info.rack, 0) + worker.free
         self.largest.append(max(racks.values()))
+        free = [self.fleet.domain_free(domain) for domain in self.fleet.domains]
+        self.largest_in_a_domain.append(max(free))
+        total = WORKERS * ACCELERATORS
+        busy = total - sum(free)
+        if busy:
+            most = max(total // len(free) - count for count in free)
+            self.in_one_domain.append(most / busy)
 
     def results(self) -> dict:
         """Return completion times, fragmentation and spread."""
-        return {
-            "completion_s": {
-                k: percentiles(v) for k, v in sorted(self.completion.items())
-            },
-            "usable_share_of_free": {
-                str(g): round(sum(s) / len(s), 4) for g, s in self.shares.items()
-            },
-            "largest_free_in_a_rack": round(sum(self.largest) / len(self.largest), 2),
-            "racks_of_a_gang_over_8": round(sum(self.spread) / len(self.spread), 3),
-        }
+        figures: dict[str, float] = {}
+        for size_class, times in sorted(self.completion.items()):
+            found = percentiles(times)
+            figures[f"{size_class} p50, s"] = found["p50"]
+            figures[f"{size_class} p99, s"] = found["p99"]
+        for gang, shares in self.shares.items():
+            figures[f"free usable by gangs of {gang}"] = mean(shares)
+        figures["largest free in a rack"] = mean(self.largest)
+        figures["largest free in a domain"] = mean(self.largest_in_a_domain)
+        figures["racks of a gang over 8"] = mean(self.spread)
+        figures["running work in the fullest domain"] = mean(self.in_one_domain)
+        return figures
+
+
+POLICIES = {
+    "first-fit": first_fit,
+    "best-fit": best_fit,
+    "spreading": spreading,
+    "adjacent": place,
+}
+
+
+def figures_of(policy: Place, load: float) -> dict:
+    """Return a policy's figures at a load, each the mean of all seeds."""
+    results = []
+    for seed in SEEDS:
+        run = Run(policy, bursty_work(seed, WORKERS, JOBS, load, GANGS))
+        run.play()
+        results.append(run.results())
+    return {key: round(mean(r[key] for r in results), 3) for key in results[0]}
 
 
 def main() -> None:
-    """Print the figures of all policies."""
-    work = bursty_work(SEED, WORKERS, JOBS, LOAD)
-    results = {}
-    for name, policy in (
-        ("first-fit", first_fit),
-        ("best-fit", best_fit),
-        ("adjacent", place),
-    ):
-        run = Run(policy, work)
-        run.play()
-        results[name] = run.results()
-    print_results("placement", SEED, results)
+    """Print the figures of all policies at all loads."""
+    results = {
+        f"{name} at {load}": figures_of(policy, load)
+        for load in LOADS
+        for name, policy in POLICIES.items()
+    }
+    print_results("placement", SEEDS[0], results)
 
 
 if __name__ == "__main__":
--- a/benchmarks/reclaim.py
+++ b/benchmarks/reclaim.py
@@ -58,7 +58,7 @@
     """Print the lost accelerator-hours of each policy."""
     source = random.Random(SEED)
     policies: dict[str, Policy] = {
-        "random": in_order(lambda b: hash((SEED, b.attempt, round(b.unsaved_s)))),
+        "random": in_order(lambda b: random.Random(f"{SEED} {b}").random()),
         "youngest": in_order(lambda b: b.unsaved_s),
         "fewest-gangs": in_order(lambda b: -sum(b.share.values())),
         "least-lost-work": choose_victims,
