Refuse to begin a member that an earlier run of the agent held

Cause, found in reading: a restarted agent adopts a held member as one that may have started, since it can't know; the order to begin then met "begun already" before its incarnation was looked at, and was said to be accepted with nothing sent to the runner. The gang's others began, and this member lapsed after its hold of 6 s.

Now a held member is never taken for one that has begun, and the order is refused as meant for an earlier run; the holder stops the gang.

Before: the new case failed. After: passes, 221 contract tests and 1,500 sequences of the state machine as well.

--- a/packages/agent/src/cicadabank/agent/internal/core.py
+++ b/packages/agent/src/cicadabank/agent/internal/core.py
@@ -102,7 +102,8 @@
             If the member must not begin; it has not.
         """
         member = self.members.get(order.attempt)
-        if member is not None and member.started and member.state not in ENDED:
+        begun = member is not None and member.started
+        if begun and member.state != HELD and member.state not in ENDED:
             return None
         self._check_origin(order.epoch, order.incarnation)
         if member is None or member.state != HELD:
--- a/tests/cover/test_agent.py
+++ b/tests/cover/test_agent.py
@@ -171,6 +171,12 @@
         assert core.members["a"].state == "held"
         assert core.members["a"].report().started
 
+    def test_restarted_agent_refuses_what_the_earlier_run_was_asked(self):
+        core = make_core()
+        core.take_usage([usage("a", "held")], NOW_S)
+        with pytest.raises(OrderRefusedError, match="earlier run"):
+            core.begin(begin(incarnation="run-0"), NOW_S)
+
 
 class TestUsage:
     def _started(self):
