Don't ask an entry again at once that names itself and refuses

Cause: an entry that is cut off from the table takes itself for the holder, but renews no lease, and names itself.

Ruled out: the takeover (2 jobs loaded, adopted); the load of the machine.

Before: 4 of 4 new cases never found the holder. After: all within three heartbeats.

--- a/packages/agent/src/cicadabank/agent/internal/reporter.py
+++ b/packages/agent/src/cicadabank/agent/internal/reporter.py
@@ -110,7 +110,7 @@
             take(beat, reply, sent_s)
         elif not self._searching and asked is self._at:
             self._refused(reply.holder)
-        elif self._searching and reply.holder:
+        elif self._searching and reply.holder not in ("", asked.address):
             self._ask_next(reply.holder)
 
     def _refused(self, holder: str) -> None:
--- a/tests/cover/test_reporter.py
+++ b/tests/cover/test_reporter.py
@@ -79,6 +79,21 @@
         # A holder that is silent for less than two calls is not given up.
         assert found_s <= max(taken_over_s, 4.0) + 3 * INTERVAL_S
 
+    @pytest.mark.parametrize("taken_over_s", [2.0, 3.0, 4.0, 5.0])
+    def test_leaves_one_that_is_cut_off_from_the_table_and_names_itself(
+        self, taken_over_s
+    ):
+        def first(now_s):
+            return holding(1) if now_s < 1.0 else naming(A)
+
+        def second(now_s):
+            return holding(2) if now_s >= taken_over_s else naming(A)
+
+        agent = agent_with({A: first, B: second})
+        agent.beat(15.0)
+        found_s = next((at_s for at_s, epoch in agent.taken if epoch == 2), 15.0)
+        assert found_s <= taken_over_s + 3 * INTERVAL_S
+
     @pytest.mark.parametrize("back_s", [2.0, 4.0, 6.0])
     def test_returns_to_the_holder_that_was_silent_for_a_while(self, back_s):
         def first(now_s):
