Ask once whether a job may be stopped; set benchmarks' deployments up in one place

Found in reading the whole change; behaviour stays as it is.

- The union of orders stood in decisions and again in the entry's links; the entry takes that of decisions.
- A predicate in membership changed the worker it asked about; the change and the question are apart, and one condition asks for a full report.
- gang_latency and drain_delay set up what capacity's deployment() does, and gang_latency read logs as Deployment.log does; both call those now.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -4,22 +4,20 @@
 
 import json
 import os
-import tempfile
 import time
-from collections.abc import Iterator
-from contextlib import ExitStack, contextmanager
-from pathlib import Path
+from contextlib import ExitStack
 
 import grpc
 from cicadabank.client import Client
 from cicadabank.entry import entry_running
-from cicadabank.local import Ports, Size, deployment_running, make_layout, wait_until
+from cicadabank.local import Ports, Size, make_layout, wait_until
 from cicadabank.model import JobRow, JobSpec, JobState, Member, encode, from_builtins
 from cicadabank.settings import EntrySettings
 from cicadabank.standin import serve_store
 from cicadabank.wire import control_pb2, control_pb2_grpc
 
 from benchmarks.decision_cost import beat_cost, placement_cost, takeover_cost, tick_cost
+from benchmarks.deployments import deployment
 from benchmarks.processes import Pacer, core_share, usage_of
 from benchmarks.results import percentiles, print_results
 from tests.support.entries import local_entry
@@ -34,23 +32,6 @@
 HTTP2_OVERHEAD_BYTES = 120  # frames, headers and TCP/IP of a unary call, both ways
 
 
-@contextmanager
-def deployment(**size) -> Iterator:
-    """Run a deployment with one workspace."""
-    parts = {"entries": 1, "workers": 0, "minions": 0, **size}
-    layout = make_layout(Size(("erie", "huron"), "lakes", **parts), Ports())
-    with (
-        tempfile.TemporaryDirectory() as folder,
-        deployment_running(layout, Path(folder)) as running,
-    ):
-        running.wait_ready(parts["workers"], parts["minions"])
-        with Client(layout.http) as client:
-            fields = {"name": "glaze", "quota_accelerators": 100_000}
-            client.apply("workspace", fields)
-            time.sleep(2.0)
-            yield running, client
-
-
 def heartbeat(index: int) -> control_pb2.Beat:
     """Return a heartbeat with the worker's info, as sent first."""
     info = control_pb2.TargetInfo(
--- a/benchmarks/drain_delay.py
+++ b/benchmarks/drain_delay.py
@@ -8,14 +8,12 @@
 
 from __future__ import annotations
 
-import tempfile
 import threading
 import time
-from pathlib import Path
 
 from cicadabank.client import Client
-from cicadabank.local import Ports, Size, deployment_running, make_layout
 
+from benchmarks.deployments import deployment
 from benchmarks.results import percentiles, print_results
 
 SEED = 0
@@ -34,25 +32,17 @@
 
 def drains(agents: bool) -> dict:
     """Return the delays of the last starts, over all drains."""
-    size = Size(("erie", "huron"), "lakes", 2, 6, 0, agents)
-    layout = make_layout(size, Ports())
     outs: list[tuple[float, float]] = []
     jobs: list[str] = []
-    with (
-        tempfile.TemporaryDirectory() as folder,
-        deployment_running(layout, Path(folder)) as running,
-    ):
-        running.wait_ready(6, 0)
-        with Client(layout.http) as client, Client(layout.http) as submitter:
-            fields = {"name": "glaze", "quota_accelerators": 1_000}
-            client.apply("workspace", fields)
-            time.sleep(2.0)
+    with deployment(entries=2, workers=6, agents=agents) as (running, client):
+        addresses = running.layout.http
+        with Client(addresses) as submitter:
             ended = threading.Event()
             arguments = (submitter, ended, jobs)
             thread = threading.Thread(target=_stream, args=arguments)
             thread.start()
             for number in range(DRAINS):
-                with Client([layout.http[number % 2]]) as operator:
+                with Client([addresses[number % 2]]) as operator:
                     time.sleep(BETWEEN_S)
                     operator.apply("failure-domain", {"name": "huron", "out": True})
                     accepted_unix_s = time.time()
--- a/benchmarks/gang_latency.py
+++ b/benchmarks/gang_latency.py
@@ -6,14 +6,13 @@
 from __future__ import annotations
 
 import json
-import tempfile
 import time
 from datetime import datetime
-from pathlib import Path
 
 from cicadabank.client import Client
-from cicadabank.local import Ports, Size, deployment_running, make_layout
+from cicadabank.local import Deployment
 
+from benchmarks.deployments import deployment
 from benchmarks.results import percentiles, print_results
 
 SEED = 0
@@ -36,31 +35,21 @@
     return submitted
 
 
-def running_unix_s(folder: Path) -> dict[str, float]:
+def running_unix_s(running: Deployment) -> dict[str, float]:
     """Return when each job's gang was running, as the entries logged it."""
-    found: dict[str, float] = {}
-    for log in folder.glob("entry-*.log"):
-        for line in log.read_text().splitlines():
-            if '"event": "running"' in line:
-                record = json.loads(line)
-                at = datetime.fromisoformat(record["at"])
-                found[record["job"]] = at.timestamp()
-    return found
+    return {
+        record["job"]: datetime.fromisoformat(record["at"]).timestamp()
+        for name in ("entry-1", "entry-2")
+        for record in running.log(name)
+        if record.get("event") == "running"
+    }
 
 
 def main() -> None:
     """Print the latencies by the size of the gang."""
-    size = Size(("erie", "huron"), "lakes", 2, 6, 0)
-    layout = make_layout(size, Ports())
-    with tempfile.TemporaryDirectory() as folder:
-        with deployment_running(layout, Path(folder)) as running:
-            running.wait_ready(6, 0)
-            with Client(layout.http) as client:
-                fields = {"name": "glaze", "quota_accelerators": 1_000}
-                client.apply("workspace", fields)
-                time.sleep(2.0)
-                submitted = {tasks: submit_all(client, tasks) for tasks in TASKS}
-        started = running_unix_s(Path(folder))
+    with deployment(entries=2, workers=6) as (running, client):
+        submitted = {tasks: submit_all(client, tasks) for tasks in TASKS}
+        started = running_unix_s(running)
     results = {
         f"{tasks} tasks": {
             "submitted_to_running_s": percentiles(
--- a/packages/agent/src/cicadabank/agent/internal/core.py
+++ b/packages/agent/src/cicadabank/agent/internal/core.py
@@ -246,8 +246,8 @@
         It has restarted, or an order without an answer never reached it.
         """
         for member in self.members.values():
-            gone = member.ordered and member.state not in ENDED
-            if not gone or member.attempt in known or seen_s <= member.settled_s:
+            open_here = member.ordered and member.state not in ENDED
+            if not open_here or member.attempt in known or seen_s <= member.settled_s:
                 continue
             member.started = member.started and member.state != ORDERED
             member.state = "stopped"
--- a/packages/decisions/src/cicadabank/decisions/internal/claims.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/claims.py
@@ -141,7 +141,7 @@
 
 def _stoppable(state: CellState, attempt: Attempt) -> bool:
     spec = state.jobs[attempt.job].row.spec
-    if not (spec.idempotent or spec.checkpointable):
+    if not spec.stoppable:
         return False
     return not any(state.workers[worker].silent for worker in attempt.share)
 
@@ -172,7 +172,7 @@
         if (
             not attempt.home
             and attempt.job in state.jobs
-            and not _repeatable(state, attempt)
+            and not state.jobs[attempt.job].row.spec.stoppable
         ):
             for worker, count in attempt.share.items():
                 pinned[worker] = pinned.get(worker, 0) + count
@@ -187,11 +187,6 @@
     rematch(state)
 
 
-def _repeatable(state: CellState, attempt: Attempt) -> bool:
-    spec = state.jobs[attempt.job].row.spec
-    return spec.idempotent or spec.checkpointable
-
-
 def rematch(state: CellState) -> None:
     """Match running gangs to the homes of their workspaces.
 
--- a/packages/decisions/src/cicadabank/decisions/internal/holds.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/holds.py
@@ -46,8 +46,7 @@
         for name, worker in state.fleet.workers.items()
         if name not in avoided and state.worker_usable(name)
     )
-    spec = entry.row.spec
-    if not (spec.idempotent or spec.checkpointable):
+    if not entry.row.spec.stoppable:
         for name in fleet.workers:
             homed = state.fleet.workers[name].homed
             if homed:
@@ -123,7 +122,7 @@
 def _limit_for_hold(entry: JobEntry, shunned: frozenset[str], worker: Worker) -> int:
     if worker.info.name in shunned:
         return 0
-    if entry.row.spec.idempotent or entry.row.spec.checkpointable:
+    if entry.row.spec.stoppable:
         return worker.free
     return worker.info.accelerators - worker.homed
 
--- a/packages/decisions/src/cicadabank/decisions/internal/membership.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/membership.py
@@ -41,26 +41,17 @@
     if beat.full:
         _note_missing(state, beat.worker, now_s)
     state.refresh_worker(beat.worker)
-    if not beat.full and beat.digest != worker.digest():
-        return BeatAnswer(want_full=True)
-    if _report_is_due_again(state, worker, beat):
-        return BeatAnswer(want_full=True)
-    return _answer(state, worker)
-
-
-def _report_is_due_again(
-    state: CellState, worker: WorkerState, beat: BeatEvent
-) -> bool:
-    """Whether a worker must repeat what it told before the jobs were loaded.
-
-    Its reports met no attempt then, and it sends each only once. Its heartbeats are
-    taken in all the same: loading may take longer than its lease.
-    """
+    # What was told before the jobs were loaded met no attempt, and a worker tells it
+    # only once, so it is asked again. Its heartbeats are taken in all the same: loading
+    # may take longer than its lease.
     if not state.loaded:
         worker.reported_early = True
     elif beat.full:
         worker.reported_early = False
-    return worker.reported_early and state.loaded
+    unread = state.loaded and worker.reported_early
+    if not beat.full and (unread or beat.digest != worker.digest()):
+        return BeatAnswer(want_full=True)
+    return _answer(state, worker)
 
 
 def _arrive(state: CellState, beat: BeatEvent, now_s: float) -> WorkerState:
--- a/packages/decisions/src/cicadabank/decisions/internal/planner.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/planner.py
@@ -212,7 +212,7 @@
         expected_s = state.estimates.expected_s(spec.workspace, spec.estimate_s)
         if now_s + expected_s > hold.until_s:
             return 0
-    if spec.idempotent or spec.checkpointable:
+    if spec.stoppable:
         return worker.free
     return _shared_room(state, worker)
 
--- a/packages/entry/src/cicadabank/entry/internal/links.py
+++ b/packages/entry/src/cicadabank/entry/internal/links.py
@@ -10,6 +10,7 @@
 from cicadabank.agent import AgentCore, RunnerDriver
 from cicadabank.decisions import (
     BeatEvent,
+    Order,
     OrderResult,
     Report,
     SendBegin,
@@ -28,7 +29,6 @@
 DIRECT_USAGE_SILENCE_S = 2.0
 
 Reply = Callable[[OrderResult], None]
-Order = SendReserve | SendStart | SendBegin | SendStop
 NOT_ANSWERED = OrderResult(answered=False, reason="no answer")
 
 
--- a/packages/model/src/cicadabank/model/internal/jobs.py
+++ b/packages/model/src/cicadabank/model/internal/jobs.py
@@ -62,6 +62,11 @@
         """Accelerators of the whole gang."""
         return self.tasks * self.accelerators_per_task
 
+    @property
+    def stoppable(self) -> bool:
+        """Whether it may be stopped, since it can be repeated or resumed."""
+        return self.idempotent or self.checkpointable
+
 
 class Member(NamedTuple):
     """The part of a gang that runs on one worker."""
