--- a/tests/cover/test_gang_start.py
+++ b/tests/cover/test_gang_start.py
@@ -4,24 +4,17 @@
 
 import pytest
 from cicadabank.decisions import SendBegin, SendStart
-from cicadabank.model import JobSpec, JobState, Workspace
+from cicadabank.model import JobState
 
-from tests.support.world import World
+from tests.support.cells import make_world, spec
 
 LOST_START_BOUND_S = 0.0
 LOST_BEGIN_BOUND_S = 5.0
 LOST_HOLDER_BOUND_S = 15.0
 
 
-def make_world(seed=1):
-    world = World(seed)
-    world.configure(workspaces={"glaze": Workspace("glaze", 100)})
-    world.advance(4.0)
-    return world
-
-
 def submit(world, **fields):
-    return world.submit(JobSpec("glaze", tasks=8, **fields), run_s=20.0)
+    return world.submit(spec(**fields), run_s=20.0)
 
 
 class Fault:
