--- a/packages/agent/src/cicadabank/agent/internal/answers.py
+++ b/packages/agent/src/cicadabank/agent/internal/answers.py
@@ -4,7 +4,7 @@
 
 from concurrent.futures import Future, ThreadPoolExecutor
 
-from cicadabank.platform import ObjectClient, PlatformError
+from cicadabank.store import ObjectClient, PlatformError
 from loguru import logger
 
 UPLOADS_AT_ONCE = 4
--- a/packages/agent/src/cicadabank/agent/internal/app.py
+++ b/packages/agent/src/cicadabank/agent/internal/app.py
@@ -10,7 +10,7 @@
 from cicadabank.agent.internal.health import health_server
 from cicadabank.agent.internal.service import AgentService
 from cicadabank.agent.internal.task import AgentTask
-from cicadabank.platform import ObjectClient
+from cicadabank.store import ObjectClient
 from cicadabank.settings import AgentSettings
 from cicadabank.tasks import StopSignal, clock_s, configure_logs, running
 from cicadabank.wire import ChannelPool, control_pb2_grpc, serve
--- a/packages/entry/src/cicadabank/entry/errors.py
+++ b/packages/entry/src/cicadabank/entry/errors.py
@@ -9,7 +9,7 @@
     NotFoundError,
     Ran,
 )
-from cicadabank.platform import PlatformError, UnknownOutcomeError
+from cicadabank.store import PlatformError, UnknownOutcomeError
 
 
 class EntryError(CicadabankError):
--- a/packages/entry/src/cicadabank/entry/internal/config.py
+++ b/packages/entry/src/cicadabank/entry/internal/config.py
@@ -14,7 +14,7 @@
     decode_as,
     parse_resource,
 )
-from cicadabank.platform import TableClient, UnavailableError
+from cicadabank.store import TableClient, UnavailableError
 from cicadabank.tasks import Task, clock_s
 from loguru import logger
 
--- a/packages/entry/src/cicadabank/entry/internal/jobs.py
+++ b/packages/entry/src/cicadabank/entry/internal/jobs.py
@@ -36,7 +36,7 @@
     from_builtins,
     new_id,
 )
-from cicadabank.platform import (
+from cicadabank.store import (
     ObjectClient,
     PlatformError,
     RowConflictError,
--- a/packages/entry/src/cicadabank/entry/internal/record.py
+++ b/packages/entry/src/cicadabank/entry/internal/record.py
@@ -6,7 +6,7 @@
 
 from cicadabank.entry.internal.tally import InForceRow, TallyRow
 from cicadabank.model import Key, decode_as, to_builtins
-from cicadabank.platform import TableClient
+from cicadabank.store import TableClient
 
 
 class RecordService:
--- a/packages/entry/src/cicadabank/entry/internal/requests.py
+++ b/packages/entry/src/cicadabank/entry/internal/requests.py
@@ -31,7 +31,7 @@
     encode,
     new_id,
 )
-from cicadabank.platform import (
+from cicadabank.store import (
     ObjectClient,
     PlatformError,
     RowConflictError,
--- a/packages/entry/src/cicadabank/entry/internal/resources.py
+++ b/packages/entry/src/cicadabank/entry/internal/resources.py
@@ -27,7 +27,7 @@
     parse_resource,
     to_builtins,
 )
-from cicadabank.platform import (
+from cicadabank.store import (
     PlatformError,
     Row,
     RowConflictError,
--- a/packages/entry/src/cicadabank/entry/internal/session.py
+++ b/packages/entry/src/cicadabank/entry/internal/session.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 from cicadabank.model import Key, decode_as, encode, new_id
-from cicadabank.platform import (
+from cicadabank.store import (
     PlatformError,
     Row,
     RowConflictError,
--- a/packages/entry/src/cicadabank/entry/internal/store.py
+++ b/packages/entry/src/cicadabank/entry/internal/store.py
@@ -7,7 +7,7 @@
 
 from cicadabank.decisions import CommitJob, CommitStatus
 from cicadabank.model import JobRow, Key, decode_as, encode
-from cicadabank.platform import (
+from cicadabank.store import (
     ObjectClient,
     PlatformError,
     Row,
--- a/packages/entry/src/cicadabank/entry/internal/summaries.py
+++ b/packages/entry/src/cicadabank/entry/internal/summaries.py
@@ -5,7 +5,7 @@
 from cicadabank.decisions import WorkerInfo
 from cicadabank.entry.internal.summary import CellSummary, SummaryHead
 from cicadabank.model import Key, decode_as
-from cicadabank.platform import TableClient, UnavailableError
+from cicadabank.store import TableClient, UnavailableError
 from cicadabank.tasks import Task, clock_s
 from loguru import logger
 
--- a/packages/entry/src/cicadabank/entry/internal/tally.py
+++ b/packages/entry/src/cicadabank/entry/internal/tally.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from cicadabank.model import Key, encode, new_id
-from cicadabank.platform import PlatformError, TableClient, Transaction
+from cicadabank.store import PlatformError, TableClient, Transaction
 from cicadabank.tasks import Task, unix_s
 from loguru import logger
 
--- a/packages/platform/src/cicadabank/platform/__init__.py
+++ b/packages/store/src/cicadabank/store/__init__.py
@@ -1,14 +1,14 @@
 """Clients of the platform's table and object services."""
 
-from cicadabank.platform.errors import (
+from cicadabank.store.errors import (
     PlatformError,
     RowConflictError,
     UnavailableError,
     UnknownOutcomeError,
 )
-from cicadabank.platform.internal.objects import ObjectClient
-from cicadabank.platform.internal.rows import Row, Transaction, put_new
-from cicadabank.platform.internal.table import TableClient
+from cicadabank.store.internal.objects import ObjectClient
+from cicadabank.store.internal.rows import Row, Transaction, put_new
+from cicadabank.store.internal.table import TableClient
 
 __all__ = [
     "ObjectClient",
--- a/packages/platform/src/cicadabank/platform/internal/objects.py
+++ b/packages/store/src/cicadabank/store/internal/objects.py
@@ -4,7 +4,7 @@
 
 import grpc
 from cicadabank.model import NotFoundError
-from cicadabank.platform.errors import UnavailableError
+from cicadabank.store.errors import UnavailableError
 from cicadabank.wire import ChannelPool, platform_pb2, platform_pb2_grpc
 from tenacity import (
     Retrying,
--- a/packages/platform/src/cicadabank/platform/internal/table.py
+++ b/packages/store/src/cicadabank/store/internal/table.py
@@ -5,12 +5,12 @@
 from collections.abc import Iterable
 
 import grpc
-from cicadabank.platform.errors import (
+from cicadabank.store.errors import (
     RowConflictError,
     UnavailableError,
     UnknownOutcomeError,
 )
-from cicadabank.platform.internal.rows import Row, Transaction, seal, unseal
+from cicadabank.store.internal.rows import Row, Transaction, seal, unseal
 from cicadabank.wire import ChannelPool, platform_pb2, platform_pb2_grpc
 from tenacity import (
     Retrying,
--- a/tests/cover/test_resources.py
+++ b/tests/cover/test_resources.py
@@ -6,7 +6,7 @@
 from cicadabank.entry.internal.resources import Change, ResourceService
 from cicadabank.local import Ports
 from cicadabank.model import ConflictError
-from cicadabank.platform import TableClient, UnknownOutcomeError
+from cicadabank.store import TableClient, UnknownOutcomeError
 from cicadabank.standin import serve_store
 
 
--- a/tests/processes/test_entry_stop.py
+++ b/tests/processes/test_entry_stop.py
@@ -9,7 +9,7 @@
 import pytest
 from cicadabank.client import ApiError, Client
 from cicadabank.model import Key, decode
-from cicadabank.platform import TableClient
+from cicadabank.store import TableClient
 
 from tests.support.deployments import bench_running, in_force
 
