--- /dev/null
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -0,0 +1,320 @@
+"""The agent's process: heartbeats in, calls to the target, reports to the holder."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack, contextmanager
+from typing import NamedTuple, Protocol
+
+import grpc
+from cicadabank.control.internal.feed import following
+from cicadabank.control.internal.holding import log_event
+from cicadabank.control.internal.steward import (
+    Call,
+    Listing,
+    StartOutcome,
+    Steward,
+    TargetBeat,
+)
+from cicadabank.entry.internal.http.front import HttpTask
+from cicadabank.entry.internal.http.messages import ApiCall, ApiReply
+from cicadabank.model import new_id
+from cicadabank.scheduling import AGENT, AgentRow, RunId, pack
+from cicadabank.settings import Limits
+from cicadabank.store import PartitionedTable, PlatformError
+from cicadabank.tasks import StopSignal, Task, clock_s, configure_logs, running
+from cicadabank.wire import ChannelPool, fleet_pb2, fleet_pb2_grpc, serve
+from loguru import logger
+
+TICK_S = 0.15
+# The target answers sooner when something ends, so a longer wait only delays leases.
+HOLD_WAIT_S = 1.0
+REPORT_INTERVAL_S = 1.0
+REPORT_TIMEOUT_S = 0.9
+# Between reports while the holder doesn't answer.
+REPORT_RETRY_S = 0.3
+ANNOUNCE_RETRY_S = 0.7
+CALL_THREADS = 6
+ORDER_THREADS = 4
+BEAT_LIMITS = Limits(body_bytes=4_194_304, open_requests=8, connections=64)
+
+
+class TargetCalls(Protocol):
+    """The calls to a target; implemented by an adapter."""
+
+    def start(
+        self,
+        run: RunId,
+        payload: str,
+        checkpoint: str,
+        until_target_s: float,
+        fence: int,
+        target: str,
+    ) -> StartOutcome:
+        """Start a run; never raises for an answer that didn't come."""
+
+    def stop(self, run: RunId, fence: int, target: str) -> bool:
+        """Stop a run; return whether the target has taken it in."""
+
+    def hold(
+        self,
+        fence: int,
+        recorded: int,
+        until_target_s: float | None,
+        wait_s: float,
+        target: str,
+    ) -> Listing:
+        """Prolong the lease and list what runs and has ended.
+
+        Raises
+        ------
+        PlatformError
+            If no usable answer came.
+        """
+
+
+class AgentParts(NamedTuple):
+    """What an agent is built from.
+
+    Attributes
+    ----------
+    control : str
+        Where the target sends its heartbeats.
+    peer : str
+        Where entries send orders.
+    dispatch_for : callable
+        Returns what answers the target's heartbeats from an agent.
+    """
+
+    name: str
+    cell: str
+    control: str
+    peer: str
+    cells: PartitionedTable
+    calls: TargetCalls
+    dispatch_for: Callable[[AgentTask], Callable[[ApiCall], ApiReply]]
+
+
+class AgentTask(Task):
+    """Owns the steward; all others talk to it by messages."""
+
+    def __init__(self, parts: AgentParts):
+        super().__init__(TICK_S)
+        self.parts = parts
+        self.steward = Steward(parts.peer, new_id("agent"), parts.cell)
+        self.news = threading.Event()
+        self.known = threading.Event()  # a target has registered
+        self._threads = ThreadPoolExecutor(CALL_THREADS, "target")
+
+    def on_beat(self, beat: TargetBeat) -> None:
+        """Take in a heartbeat of the target."""
+        before = self.steward.incarnation
+        if self.steward.on_beat(beat, clock_s()):
+            log_event(
+                "target_beat",
+                target=beat.target,
+                incarnation=self.steward.incarnation,
+                before=before,
+                draining=beat.draining,
+                remaining_s=beat.remaining_s,
+            )
+            self.news.set()
+        self.known.set()
+
+    def on_left(self, target: str) -> None:
+        """Take in that the target ends."""
+        if self.steward.on_left(target):
+            log_event("target_left", target=target)
+            self.news.set()
+
+    def on_orders(self, batch: fleet_pb2.OrderBatch) -> fleet_pb2.OrderReply:
+        """Take in orders of a holder."""
+        new_epoch = batch.epoch > self.steward.epoch
+        accepted = self.steward.on_orders(batch, clock_s())
+        if new_epoch:
+            log_event("holder_found", epoch=batch.epoch, holder=batch.holder)
+        if batch.starts or batch.stops:
+            log_event(
+                "orders_taken",
+                epoch=batch.epoch,
+                accepted=accepted,
+                starts=[s.id.job + f".{s.id.step}.{s.id.index}" for s in batch.starts],
+                stops=[s.job + f".{s.step}.{s.index}" for s in batch.stops],
+            )
+        else:
+            self.news.set()
+        if self.steward.has_news():
+            self.news.set()
+        self._make_calls()
+        return fleet_pb2.OrderReply(
+            epoch=self.steward.epoch,
+            accepted=accepted,
+            incarnation=self.steward.incarnation,
+        )
+
+    def on_tick(self) -> None:
+        """Repeat calls that brought no answer."""
+        self._make_calls()
+
+    def _make_calls(self) -> None:
+        now_s = clock_s()
+        for call in self.steward.calls(now_s):
+            until_s = self.steward.until_target_s(now_s)
+            beat = self.steward.beat
+            self._threads.submit(
+                self._call, call, until_s, self.steward.epoch, beat.target
+            )
+
+    def _call(self, call: Call, until_s: float, epoch: int, target: str) -> None:
+        """Make one call in a thread."""
+        calls = self.parts.calls
+        try:
+            if call.kind == "stop":
+                known = calls.stop(call.run, epoch, target)
+                self.post(self._stopped, call, known)
+                if known:
+                    self.hold(0.0)
+            else:
+                outcome = calls.start(
+                    call.run, call.payload, call.checkpoint, until_s, epoch, target
+                )
+                self.post(self._started, call, outcome)
+        except PlatformError as error:
+            logger.bind(event="call_failed", **call.run._asdict()).warning("{}", error)
+            self.post(self._failed, call)
+        except Exception:
+            logger.exception("a call to the target failed")
+            self.post(self._failed, call)
+
+    def _started(self, call: Call, outcome: StartOutcome) -> None:
+        self.steward.on_started(call.run, outcome, clock_s())
+        log_event("start_answered", **call.run._asdict(), **outcome._asdict())
+        if outcome.refused:
+            self.news.set()
+
+    def _stopped(self, call: Call, known: bool) -> None:
+        self.steward.on_stopped(call.run, known, clock_s())
+        log_event("stop_answered", **call.run._asdict(), known=known)
+
+    def _failed(self, call: Call) -> None:
+        if call.kind == "stop":
+            self.steward.on_stopped(call.run, False, clock_s())
+        else:
+            self.steward.on_started(call.run, StartOutcome(False), clock_s())
+
+    def _hold_arguments(self) -> tuple | None:
+        steward = self.steward
+        if steward.beat is None or steward.left:
+            return None
+        until_s = steward.until_target_s(clock_s())
+        return steward.epoch, steward.recorded, until_s, steward.beat.target
+
+    def hold(self, wait_s: float) -> None:
+        """Prolong the target's lease and take in its lists."""
+        arguments = self.ask(self._hold_arguments)
+        if arguments is None:
+            self.known.clear()
+            return
+        epoch, recorded, until_s, target = arguments
+        asked_s = clock_s()
+        # Without a lease to prolong, the first answer is needed for the target's clock.
+        wait_s = wait_s if until_s is not None else min(wait_s, 0.2)
+        listing = self.parts.calls.hold(epoch, recorded, until_s, wait_s, target)
+        self.post(self._listed, listing, asked_s)
+
+    def hold_step(self) -> None:
+        """Hold once a target is known."""
+        if self.known.wait(1.0):
+            self.hold(HOLD_WAIT_S)
+
+    def _listed(self, listing: Listing, asked_s: float) -> None:
+        if self.steward.on_listing(listing, asked_s, clock_s()):
+            self.news.set()
+        self._make_calls()
+
+    def _report(self) -> tuple[str, fleet_pb2.TargetReport | None]:
+        return self.steward.holder, self.steward.report(clock_s())
+
+    def report_step(self, pool: ChannelPool) -> None:
+        """Report when there is news, or when the interval is over."""
+        self.news.wait(REPORT_INTERVAL_S)
+        self.news.clear()
+        holder, message = self.ask(self._report)
+        if not holder or message is None:
+            return
+        sent_s = clock_s()
+        try:
+            stub = fleet_pb2_grpc.HolderStub(pool.get(holder))
+            reply = stub.Report(message, timeout=REPORT_TIMEOUT_S)
+        except grpc.RpcError as error:
+            if error.code() == grpc.StatusCode.DEADLINE_EXCEEDED:
+                pool.drop(holder)
+            logger.bind(event="report_failed", holder=holder).warning(
+                "{}", error.code().name
+            )
+            time.sleep(REPORT_RETRY_S)
+            self.news.set()
+            return
+        self.post(self._replied, reply, sent_s)
+
+    def _replied(self, reply: fleet_pb2.ReportReply, sent_s: float) -> None:
+        self.steward.on_reply(reply, sent_s)
+        self._make_calls()
+
+    def announce(self) -> bool:
+        """Write where this agent listens; return whether that is stored."""
+        row = pack(AgentRow(self.parts.peer))
+        try:
+            self.parts.cells.commit(
+                self.parts.cell, {}, {AGENT + self.parts.peer: row}
+            )
+        except PlatformError as error:
+            logger.bind(event="announce_failed").warning("{}", error)
+            return False
+        log_event("announced", address=self.parts.peer, cell=self.parts.cell)
+        return True
+
+
+class StewardService(fleet_pb2_grpc.StewardServicer):
+    """Takes holders' orders."""
+
+    def __init__(self, task: AgentTask):
+        self._task = task
+
+    def Order(self, request, context):  # noqa: N802 (named by the protocol)
+        """Hand orders to the agent's task."""
+        return self._task.ask(self._task.on_orders, request, timeout_s=5.0)
+
+
+def _announce(task: AgentTask) -> None:
+    while not task.announce():
+        time.sleep(ANNOUNCE_RETRY_S)
+
+
+@contextmanager
+def agent_running(parts: AgentParts) -> Iterator[AgentTask]:
+    """Run an agent in this process until the block ends."""
+    pool = ChannelPool()
+    task = AgentTask(parts)
+    beats = HttpTask(parts.control, parts.dispatch_for(task), BEAT_LIMITS)
+    service = (fleet_pb2_grpc.add_StewardServicer_to_server, StewardService(task))
+    with ExitStack() as stack:
+        stack.enter_context(running(task))
+        stack.enter_context(serve(parts.peer, [service], ORDER_THREADS))
+        stack.enter_context(running(beats))
+        stack.enter_context(following("hold", task.hold_step))
+        stack.enter_context(following("reports", lambda: task.report_step(pool)))
+        threading.Thread(target=_announce, args=(task,), daemon=True).start()
+        yield task
+
+
+def run_agent(parts: AgentParts, log_level: str = "INFO") -> None:
+    """Run an agent until the process is asked to stop."""
+    configure_logs(parts.name, log_level)
+    with StopSignal().on_signals() as stop, agent_running(parts):
+        log_event("agent_started", control=parts.control, peer=parts.peer)
+        stop.wait()
+    log_event("agent_stopped")
--- /dev/null
+++ b/packages/control/src/cicadabank/control/internal/desk.py
@@ -0,0 +1,261 @@
+"""The job desk: callers' requests, decided from the replica and the store."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from cicadabank.control.errors import (
+    InvalidJobError,
+    NoConfigError,
+    NoJobError,
+    NoRouteError,
+    OutcomeUnknownError,
+    StoreAwayError,
+    UnknownKeyError,
+)
+from cicadabank.control.internal.feed import OperatorView
+from cicadabank.control.internal.replica import Replica
+from cicadabank.scheduling import (
+    CANCEL,
+    JOB,
+    RUN,
+    CancelRow,
+    JobRecord,
+    RouteView,
+    RunRow,
+    StepSpec,
+    pack,
+    unpack,
+)
+from cicadabank.store import (
+    PartitionedTable,
+    PlatformError,
+    RowConflictError,
+    UnavailableError,
+    UnknownOutcomeError,
+)
+from cicadabank.tasks import clock_s
+from loguru import logger
+
+# Left of a caller's deadline for the answer to travel.
+ANSWER_MARGIN_S = 0.25
+RETRY_PAUSE_S = 0.06
+# A store that turns a write away is asked this often before the caller is.
+TRIES_WHEN_REFUSED = 2
+STATES_OVER_CANCEL = ("completed", "failed", "cancelled")
+
+
+class JobRequest(NamedTuple):
+    """A job as its caller sends it."""
+
+    job: str
+    workspace: str
+    payload: str
+    steps: tuple[StepSpec, ...]
+
+
+class JobDesk:
+    """Accepts, shows and cancels jobs.
+
+    Parameters
+    ----------
+    operator : callable
+        Returns what the operators want at present.
+    """
+
+    def __init__(
+        self,
+        table: PartitionedTable,
+        replica: Replica,
+        operator: Callable[[], OperatorView],
+    ):
+        self._table = table
+        self._replica = replica
+        self._operator = operator
+
+    def route(self, host: str, path: str) -> tuple[RouteView, str]:
+        """Return the route of a request, by the longest prefix, and what follows it.
+
+        Raises
+        ------
+        NoConfigError, NoRouteError
+        """
+        config = self._operator().config
+        if config is None:
+            raise NoConfigError("no configuration is known yet", "ask another entry")
+        best: RouteView | None = None
+        for route in config.routes:
+            if route.host in ("", host) and path.startswith(route.path_prefix):
+                if best is None or len(route.path_prefix) > len(best.path_prefix):
+                    best = route
+        if best is None:
+            raise NoRouteError("no queue belongs to this host and path")
+        return best, path[len(best.path_prefix) :]
+
+    def authorize(self, route: RouteView, key: str) -> str:
+        """Return the workspace that a key belongs to; empty on a public route.
+
+        Raises
+        ------
+        UnknownKeyError
+            If the key is not in the configuration.
+        """
+        config = self._operator().config
+        for workspace in config.workspaces if config else ():
+            if key and key in workspace.keys:
+                return workspace.name
+        if route.public:
+            return ""
+        raise UnknownKeyError("the key is not in the configuration")
+
+    def submit(self, route: RouteView, request: JobRequest, deadline_s: float) -> None:
+        """Accept a job: it is stored when this returns.
+
+        Raises
+        ------
+        StoreAwayError
+            If it is certain that the job isn't and won't be stored.
+        OutcomeUnknownError
+            If it may have been stored.
+        """
+        _check(request.steps)
+        queue = route.queue
+        if self._known(request.job, queue.name):
+            return
+        record = JobRecord(
+            request.job,
+            queue.name,
+            request.workspace,
+            self._replica.store_now_s(),
+            request.payload,
+            request.steps,
+        )
+        key = JOB + request.job
+        until_s = clock_s() + deadline_s - ANSWER_MARGIN_S
+        try:
+            self._write(queue.cell, {key: 0}, {key: pack(record)}, until_s)
+        except RowConflictError as error:
+            stored = error.rows.get(key)
+            if stored is not None and stored.value is not None:
+                if unpack(stored.value, JobRecord).queue != queue.name:
+                    raise InvalidJobError("another queue has a job of this id") from error
+            return
+        logger.bind(
+            event="job_accepted",
+            job=request.job,
+            queue=queue.name,
+            workspace=request.workspace,
+            config_version=self._operator().config.version,
+            steps=[
+                [s.count, *s.need, s.estimate_s, s.gang, s.same_rack]
+                for s in request.steps
+            ],
+        ).info("accepted")
+
+    def _known(self, job: str, queue: str) -> bool:
+        cell = self._replica.cell_of.get(job)
+        record = self._replica.cells[cell].jobs.get(job) if cell else None
+        return record is not None and record.queue == queue
+
+    def _write(
+        self,
+        cell: str,
+        expected: dict[str, int],
+        puts: dict[str, bytes],
+        until_s: float,
+    ) -> None:
+        """Write with the same conditions until the outcome is certain."""
+        uncertain = False
+        refused = 0
+        while True:
+            try:
+                self._table.commit(cell, expected, puts)
+                return
+            except RowConflictError:
+                raise
+            except UnavailableError as error:
+                refused += 1
+                if not uncertain and refused >= TRIES_WHEN_REFUSED:
+                    raise StoreAwayError(
+                        f"the store is away: {error.message}", "come back in a second"
+                    ) from error
+            except UnknownOutcomeError:
+                uncertain = True
+            if clock_s() >= until_s:
+                raise OutcomeUnknownError(
+                    "the store did not say whether it wrote", "ask again"
+                )
+            time.sleep(RETRY_PAUSE_S)
+
+    def state(self, route: RouteView, job: str) -> str:
+        """Return the state of a job.
+
+        Raises
+        ------
+        NoJobError
+            If the store has no such job.
+        """
+        queue = route.queue
+        if not self._known(job, queue.name):
+            return self._stored_state(queue.cell, queue.name, job)
+        rows = self._replica.cells[self._replica.cell_of[job]]
+        stored = rows.runs.get(job)
+        return _shown(stored.row if stored else None, job in rows.cancelled)
+
+    def _stored_state(self, cell: str, queue: str, job: str) -> str:
+        try:
+            found = self._read(cell, JOB + job)
+            if found is None or unpack(found, JobRecord).queue != queue:
+                raise NoJobError("no such job exists")
+            run = self._read(cell, RUN + job)
+            cancelled = self._read(cell, CANCEL + job) is not None
+        except PlatformError as error:
+            raise StoreAwayError(f"the store is away: {error.message}") from error
+        return _shown(None if run is None else unpack(run, RunRow), cancelled)
+
+    def _read(self, cell: str, key: str) -> bytes | None:
+        rows = self._table.read(cell, key, key + "\x00").rows
+        return rows[0].value if rows else None
+
+    def cancel(self, route: RouteView, job: str, deadline_s: float) -> None:
+        """Cancel a job; its holder stops what runs of it.
+
+        Raises
+        ------
+        NoJobError
+            If the store has no such job.
+        """
+        if self.state(route, job) in STATES_OVER_CANCEL:
+            return
+        cell = self._replica.cell_of.get(job, route.queue.cell)
+        row = pack(CancelRow(self._replica.store_now_s()))
+        until_s = clock_s() + deadline_s - ANSWER_MARGIN_S
+        self._write(cell, {}, {CANCEL + job: row}, until_s)
+        logger.bind(event="cancel_accepted", job=job).info("cancel accepted")
+
+    def waiting(self, route: RouteView) -> int:
+        """Return how many accepted jobs of a queue have started no task."""
+        rows = self._replica.cells.get(route.queue.cell)
+        if rows is None:
+            return 0
+        count = 0
+        for job, record in list(rows.jobs.items()):
+            run = rows.runs.get(job)
+            begun = run is not None and (run.row.started or run.row.ended_s)
+            if record.queue == route.queue.name and not begun:
+                count += job not in rows.cancelled
+        return count
+
+
+def _shown(run: RunRow | None, cancelled: bool) -> str:
+    state = run.state if run else "pending"
+    return "cancelled" if cancelled and state not in STATES_OVER_CANCEL else state
+
+
+def _check(steps: tuple[StepSpec, ...]) -> None:
+    """Check that every step comes after earlier ones only."""
+    for number, step in enumerate(steps):
+        if any(not 0 <= before < number for before in step.after):
+            raise InvalidJobError(f"step {number} comes after a later or unknown step")
--- /dev/null
+++ b/packages/control/src/cicadabank/control/internal/entry.py
@@ -0,0 +1,305 @@
+"""The entry's process: front, job desk, and the cells that it holds."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack, contextmanager
+from typing import NamedTuple
+
+from cicadabank.control.internal.desk import JobDesk
+from cicadabank.control.internal.feed import (
+    CellsFeed,
+    OperatorFeed,
+    OperatorView,
+    following,
+)
+from cicadabank.control.internal.holding import CellTask, log_event
+from cicadabank.control.internal.replica import CellRows, Replica
+from cicadabank.entry.internal.http.front import HttpTask
+from cicadabank.entry.internal.http.messages import ApiCall, ApiReply
+from cicadabank.scheduling import HOLDER, LEASE, HolderRow, LeaseRow, Timings, pack
+from cicadabank.settings import Limits
+from cicadabank.store import PartitionedTable, PlatformError, StoredRow
+from cicadabank.tasks import StopSignal, Task, clock_s, configure_logs, running
+from cicadabank.wire import ChannelPool, fleet_pb2, fleet_pb2_grpc, serve
+from loguru import logger
+
+TICK_S = 0.1
+# A cell whose holder has not renewed its lease for this long is taken over; three
+# renewals fit in.
+HOLDER_LEASE_S = 2.6
+# An entry that has not heard the store for longer turns callers away to others.
+READY_AGE_S = 2.2
+SERVER_THREADS = 8
+FRONT_LIMITS = Limits(body_bytes=1_048_576, open_requests=24, connections=2_000)
+READY_LIMITS = Limits(open_requests=4)
+REPORT_TIMEOUT_S = 2.0
+# Readiness is asked for once a second, and two misses take an entry out.
+DRAIN_S = 2.5
+DRAIN_POLL_S = 0.05
+
+
+class EntryParts(NamedTuple):
+    """What an entry is built from.
+
+    Attributes
+    ----------
+    front, ready : str
+        Where callers connect, and where the balancer asks for readiness.
+    peer : str
+        Where agents report.
+    cells : PartitionedTable
+        The system's own rows.
+    operator : PartitionedTable
+        What the operators write.
+    read_operator : callable
+        Decodes the operators' rows.
+    dispatch_for : callable
+        Returns what answers callers' requests from a job desk.
+    """
+
+    name: str
+    front: str
+    ready: str
+    peer: str
+    stop_grace_s: float
+    cells: PartitionedTable
+    operator: PartitionedTable
+    read_operator: Callable[[dict[str, StoredRow]], OperatorView]
+    dispatch_for: Callable[[JobDesk], Callable[[ApiCall], ApiReply]]
+    timings: Timings = Timings()
+
+
+class HolderService(fleet_pb2_grpc.HolderServicer):
+    """Takes agents' reports."""
+
+    def __init__(self, entry: EntryTask):
+        self._entry = entry
+
+    def Report(self, request, context):  # noqa: N802 (named by the protocol)
+        """Answer a report, or name the entry that holds the cell."""
+        task = self._entry.held.get(request.cell)
+        if task is None:
+            holder = self._entry.replica.cell(request.cell).holder
+            address = holder.address if holder else ""
+            return fleet_pb2.ReportReply(accepted=False, holder=address)
+        return task.ask(task.on_report, request, timeout_s=REPORT_TIMEOUT_S)
+
+
+class EntryTask(Task):
+    """Takes over cells without a holder, and tells held ones of changes."""
+
+    def __init__(self, parts: EntryParts, pool: ChannelPool):
+        super().__init__(TICK_S)
+        self.parts = parts
+        self.replica = Replica()
+        self.operator = OperatorView(None, frozenset())
+        self.held: dict[str, CellTask] = {}
+        self._stacks: dict[str, ExitStack] = {}
+        self._pool = pool
+        self._takers = ThreadPoolExecutor(2, "takeover")
+        self._taking: set[str] = set()
+        self._loading: dict[str, CellTask] = {}
+        self.stopping = False
+
+    def on_change(self, cell: str, kind: str, name: str) -> None:
+        """Take in a row that has changed; called by the feed's thread."""
+        task = self.held.get(cell)
+        if task is not None and kind in ("job", "cancel", "agent"):
+            task.post(task.on_row, kind, name)
+        elif kind == HOLDER:
+            self.post(self._holder_changed, cell)
+
+    def on_operator(self, view: OperatorView) -> None:
+        """Take in what the operators want; called by the feed's thread."""
+        before = self.operator.config
+        if before is not None and view.config is not None:
+            if view.config.version < before.version:
+                return
+        self.operator = view
+        log_event(
+            "operator_view",
+            version=view.config.version if view.config else None,
+            domains_out=sorted(view.domains_out),
+            routes=len(view.config.routes) if view.config else 0,
+        )
+        for task in list(self.held.values()):
+            task.post(task.on_operator, view)
+        self.post(self._look_for_cells)
+
+    def on_tick(self) -> None:
+        """Look for cells whose holder is gone."""
+        self._look_for_cells()
+
+    def _look_for_cells(self) -> None:
+        replica = self.replica
+        if not replica.loaded or self.stopping or self.operator.config is None:
+            return
+        if replica.age_s() > READY_AGE_S:
+            return
+        names = {q.cell for q in self.operator.config.queues().values()}
+        for cell in names | set(replica.cells):
+            if cell not in self.held and cell not in self._taking:
+                if self._is_free(replica.cell(cell)):
+                    self._take_over(cell)
+
+    def _is_free(self, rows: CellRows) -> bool:
+        """Whether a cell's holder has given it up, or has let its lease lapse.
+
+        Time in which this process was out of touch with the store doesn't count: the
+        lease may have been renewed meanwhile.
+        """
+        if rows.holder is None or not rows.holder.address:
+            return True
+        seen_s = max(rows.lease_seen_s, self.replica.contact_since_s)
+        return self.replica.store_now_s() - seen_s > HOLDER_LEASE_S
+
+    def _take_over(self, cell: str) -> None:
+        rows = self.replica.cell(cell)
+        epoch = (rows.holder.epoch if rows.holder else 0) + 1
+        self._taking.add(cell)
+        log_event(
+            "cell_takeover",
+            cell=cell,
+            epoch=epoch,
+            before=rows.holder.entry if rows.holder else "",
+            lease_age_s=round(self.replica.store_now_s() - rows.lease_seen_s, 3),
+        )
+        future = self._takers.submit(self._write_holder, cell, epoch, self.parts.peer)
+        future.add_done_callback(lambda f: self.post(self._taken, cell, epoch, f))
+
+    def _write_holder(self, cell: str, epoch: int, address: str) -> int:
+        rows = self.replica.cell(cell)
+        holder = HolderRow(epoch, self.parts.name, address)
+        lease = LeaseRow(epoch, self.replica.store_now_s())
+        return self.parts.cells.commit(
+            cell,
+            {HOLDER: rows.holder_version if rows.holder else 0},
+            {HOLDER: pack(holder), LEASE: pack(lease)},
+        )
+
+    def _taken(self, cell: str, epoch: int, future) -> None:
+        self._taking.discard(cell)
+        error = future.exception()
+        if error is not None:
+            level = "INFO" if isinstance(error, PlatformError) else "ERROR"
+            logger.bind(event="takeover_failed", cell=cell).log(level, "{!r}", error)
+            return
+        self._hold(cell, epoch, future.result())
+
+    def _hold(self, cell: str, epoch: int, version: int) -> None:
+        task = CellTask(
+            cell,
+            epoch,
+            version,
+            self.parts.peer,
+            self.parts.cells,
+            self.replica,
+            self._pool,
+            lambda lost: self.post(self._let_go, lost),
+            self.parts.timings,
+        )
+        stack = ExitStack()
+        stack.callback(task.close)
+        stack.enter_context(running(task))
+        self._stacks[cell] = stack
+        self._loading[cell] = task
+        self.held[cell] = task
+        self._load_if_current(cell)
+
+    def _holder_changed(self, cell: str) -> None:
+        rows = self.replica.cell(cell)
+        task = self.held.get(cell)
+        if task is None:
+            # The answer to a takeover may have been lost, while it took effect.
+            mine = rows.holder is not None and rows.holder.address == self.parts.peer
+            if mine and cell not in self._taking and not self.stopping:
+                self._take_over(cell)
+            return
+        if rows.holder.epoch > task.epoch:
+            self._let_go(cell)
+        else:
+            self._load_if_current(cell)
+
+    def _load_if_current(self, cell: str) -> None:
+        """Load a cell once the replica has everything up to its takeover."""
+        task = self._loading.get(cell)
+        rows = self.replica.cell(cell)
+        if task is not None and rows.holder and rows.holder.epoch >= task.epoch:
+            del self._loading[cell]
+            task.post(task.load, self.operator)
+
+    def _let_go(self, cell: str) -> None:
+        task = self.held.pop(cell, None)
+        self._loading.pop(cell, None)
+        if task is not None:
+            log_event("cell_let_go", cell=cell, epoch=task.epoch)
+            self._stacks.pop(cell).close()
+
+    def hand_over(self) -> None:
+        """Give all cells up, so that others take them at once."""
+        self.stopping = True
+        for cell, task in list(self.held.items()):
+            task.ask(task.stop_placing)
+            try:
+                self.parts.cells.commit(
+                    cell,
+                    {HOLDER: task._version},
+                    {HOLDER: pack(HolderRow(task.epoch, self.parts.name, ""))},
+                )
+            except PlatformError as error:
+                logger.bind(event="hand_over_failed", cell=cell).warning("{}", error)
+            self._let_go(cell)
+
+    def ready(self) -> bool:
+        """Whether callers are served well here."""
+        replica = self.replica
+        heard = replica.loaded and replica.age_s() < READY_AGE_S
+        return heard and self.operator.config is not None and not self.stopping
+
+
+def _ready_dispatch(task: EntryTask) -> Callable[[ApiCall], ApiReply]:
+    def dispatch(call: ApiCall) -> ApiReply:
+        return ApiReply(200 if task.ready() else 503, b"{}")
+
+    return dispatch
+
+
+@contextmanager
+def entry_running(parts: EntryParts) -> Iterator[EntryTask]:
+    """Run an entry in this process until the block ends; then drain it."""
+    pool = ChannelPool()
+    task = EntryTask(parts, pool)
+    cells = CellsFeed(parts.cells, task.replica, task.on_change, lambda: None)
+    operator = OperatorFeed(parts.operator, parts.read_operator, task.on_operator)
+    desk = JobDesk(parts.cells, task.replica, lambda: task.operator)
+    front = HttpTask(parts.front, parts.dispatch_for(desk), FRONT_LIMITS)
+    ready = HttpTask(parts.ready, _ready_dispatch(task), READY_LIMITS)
+    service = (fleet_pb2_grpc.add_HolderServicer_to_server, HolderService(task))
+    with ExitStack() as stack:
+        stack.enter_context(running(task))
+        stack.enter_context(following("cells", cells.step))
+        stack.enter_context(following("operator", operator.step))
+        stack.enter_context(serve(parts.peer, [service], SERVER_THREADS))
+        stack.enter_context(running(ready))
+        stack.enter_context(running(front))
+        yield task
+        log_event("entry_drains")
+        front.closing = True
+        stop_s = clock_s()
+        task.ask(task.hand_over)
+        while clock_s() - stop_s < parts.stop_grace_s - 1.5:
+            if clock_s() - stop_s >= DRAIN_S and not front.open_requests:
+                break
+            time.sleep(DRAIN_POLL_S)
+
+
+def run_entry(parts: EntryParts, log_level: str = "INFO") -> None:
+    """Run an entry until the process is asked to stop."""
+    configure_logs(parts.name, log_level)
+    with StopSignal().on_signals() as stop, entry_running(parts):
+        log_event("entry_started", front=parts.front, peer=parts.peer)
+        stop.wait()
+    log_event("entry_stopped")
--- /dev/null
+++ b/packages/control/src/cicadabank/control/internal/translate.py
@@ -0,0 +1,67 @@
+"""Between the messages on the wire and the types of the decisions."""
+
+from __future__ import annotations
+
+from cicadabank.scheduling import (
+    EndedRun,
+    Need,
+    Place,
+    Report,
+    RunId,
+    RunningRun,
+    Start,
+)
+from cicadabank.wire import fleet_pb2
+
+
+def run_of(message: fleet_pb2.RunId) -> RunId:
+    """Read the id of a run."""
+    return RunId(message.job, message.step, message.index, message.run)
+
+
+def message_of(run: RunId) -> fleet_pb2.RunId:
+    """Write the id of a run."""
+    return fleet_pb2.RunId(job=run.job, step=run.step, index=run.index, run=run.run)
+
+
+def report_of(message: fleet_pb2.TargetReport) -> Report:
+    """Read an agent's report."""
+    return Report(
+        agent=message.agent,
+        agent_run=message.agent_run,
+        number=message.number,
+        place=Place(message.target, message.incarnation, message.agent),
+        domain=message.domain,
+        capacity=Need(message.cpu_millicores, message.memory_mb, message.accelerators),
+        labels=tuple(message.labels),
+        rack=message.rack,
+        draining=message.draining,
+        remaining_s=message.remaining_s,
+        observed=message.observed,
+        unhealthy=message.unhealthy,
+        leaving=message.leaving,
+        running=tuple(
+            RunningRun(run_of(run.id), run.checkpoint, run.percent)
+            for run in message.running
+        ),
+        ended=tuple(
+            EndedRun(end.sequence, run_of(end.id), end.how, end.checkpoint)
+            for end in message.ended
+        ),
+        pending=tuple(run_of(run) for run in message.pending),
+        refused=tuple((run_of(run.id), run.reason) for run in message.refused),
+        gone=tuple(run_of(run) for run in message.gone),
+    )
+
+
+def start_message(start: Start) -> fleet_pb2.StartRun:
+    """Write an order to start."""
+    cpu_millicores, memory_mb, accelerators = start.need
+    return fleet_pb2.StartRun(
+        id=message_of(start.id),
+        spec=start.payload,
+        checkpoint=start.checkpoint,
+        cpu_millicores=cpu_millicores,
+        memory_mb=memory_mb,
+        accelerators=accelerators,
+    )
--- a/packages/entry/src/cicadabank/entry/internal/http/front.py
+++ b/packages/entry/src/cicadabank/entry/internal/http/front.py
@@ -56,6 +56,7 @@
         self.open_requests = 0
         self.open_watches = 0
         self.stopping = False
+        self.closing = False  # connections end with their next answer
 
     @handler("request", priority=10)
     def _on_request(self, event, req, res, *_):
@@ -116,9 +117,11 @@
     def _send(self, res, reply: ApiReply) -> None:
         res.status = reply.status
         res.headers["Content-Type"] = reply.content_type
-        if reply.close or self.stopping:
+        if reply.close or self.stopping or self.closing:
             res.close = True
             res.headers["Connection"] = "close"
+        for name, value in reply.headers:
+            res.headers[name] = value
         res.body = reply.body
         self.fire(response(res), self.channel)
 
--- a/packages/entry/src/cicadabank/entry/internal/http/messages.py
+++ b/packages/entry/src/cicadabank/entry/internal/http/messages.py
@@ -54,6 +54,7 @@
     body: bytes
     content_type: str = "application/json"
     close: bool = False
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 def json_reply(status: int, document: Any) -> ApiReply:
--- /dev/null
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
@@ -0,0 +1,225 @@
+"""The decisions of one cell's holder: events and time in, commits and orders out."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from cicadabank.scheduling.internal import lifecycle, planner, reports
+from cicadabank.scheduling.internal.jobs import ConfigView, JobRecord
+from cicadabank.scheduling.internal.reports import Answer
+from cicadabank.scheduling.internal.rows import (
+    RUN,
+    RunRow,
+    pack,
+    restore,
+    run_row,
+)
+from cicadabank.scheduling.internal.state import (
+    CellState,
+    Commit,
+    Log,
+    Orders,
+    RowChange,
+    Timings,
+    no_log,
+)
+from cicadabank.scheduling.internal.targets import Report
+from cicadabank.scheduling.internal.units import Job, Phase, Unit
+
+# A transaction of the store holds 100 entries, conditions not counted.
+ROWS_PER_COMMIT = 80
+
+
+class CellScheduler:
+    """Schedules one cell; does no input or output and reads no clock.
+
+    Parameters
+    ----------
+    cell : str
+    epoch : int
+        Under which this holder took the cell; targets refuse orders of lower ones.
+    now_s : float
+        Time of the takeover.
+    log : callable, default=no_log
+        Takes the name of an event and its fields.
+    """
+
+    def __init__(
+        self,
+        cell: str,
+        epoch: int,
+        now_s: float,
+        timings: Timings | None = None,
+        log: Log = no_log,
+    ):
+        self.state = CellState(cell, epoch, now_s, timings or Timings(), log)
+
+    def load(
+        self,
+        jobs: Iterable[tuple[JobRecord, RunRow | None, int]],
+        cancelled: Iterable[str],
+        now_s: float,
+    ) -> None:
+        """Take in all rows of the cell after a takeover.
+
+        Parameters
+        ----------
+        jobs : iterable of (JobRecord, RunRow or None, int)
+            Each job, how it stands, and the version of that row.
+        cancelled : iterable of str
+            Jobs that their callers have cancelled.
+        """
+        state = self.state
+        state.now_s = now_s
+        for record, row, version in jobs:
+            job = restore(record, row, version, now_s)
+            self._add(job)
+            for unit in job.units:
+                for number, member in enumerate(unit.members):
+                    state.book(unit, number, member)
+        drift = 1.0 + state.timings.clock_drift
+        for place in state.members_at:
+            if place not in state.places:
+                state.lapses_s[place] = now_s + state.timings.outage_s * drift
+        state.loaded = True
+        for job in cancelled:
+            self.on_cancel(job, now_s)
+
+    def _add(self, job: Job) -> None:
+        self.state.jobs[job.record.job] = job
+        if not job.ended:
+            self.state.open_jobs[job.record.job] = job
+
+    def on_config(self, view: ConfigView, now_s: float) -> None:
+        """Take in a version of the configuration; older ones change nothing."""
+        self.state.now_s = now_s
+        if view.version >= self.state.view.version:
+            self.state.view = view
+            self.state.queues.update(view.queues())
+            self.state.guarantees = view.guarantees()
+
+    def on_domains_out(self, domains: frozenset[str], now_s: float) -> None:
+        """Take in which failure domains get no new tasks."""
+        self.state.now_s = now_s
+        self.state.domains_out = domains
+
+    def on_job(self, record: JobRecord, now_s: float) -> None:
+        """Take in a job that was accepted."""
+        self.state.now_s = now_s
+        if record.job not in self.state.jobs:
+            self._add(Job(record))
+
+    def on_cancel(self, job: str, now_s: float) -> None:
+        """Take in that a caller cancels a job."""
+        self.state.now_s = now_s
+        known = self.state.jobs.get(job)
+        if known is not None:
+            lifecycle.cancel(self.state, known)
+
+    def on_report(self, report: Report, now_s: float, may_renew: bool) -> Answer:
+        """Take in an agent's report."""
+        self.state.now_s = now_s
+        self.state.attached_s.setdefault(report.agent, now_s)
+        return reports.take(self.state, report, may_renew)
+
+    def on_target_left(self, agent: str, now_s: float) -> None:
+        """Take in that a target has ended."""
+        self.state.now_s = now_s
+        target = self.state.targets.get(agent)
+        if target is not None:
+            reports.forget(self.state, target, "it has left")
+
+    def on_agent(self, agent: str) -> None:
+        """Take in the address of an agent, to be attached if it stays silent."""
+        self.state.attached_s.setdefault(agent, float("-inf"))
+
+    def on_agent_removed(self, agent: str) -> None:
+        """Stop trying to reach an agent that is gone."""
+        self.state.attached_s.pop(agent, None)
+
+    def tick(self, now_s: float) -> None:
+        """Act on the passing of time, and place what waits."""
+        self.state.now_s = now_s
+        reports.check_silence(self.state)
+        planner.plan(self.state)
+
+    def silent_agents(self, now_s: float) -> list[str]:
+        """Return the agents that should be told now who holds the cell."""
+        state = self.state
+        due = []
+        for agent, tried_s in state.attached_s.items():
+            target = state.targets.get(agent)
+            heard_s = target.heard_s if target else float("-inf")
+            if now_s - max(heard_s, tried_s) >= state.timings.attach_s:
+                due.append(agent)
+                state.attached_s[agent] = now_s
+        return due
+
+    def take_orders(self) -> list[Orders]:
+        """Return the orders to be sent now."""
+        orders = [o for o in self.state.orders.values() if o.starts or o.stops]
+        self.state.orders = {}
+        return [] if self.state.fenced else orders
+
+    def take_commit(self) -> Commit | None:
+        """Return the rows to be written next; None while a write is open."""
+        state = self.state
+        if state.fenced or state.in_flight is not None or not state.dirty:
+            return None
+        jobs = list(state.dirty.values())[:ROWS_PER_COMMIT]
+        for job in jobs:
+            del state.dirty[job.record.job]
+        rows = tuple(
+            RowChange(RUN + job.record.job, job.version, pack(run_row(job)))
+            for job in jobs
+        )
+        starting = tuple(
+            unit
+            for job in jobs
+            for unit in job.units
+            if unit.phase is Phase.COMMITTING
+        )
+        recorded = ()
+        if not state.dirty:
+            recorded = tuple((t.place, t.taken) for t in state.targets.values())
+        names = tuple(job.record.job for job in jobs)
+        state.in_flight = Commit(rows, names, starting, recorded)
+        return state.in_flight
+
+    def on_committed(self, commit: Commit, version: int, now_s: float) -> None:
+        """Take in that a commit is stored: what it starts may be ordered now."""
+        state = self.state
+        state.now_s = now_s
+        state.in_flight = None
+        for name in commit.jobs:
+            state.jobs[name].version = version
+        for place, sequence in commit.recorded:
+            target = state.places.get(place)
+            if target is not None:
+                target.recorded = max(target.recorded, sequence)
+        for unit in commit.starting:
+            self._start(unit)
+
+    def _start(self, unit: Unit) -> None:
+        state = self.state
+        job = state.jobs[unit.job]
+        if unit.phase is not Phase.COMMITTING:
+            return
+        unit.phase = Phase.RUNNING
+        unit.started_s = unit.saved_s = state.now_s
+        lost = any(member.gone for member in unit.members)
+        if unit.stop_reason or lost or job.cancelled or job.reason:
+            # Nothing was ordered under this run, so nothing has to be stopped.
+            unit.stop_reason = unit.stop_reason or "withdrawn before its start"
+            unit.phase = Phase.STOPPING
+            for number in range(len(unit.members)):
+                state.vacate(unit, number)
+            lifecycle.settle(state, job, unit)
+            return
+        for number, member in enumerate(unit.members):
+            reports.send_start(state, state.places[member.place], unit, number)
+
+    def on_fenced(self) -> None:
+        """Take in that another entry holds the cell now."""
+        self.state.fenced = True
+        self.state.in_flight = None
--- /dev/null
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/lifecycle.py
@@ -0,0 +1,184 @@
+"""The life of jobs and units: ends, stops, cancelling and failing."""
+
+from __future__ import annotations
+
+from cicadabank.scheduling.internal.state import CellState
+from cicadabank.scheduling.internal.targets import EndedRun, Target
+from cicadabank.scheduling.internal.units import Job, Phase, Unit
+
+OPEN_PHASES = (Phase.CLAIMING, Phase.COMMITTING, Phase.RUNNING, Phase.STOPPING)
+
+
+def ended(state: CellState, target: Target, end: EndedRun) -> None:
+    """Take in that a run has ended on a target."""
+    run = end.id
+    job = state.jobs.get(run.job)
+    unit = job.unit_of(run.step, run.index) if job else None
+    if unit is None:
+        return
+    found = state.member(run, target.place)
+    if found is not None:
+        state.vacate(*found)
+    target.note_end(end.how, state.now_s)
+    state.log(
+        "run_ended",
+        job=run.job,
+        step=run.step,
+        index=run.index,
+        run=run.run,
+        how=end.how,
+        target=target.place.target,
+        sequence=end.sequence,
+    )
+    if job.ended or unit.phase is Phase.DONE:
+        return
+    if end.how == "done" and run.run <= unit.run:
+        unit_done(state, job, unit, run.run)
+    elif found is not None:
+        if end.checkpoint:
+            unit.checkpoint = end.checkpoint
+        if end.how == "failed":
+            _count_failure(state, job, unit, target)
+        stop(state, unit, end.how)
+        settle(state, job, unit)
+
+
+def _count_failure(state: CellState, job: Job, unit: Unit, target: Target) -> None:
+    unit.avoid.add(target.place.target)
+    if unit.stop_reason != "failed":
+        unit.failed_runs += 1
+        state.mark(job)
+
+
+def unit_done(state: CellState, job: Job, unit: Unit, run: int) -> None:
+    """Note that a unit's work is done; its other members end with it."""
+    if unit.phase is Phase.CLAIMING:
+        withdraw(state, unit)
+    newer = unit.run != run
+    unit.phase = Phase.DONE
+    state.mark(job)
+    if newer:
+        # The end of an earlier run came to light late: the present one is needless.
+        for number, member in enumerate(unit.members):
+            if not member.gone:
+                send_stop(state, unit, number)
+    if all(u.phase is Phase.DONE for u in job.units) and not job.ended:
+        finish(state, job, "completed", "")
+
+
+def stop(state: CellState, unit: Unit, reason: str) -> None:
+    """Stop a unit that may be running."""
+    if unit.phase is Phase.CLAIMING:
+        withdraw(state, unit)
+    elif unit.phase is Phase.COMMITTING:
+        unit.stop_reason = reason
+    elif unit.phase is Phase.RUNNING:
+        unit.phase = Phase.STOPPING
+        unit.stop_reason = reason
+        for number, member in enumerate(unit.members):
+            if not member.gone:
+                send_stop(state, unit, number)
+    elif unit.phase is Phase.STOPPING and reason == "failed":
+        unit.stop_reason = reason
+
+
+def withdraw(state: CellState, unit: Unit) -> None:
+    """Give up the claims of a unit that has not started."""
+    for number in range(len(unit.members)):
+        state.vacate(unit, number)
+    unit.members = []
+    unit.phase = Phase.WAITING
+
+
+def send_stop(state: CellState, unit: Unit, number: int) -> None:
+    """Order a member to stop; repeated until it is gone."""
+    member = unit.members[number]
+    target = state.places.get(member.place)
+    if target is None or state.fenced:
+        return
+    if state.now_s - member.stop_sent_s < state.timings.order_retry_s:
+        return
+    member.stop_sent_s = state.now_s
+    state.orders_for(target).stops.append(unit.run_id(number))
+
+
+def settle(state: CellState, job: Job, unit: Unit) -> None:
+    """Let a unit wait again, or end, once no target can be running it."""
+    if any(not member.gone for member in unit.members):
+        return
+    if unit.phase is Phase.DONE:
+        unit.members = []
+    if unit.phase not in (Phase.STOPPING, Phase.RUNNING):
+        close_if_idle(state, job)
+        return
+    unit.members = []
+    unit.phase = Phase.WAITING
+    unit.ready_s = state.now_s
+    reason, unit.stop_reason = unit.stop_reason, ""
+    state.mark(job)
+    attempts = state.queue_of(job.record).attempts
+    if unit.failed_runs >= attempts and not job.reason:
+        fail(state, job, f"step {unit.step} failed {unit.failed_runs} times")
+    state.log(
+        "unit_waits",
+        job=unit.job,
+        step=unit.step,
+        first=unit.first,
+        run=unit.run,
+        reason=reason,
+        failed_runs=unit.failed_runs,
+        attempts=attempts,
+    )
+    close_if_idle(state, job)
+
+
+def fail(state: CellState, job: Job, reason: str) -> None:
+    """End a job that can't be done, with the reason."""
+    job.reason = reason
+    _stop_all(state, job, "failed")
+    close_if_idle(state, job)
+
+
+def cancel(state: CellState, job: Job) -> None:
+    """End a job as its caller wishes."""
+    if job.ended or job.cancelled:
+        return
+    job.cancelled = True
+    state.log("job_cancelled", job=job.record.job)
+    _stop_all(state, job, "cancelled")
+    close_if_idle(state, job)
+
+
+def _stop_all(state: CellState, job: Job, reason: str) -> None:
+    for unit in job.units:
+        if unit.phase in OPEN_PHASES:
+            stop(state, unit, reason)
+
+
+def close_if_idle(state: CellState, job: Job) -> None:
+    """End a cancelled or failed job once nothing of it can be running."""
+    if job.ended or not (job.cancelled or job.reason):
+        return
+    if any(unit.active for unit in job.units):
+        return
+    if job.cancelled:
+        finish(state, job, "cancelled", "its caller cancelled it")
+    else:
+        finish(state, job, "failed", job.reason)
+
+
+def finish(state: CellState, job: Job, outcome: str, reason: str) -> None:
+    """Give a job its final state."""
+    job.state, job.reason = outcome, reason
+    job.ended_s = state.now_s + state.store_offset_s
+    state.open_jobs.pop(job.record.job, None)
+    state.mark(job)
+    age_s = job.ended_s - job.record.accepted_s
+    state.log(
+        "job_ended",
+        job=job.record.job,
+        queue=job.record.queue,
+        state=outcome,
+        reason=reason,
+        age_s=round(age_s, 3),
+    )
--- /dev/null
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -0,0 +1,255 @@
+"""Which units start next, where, and what is stopped for them."""
+
+from __future__ import annotations
+
+import math
+from collections import defaultdict
+
+from cicadabank.scheduling.internal import lifecycle
+from cicadabank.scheduling.internal.placement import (
+    Choice,
+    Victim,
+    is_hopeless,
+    place,
+    place_by_stopping,
+)
+from cicadabank.scheduling.internal.state import CellState
+from cicadabank.scheduling.internal.targets import Target
+from cicadabank.scheduling.internal.units import Job, Phase, Unit
+
+# What a finished job of each priority is worth, from the users' sheets.
+WORTH_OF_PRIORITY = {0: 4.0, 1: 3.0, 2: 1.0}
+DEFAULT_WORTH = 1.0
+# Share of its worth that a job keeps when it ends late, from the users' sheets.
+LATE_SHARE = 0.25
+# A job earns late credit up to this multiple of its objective.
+LATE_LIMIT = 3.0
+# Slack beyond which waiting costs little; about the mean time between two starts.
+PATIENCE_S = 8.0
+# How much longer a task takes on a rack away from its data or its gang.
+FAR_FACTOR = 3.0
+# Work that a stop wastes beside what was not saved: restoring and stopping.
+RESTART_WASTE_S = 0.5
+
+
+def plan(state: CellState) -> None:
+    """Place what is waiting, the most urgent first."""
+    if state.fenced or state.stopping or not state.loaded:
+        return
+    _start_claims(state)
+    targets = usable(state)
+    surveyed = state.now_s - state.taken_over_s > state.timings.survey_s
+    if surveyed:
+        _end_hopeless(state)
+    waiting = _waiting(state)
+    if not waiting:
+        return
+    entitled = entitled_units(state)
+    waiting.sort(key=lambda unit: _rank(state, unit, id(unit) in entitled))
+    for unit in waiting:
+        choice = _choose(state, unit, targets, id(unit) in entitled, entitled)
+        if choice is not None:
+            _claim(state, unit, choice, id(unit) in entitled)
+
+
+def usable(state: CellState) -> list[Target]:
+    """Return the targets that take new tasks at present."""
+    oldest_s = state.now_s - state.timings.silent_after_s
+    return [
+        target
+        for target in state.targets.values()
+        if target.observed
+        and target.heard_s >= oldest_s
+        and not (target.draining or target.leaving or target.unhealthy)
+        and target.domain not in state.domains_out
+        and target.quarantined_until_s <= state.now_s
+    ]
+
+
+def _waiting(state: CellState) -> list[Unit]:
+    waiting = []
+    for job in list(state.open_jobs.values()):
+        if job.cancelled or job.reason:
+            continue
+        done = job.done_steps()
+        for unit in job.units:
+            if unit.phase is Phase.WAITING and done.issuperset(unit.spec.after):
+                waiting.append(unit)
+    return waiting
+
+
+def entitled_units(state: CellState) -> set[int]:
+    """Return the units that a workspace's guarantee covers, the oldest jobs first.
+
+    Returns
+    -------
+    set of int
+        Identities of the units.
+    """
+    left = dict(state.guarantees)
+    covered: set[int] = set()
+    jobs = [
+        job
+        for job in state.open_jobs.values()
+        if not (job.cancelled or job.reason)
+        and state.queue_of(job.record).priority == 0
+    ]
+    for job in sorted(jobs, key=lambda j: j.record.accepted_s):
+        done = job.done_steps()
+        for unit in job.units:
+            room = left.get(job.record.workspace, 0)
+            if unit.phase is Phase.DONE or not done.issuperset(unit.spec.after):
+                continue
+            if 0 < unit.accelerators <= room:
+                left[job.record.workspace] = room - unit.accelerators
+                covered.add(id(unit))
+    return covered
+
+
+def objective_s(state: CellState, job: Job) -> float:
+    """Return within which time of its acceptance a job is on time."""
+    queue = state.queue_of(job.record)
+    return queue.stretch * chain_s(job) + queue.latency_s
+
+
+def chain_s(job: Job, left_only: bool = False) -> float:
+    """Return the longest chain of estimated work of a job."""
+    done = job.done_steps() if left_only else set()
+    ends: list[float] = []
+    for number, step in enumerate(job.record.steps):
+        before = max((ends[after] for after in step.after), default=0.0)
+        ends.append(before + (0.0 if number in done else step.estimate_s))
+    return max(ends, default=0.0)
+
+
+def slack_s(state: CellState, job: Job) -> float:
+    """Return for how long a job can still wait and be on time."""
+    age_s = state.now_s + state.store_offset_s - job.record.accepted_s
+    return objective_s(state, job) - age_s - chain_s(job, left_only=True)
+
+
+def _rank(state: CellState, unit: Unit, entitled: bool) -> tuple:
+    """Order by guarantee, then by the credit that waiting costs.
+
+    The index is that of apparent tardiness cost: worth per accelerator-second, falling
+    with the slack that is left.
+    """
+    job = state.jobs[unit.job]
+    if entitled:
+        return (0, job.record.accepted_s, unit.step, unit.first)
+    queue = state.queue_of(job.record)
+    worth = WORTH_OF_PRIORITY.get(queue.priority, DEFAULT_WORTH)
+    slack = slack_s(state, job)
+    if slack < 0:
+        worth *= LATE_SHARE
+    cost = max(1.0, unit.weight * max(0.1, unit.spec.estimate_s))
+    index = worth / cost * math.exp(-max(0.0, slack) / PATIENCE_S)
+    return (1, -index, job.record.accepted_s, unit.first)
+
+
+def _taken(unit: Unit, job: Job) -> dict[str, int]:
+    """Return how many tasks of a unit's step are on each target, others included."""
+    counts: dict[str, int] = defaultdict(int)
+    if unit.spec.per_target:
+        for other in job.units:
+            if other is not unit and other.step == unit.step:
+                for member in other.members:
+                    if not member.gone:
+                        counts[member.place.target] += 1
+    return counts
+
+
+def _choose(
+    state: CellState, unit: Unit, targets: list[Target], may_stop: bool, entitled
+) -> Choice | None:
+    job = state.jobs[unit.job]
+    taken = _taken(unit, job)
+    wanted = [t for t in targets if t.place.target not in unit.avoid] or targets
+    choice = place(unit, wanted, taken, False)
+    if choice is None and may_stop:
+        victims = _victims(state, entitled)
+        choice = place_by_stopping(unit, targets, victims, taken, True)
+    if choice is None and _far_is_in_time(state, unit, job):
+        choice = place(unit, wanted, taken, True)
+    return choice
+
+
+def _far_is_in_time(state: CellState, unit: Unit, job: Job) -> bool:
+    extra_s = (FAR_FACTOR - 1.0) * unit.spec.estimate_s
+    return 0.0 <= slack_s(state, job) - extra_s < PATIENCE_S
+
+
+def _victims(state: CellState, entitled: set[int]) -> dict[str, list[Victim]]:
+    found: dict[str, list[Victim]] = defaultdict(list)
+    for unit in state.running_units():
+        if id(unit) in entitled:
+            continue
+        lost_s = unit.unsaved_s(state.now_s) + RESTART_WASTE_S
+        victim = Victim(unit, unit.weight * lost_s)
+        for target in {m.place.target for m in unit.members if not m.gone}:
+            found[target].append(victim)
+    return found
+
+
+def _claim(state: CellState, unit: Unit, choice: Choice, entitled: bool) -> None:
+    """Book a unit's targets; it starts once what is stopped for it has gone."""
+    state.occupy(unit, [target.place for target in choice.targets])
+    unit.phase = Phase.CLAIMING
+    job = state.jobs[unit.job]
+    state.log(
+        "unit_placed",
+        job=unit.job,
+        step=unit.step,
+        first=unit.first,
+        run=unit.run + 1,
+        targets=[t.place.target for t in choice.targets],
+        near=choice.near,
+        entitled=entitled,
+        waited_s=round(
+            state.now_s + state.store_offset_s - job.record.accepted_s, 3
+        ),
+        victims=[f"{v.job}/{v.step}/{v.first}" for v in choice.victims],
+        config_version=state.view.version,
+    )
+    for victim in choice.victims:
+        lifecycle.stop(state, victim, "preempted")
+    if not choice.victims:
+        _start_claim(state, unit)
+
+
+def _start_claims(state: CellState) -> None:
+    for job in list(state.open_jobs.values()):
+        for unit in job.units:
+            if unit.phase is Phase.CLAIMING:
+                _start_claim(state, unit)
+
+
+def _start_claim(state: CellState, unit: Unit) -> None:
+    """Commit a claim whose targets have room for it now."""
+    for member in unit.members:
+        target = state.places.get(member.place)
+        if target is None or target.draining or target.domain in state.domains_out:
+            lifecycle.withdraw(state, unit)
+            return
+        if min(target.free) < 0:
+            return
+    unit.phase = Phase.COMMITTING
+    unit.run += 1
+    job = state.jobs[unit.job]
+    if job.state == "pending":
+        job.state = "running"
+    state.mark(job)
+
+
+def _end_hopeless(state: CellState) -> None:
+    """Fail jobs that no target could ever run, at once."""
+    if not state.targets or len(state.targets) < len(state.attached_s) / 2:
+        return
+    for job in list(state.open_jobs.values()):
+        if job.cancelled or job.reason or job.state != "pending":
+            continue
+        for number, step in enumerate(job.record.steps):
+            reason = is_hopeless(step, state.targets.values())
+            if reason:
+                lifecycle.fail(state, job, f"step {number}: {reason}")
+                break
--- /dev/null
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/rows.py
@@ -0,0 +1,120 @@
+"""Rows of the store: jobs as accepted, how they stand, holders and agents."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import msgspec
+from cicadabank.scheduling.internal.jobs import JobRecord
+from cicadabank.scheduling.internal.units import Job, Member, Phase, Place
+
+TABLE = "cells"
+JOB = "job/"
+CANCEL = "cancel/"
+RUN = "run/"
+AGENT = "agent/"
+HOLDER = "holder"
+LEASE = "lease"
+
+
+class UnitRow(NamedTuple):
+    """How a unit stands; `places` is empty unless a target may be running it."""
+
+    run: int
+    failed_runs: int
+    phase: str
+    checkpoint: str = ""
+    places: tuple[Place, ...] = ()
+
+
+class RunRow(NamedTuple):
+    """How a job stands."""
+
+    state: str
+    reason: str = ""
+    ended_s: float = 0.0
+    units: tuple[UnitRow, ...] = ()
+    started: bool = False
+
+
+class HolderRow(NamedTuple):
+    """Who holds a cell; written when the holder changes."""
+
+    epoch: int
+    entry: str
+    address: str
+
+
+class LeaseRow(NamedTuple):
+    """Renewed by the holder of a cell."""
+
+    epoch: int
+    at_s: float
+
+
+class CancelRow(NamedTuple):
+    """A caller's wish that a job be cancelled."""
+
+    at_s: float
+
+
+class AgentRow(NamedTuple):
+    """Where an agent listens."""
+
+    address: str
+
+
+def pack(row: NamedTuple) -> bytes:
+    """Encode a row's value."""
+    return msgspec.msgpack.encode(row)
+
+
+def unpack(value: bytes, kind: type):
+    """Decode a row's value.
+
+    Raises
+    ------
+    msgspec.MsgspecError
+        If the bytes are no such row.
+    """
+    return msgspec.msgpack.decode(value, type=kind)
+
+
+def run_row(job: Job) -> RunRow:
+    """Return how a job stands, as it is stored."""
+    ended = job.ended
+    units = () if ended else tuple(_unit_row(unit) for unit in job.units)
+    started = any(unit.run for unit in job.units)
+    return RunRow(job.state, job.reason, job.ended_s, units, started)
+
+
+def _unit_row(unit) -> UnitRow:
+    if unit.phase is Phase.DONE:
+        return UnitRow(unit.run, unit.failed_runs, "done")
+    if not unit.active:
+        return UnitRow(unit.run, unit.failed_runs, "waiting", unit.checkpoint)
+    places = tuple(member.place for member in unit.members)
+    return UnitRow(unit.run, unit.failed_runs, "running", unit.checkpoint, places)
+
+
+def restore(record: JobRecord, row: RunRow | None, version: int, now_s: float) -> Job:
+    """Rebuild a job from its rows after a takeover.
+
+    A unit whose run was stored may be running, or may never have been started: its
+    targets tell.
+    """
+    job = Job(record)
+    if row is None:
+        return job
+    job.version = version
+    job.state, job.reason, job.ended_s = row.state, row.reason, row.ended_s
+    for unit, stored in zip(job.units, row.units, strict=False):
+        unit.run, unit.failed_runs = stored.run, stored.failed_runs
+        unit.checkpoint = stored.checkpoint
+        if stored.phase == "done":
+            unit.phase = Phase.DONE
+        elif stored.phase == "running":
+            unit.phase = Phase.RUNNING
+            unit.started_s = unit.saved_s = now_s
+            unit.members = [Member(place) for place in stored.places]
+    return job
--- /dev/null
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
@@ -0,0 +1,170 @@
+"""The targets of a cell: what each has, what is booked on it, and how it fares."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from cicadabank.scheduling.internal.jobs import Need, RunId
+from cicadabank.scheduling.internal.units import Place
+
+# A target is left alone after this many failed runs in a row, for a time that doubles
+# with each further one; a job that fails by its own fault seldom fails twice in a row.
+FAILURES_TO_QUARANTINE = 2
+QUARANTINE_S = 4.0
+LONGEST_QUARANTINE_S = 60.0
+
+
+class RunningRun(NamedTuple):
+    """A run that a target lists as running."""
+
+    id: RunId
+    checkpoint: str
+    percent: int
+
+
+class EndedRun(NamedTuple):
+    """A run that a target lists as ended."""
+
+    sequence: int
+    id: RunId
+    how: str
+    checkpoint: str
+
+
+class Report(NamedTuple):
+    """What an agent says of its target.
+
+    Attributes
+    ----------
+    observed : bool
+        Whether the lists were read from this life of the target.
+    pending : tuple of RunId
+        Starts that the agent has taken and that have no outcome yet.
+    gone : tuple of RunId
+        Runs that were stopped for certain: they neither run nor can start.
+    """
+
+    agent: str
+    agent_run: str
+    number: int
+    place: Place
+    domain: str
+    capacity: Need
+    labels: tuple[str, ...]
+    rack: str = ""
+    draining: bool = False
+    remaining_s: float = 0.0
+    observed: bool = False
+    unhealthy: bool = False
+    leaving: bool = False
+    running: tuple[RunningRun, ...] = ()
+    ended: tuple[EndedRun, ...] = ()
+    pending: tuple[RunId, ...] = ()
+    refused: tuple[tuple[RunId, str], ...] = ()
+    gone: tuple[RunId, ...] = ()
+
+
+class Target:
+    """One life of a target, as its holder knows it."""
+
+    __slots__ = (
+        "agent",
+        "agent_run",
+        "booked",
+        "capacity",
+        "domain",
+        "draining",
+        "drains_until_s",
+        "failures",
+        "granted_until_s",
+        "heard_s",
+        "labels",
+        "leaving",
+        "number",
+        "observed",
+        "place",
+        "quarantined_until_s",
+        "rack",
+        "recorded",
+        "taken",
+        "unhealthy",
+        "used",
+    )
+
+    def __init__(self, place: Place, agent: str):
+        self.place = place
+        self.agent = agent
+        self.agent_run = ""
+        self.number = -1
+        self.domain = ""
+        self.rack = ""
+        self.labels: frozenset[str] = frozenset()
+        self.capacity = Need(0, 0, 0)
+        self.used = Need(0, 0, 0)
+        self.booked: dict[tuple[str, int, int], Need] = {}
+        self.heard_s = float("-inf")
+        self.granted_until_s = float("-inf")
+        self.draining = False
+        self.drains_until_s = float("inf")
+        self.leaving = False
+        self.observed = False
+        self.unhealthy = False
+        self.taken = 0  # highest sequence of an end that was processed
+        self.recorded = 0  # highest sequence of which the outcome is stored
+        self.failures = 0
+        self.quarantined_until_s = float("-inf")
+
+    @property
+    def free(self) -> Need:
+        """What is not booked; negative while claims wait for stops."""
+        return Need(*(c - u for c, u in zip(self.capacity, self.used, strict=True)))
+
+    def book(self, task: tuple[str, int, int], need: Need) -> None:
+        """Book room for a task."""
+        if task not in self.booked:
+            self.booked[task] = need
+            self.used = Need(*(u + n for u, n in zip(self.used, need, strict=True)))
+
+    def release(self, task: tuple[str, int, int]) -> None:
+        """Give a task's room back."""
+        need = self.booked.pop(task, None)
+        if need is not None:
+            self.used = Need(*(u - n for u, n in zip(self.used, need, strict=True)))
+
+    def note_end(self, how: str, now_s: float) -> None:
+        """Learn from how a run ended here."""
+        if how == "done":
+            self.failures = 0
+            self.quarantined_until_s = float("-inf")
+        elif how == "failed":
+            self.failures += 1
+            if self.failures >= FAILURES_TO_QUARANTINE:
+                doubled = 2.0 ** (self.failures - FAILURES_TO_QUARANTINE)
+                pause_s = min(LONGEST_QUARANTINE_S, QUARANTINE_S * doubled)
+                self.quarantined_until_s = now_s + pause_s
+
+    def take(self, report: Report, now_s: float) -> None:
+        """Take in what the agent says of the target itself."""
+        self.agent, self.agent_run = report.agent, report.agent_run
+        self.number = report.number
+        self.domain, self.capacity = report.domain, report.capacity
+        self.labels = frozenset(report.labels)
+        self.rack = report.rack
+        self.heard_s = now_s
+        self.observed = self.observed or report.observed
+        self.unhealthy = report.unhealthy
+        self.leaving = report.leaving
+        if report.draining:
+            self.draining = True
+            self.drains_until_s = now_s + report.remaining_s
+
+
+def fits(need: Need, room: Need) -> bool:
+    """Whether a task fits into some room."""
+    return all(n <= r for n, r in zip(need, room, strict=True))
+
+
+def how_many(need: Need, room: Need) -> int:
+    """Return how many tasks of a kind fit into some room."""
+    counts = [r // n for n, r in zip(need, room, strict=True) if n > 0]
+    return max(0, min(counts)) if counts else 1_000_000
--- /dev/null
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/units.py
@@ -0,0 +1,159 @@
+"""Units of placement: a whole gang, or a single task of a step that is no gang."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import NamedTuple
+
+from cicadabank.scheduling.internal.jobs import JobRecord, RunId, StepSpec
+
+
+class Phase(Enum):
+    """Where a unit stands."""
+
+    WAITING = "waiting"
+    CLAIMING = "claiming"  # room is booked, what runs there is being stopped
+    COMMITTING = "committing"
+    RUNNING = "running"
+    STOPPING = "stopping"
+    DONE = "done"
+
+
+class Place(NamedTuple):
+    """One life of a target, and the address of the agent beside it."""
+
+    target: str
+    incarnation: str
+    agent: str
+
+
+class Member:
+    """One task of a unit in its present run."""
+
+    __slots__ = ("gone", "ordered_s", "place", "present", "refused", "stop_sent_s")
+
+    def __init__(self, place: Place):
+        self.place = place
+        self.present = False
+        self.gone = False
+        self.refused = ""
+        self.ordered_s = float("-inf")
+        self.stop_sent_s = float("-inf")
+
+
+class Unit:
+    """Tasks that are placed, started and ended together."""
+
+    __slots__ = (
+        "avoid",
+        "checkpoint",
+        "failed_runs",
+        "first",
+        "job",
+        "members",
+        "phase",
+        "ready_s",
+        "run",
+        "saved_s",
+        "size",
+        "spec",
+        "started_s",
+        "step",
+        "stop_reason",
+    )
+
+    def __init__(self, job: str, step: int, spec: StepSpec, first: int, size: int):
+        self.job = job
+        self.step = step
+        self.spec = spec
+        self.first = first
+        self.size = size
+        self.phase = Phase.WAITING
+        self.run = 0
+        self.failed_runs = 0
+        self.checkpoint = ""
+        self.members: list[Member] = []
+        self.started_s = 0.0
+        self.saved_s = 0.0
+        self.ready_s = 0.0
+        self.stop_reason = ""
+        self.avoid: set[str] = set()  # targets on which a run of it has failed
+
+    @property
+    def accelerators(self) -> int:
+        """Accelerators of all members."""
+        return self.size * self.spec.need.accelerators
+
+    @property
+    def weight(self) -> float:
+        """Cores of all members, an accelerator counting as eight."""
+        need = self.spec.need
+        return self.size * (need.cpu_millicores / 1000 + 8 * need.accelerators)
+
+    @property
+    def active(self) -> bool:
+        """Whether a target may be running any of it."""
+        return self.phase in (Phase.COMMITTING, Phase.RUNNING, Phase.STOPPING)
+
+    def run_id(self, number: int) -> RunId:
+        """Return the id of a member's present run."""
+        return RunId(self.job, self.step, self.first + number, self.run)
+
+    def unsaved_s(self, now_s: float) -> float:
+        """Return the work that stopping it now would lose, in seconds of each task."""
+        if self.phase is not Phase.RUNNING:
+            return 0.0
+        return max(0.0, now_s - max(self.started_s, self.saved_s))
+
+
+class Job:
+    """A job in the holder's memory."""
+
+    __slots__ = (
+        "cancelled",
+        "dirty",
+        "ended_s",
+        "reason",
+        "record",
+        "state",
+        "units",
+        "version",
+    )
+
+    def __init__(self, record: JobRecord):
+        self.record = record
+        self.state = "pending"
+        self.reason = ""
+        self.cancelled = False
+        self.ended_s = 0.0
+        self.version = 0
+        self.dirty = False
+        self.units: list[Unit] = []
+        for number, step in enumerate(record.steps):
+            if step.gang:
+                self.units.append(Unit(record.job, number, step, 0, step.count))
+            else:
+                self.units += [
+                    Unit(record.job, number, step, index, 1)
+                    for index in range(step.count)
+                ]
+
+    @property
+    def ended(self) -> bool:
+        """Whether the job has its final state."""
+        return self.state in ENDED_STATES
+
+    def done_steps(self) -> set[int]:
+        """Return the steps of which every task is done."""
+        open_steps = {u.step for u in self.units if u.phase is not Phase.DONE}
+        return set(range(len(self.record.steps))) - open_steps
+
+    def unit_of(self, step: int, index: int) -> Unit | None:
+        """Return the unit that a task belongs to."""
+        for unit in self.units:
+            if unit.step == step and unit.first <= index < unit.first + unit.size:
+                return unit
+        return None
+
+
+ENDED_STATES = frozenset({"completed", "failed", "cancelled"})
--- a/packages/store/src/cicadabank/store/errors.py
+++ b/packages/store/src/cicadabank/store/errors.py
@@ -37,3 +37,9 @@
     def __init__(self, message: str, rows: dict):
         super().__init__(message, "read the rows again and decide anew")
         self.rows = rows
+
+
+class HistoryLostError(PlatformError):
+    """The service no longer has the changes that a feed asked for."""
+
+    code = "platform-history-lost"
--- a/packages/tasks/src/cicadabank/tasks/internal/observe.py
+++ b/packages/tasks/src/cicadabank/tasks/internal/observe.py
@@ -22,9 +22,9 @@
     level : str, default="INFO"
         Least severe level that is written.
     stream : file object, default=None
-        Standard error by default.
+        Standard output by default.
     """
-    target = stream or sys.stderr
+    target = stream or sys.stdout
 
     def write(message) -> None:
         record = message.record
--- a/packages/tasks/src/cicadabank/tasks/internal/stop.py
+++ b/packages/tasks/src/cicadabank/tasks/internal/stop.py
@@ -22,6 +22,10 @@
             logger.info("a stop was requested")
         self._event.set()
 
+    def reload(self, *_: object) -> None:
+        """Note that the settings may have changed; without a handler it would end us."""
+        logger.bind(event="reload").info("the settings may have changed")
+
     def wait(self, timeout_s: float | None = None) -> bool:
         """Wait for a stop; return whether one was requested."""
         return self._event.wait(timeout_s)
@@ -32,6 +36,7 @@
         before = {
             s: signal.signal(s, self.request) for s in (signal.SIGTERM, signal.SIGINT)
         }
+        before[signal.SIGHUP] = signal.signal(signal.SIGHUP, self.reload)
         try:
             yield self
         finally:
