--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -268,9 +268,7 @@
         """Write where this agent listens; return whether that is stored."""
         row = pack(AgentRow(self.parts.peer))
         try:
-            self.parts.cells.commit(
-                self.parts.cell, {}, {AGENT + self.parts.peer: row}
-            )
+            self.parts.cells.commit(self.parts.cell, {}, {AGENT + self.parts.peer: row})
         except PlatformError as error:
             logger.bind(event="announce_failed").warning("{}", error)
             return False
--- a/packages/control/src/cicadabank/control/internal/desk.py
+++ b/packages/control/src/cicadabank/control/internal/desk.py
@@ -140,7 +140,9 @@
             stored = error.rows.get(key)
             if stored is not None and stored.value is not None:
                 if unpack(stored.value, JobRecord).queue != queue.name:
-                    raise InvalidJobError("another queue has a job of this id") from error
+                    raise InvalidJobError(
+                        "another queue has a job of this id"
+                    ) from error
             return
         logger.bind(
             event="job_accepted",
--- a/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
@@ -174,10 +174,7 @@
             for job in jobs
         )
         starting = tuple(
-            unit
-            for job in jobs
-            for unit in job.units
-            if unit.phase is Phase.COMMITTING
+            unit for job in jobs for unit in job.units if unit.phase is Phase.COMMITTING
         )
         recorded = ()
         if not state.dirty:
--- a/packages/scheduling/src/cicadabank/scheduling/internal/lifecycle.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/lifecycle.py
@@ -56,6 +56,7 @@
         withdraw(state, unit)
     newer = unit.run != run
     unit.phase = Phase.DONE
+    unit.done_s = float("-inf") if newer else state.now_s
     state.mark(job)
     if newer:
         # The end of an earlier run came to light late: the present one is needless.
--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -164,13 +164,13 @@
 ) -> Choice | None:
     job = state.jobs[unit.job]
     taken = _taken(unit, job)
-    wanted = [t for t in targets if t.place.target not in unit.avoid] or targets
-    choice = place(unit, wanted, taken, False)
+    others = [t for t in targets if t.place.target not in unit.avoid]
+    choice = place(unit, others, taken, False) or place(unit, targets, taken, False)
     if choice is None and may_stop:
         victims = _victims(state, entitled)
         choice = place_by_stopping(unit, targets, victims, taken, True)
     if choice is None and _far_is_in_time(state, unit, job):
-        choice = place(unit, wanted, taken, True)
+        choice = place(unit, targets, taken, True)
     return choice
 
 
@@ -205,9 +205,7 @@
         targets=[t.place.target for t in choice.targets],
         near=choice.near,
         entitled=entitled,
-        waited_s=round(
-            state.now_s + state.store_offset_s - job.record.accepted_s, 3
-        ),
+        waited_s=round(state.now_s + state.store_offset_s - job.record.accepted_s, 3),
         victims=[f"{v.job}/{v.step}/{v.first}" for v in choice.victims],
         config_version=state.view.version,
     )
--- a/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
@@ -10,6 +10,9 @@
 from cicadabank.scheduling.internal.targets import Report, Target
 from cicadabank.scheduling.internal.units import Phase, Place, Unit
 
+# All members of a gang that is done are listed as ended within a report or two.
+MEMBERS_END_S = 1.5
+
 
 class Answer(NamedTuple):
     """The answer to a report.
@@ -137,11 +140,21 @@
         number = index - unit.first
         if (unit.job, unit.step, index) not in mentioned:
             _missing(state, target, unit, number)
-        elif unit.phase in (Phase.STOPPING, Phase.DONE):
+        elif _must_stop(state, unit):
             lifecycle.send_stop(state, unit, number)
     return settled
 
 
+def _must_stop(state: CellState, unit: Unit) -> bool:
+    """Whether what a target still lists of a unit has to be stopped.
+
+    The members of a gang that is done end by themselves, but not at the same moment.
+    """
+    if unit.phase is Phase.DONE:
+        return state.now_s - unit.done_s > MEMBERS_END_S
+    return unit.phase is Phase.STOPPING
+
+
 def _running(state: CellState, target: Target, run) -> None:
     found = state.member(run.id, target.place)
     if found is None:
@@ -182,7 +195,7 @@
     """
     if unit.phase is Phase.RUNNING:
         send_start(state, target, unit, number)
-    elif unit.phase in (Phase.STOPPING, Phase.DONE):
+    elif _must_stop(state, unit):
         lifecycle.send_stop(state, unit, number)
 
 
--- a/packages/scheduling/src/cicadabank/scheduling/internal/units.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/units.py
@@ -47,6 +47,7 @@
     __slots__ = (
         "avoid",
         "checkpoint",
+        "done_s",
         "failed_runs",
         "first",
         "job",
@@ -76,6 +77,7 @@
         self.started_s = 0.0
         self.saved_s = 0.0
         self.ready_s = 0.0
+        self.done_s = float("-inf")
         self.stop_reason = ""
         self.avoid: set[str] = set()  # targets on which a run of it has failed
 
