--- a/packages/agent/src/cicadabank/agent/internal/app.py
+++ b/packages/agent/src/cicadabank/agent/internal/app.py
@@ -10,8 +10,8 @@
 from cicadabank.agent.internal.health import health_server
 from cicadabank.agent.internal.service import AgentService
 from cicadabank.agent.internal.task import AgentTask
-from cicadabank.store import ObjectClient
 from cicadabank.settings import AgentSettings
+from cicadabank.store import ObjectClient
 from cicadabank.tasks import StopSignal, clock_s, configure_logs, running
 from cicadabank.wire import ChannelPool, control_pb2_grpc, serve
 from loguru import logger
--- a/packages/control/src/cicadabank/control/internal/holding.py
+++ b/packages/control/src/cicadabank/control/internal/holding.py
@@ -221,7 +221,10 @@
             self._act()
 
     def _retry(self, commit: Commit | None) -> None:
-        """Write the same rows again: what was lost on the way then finds them changed."""
+        """Write the same rows again.
+
+        A first attempt that is still on its way then finds them changed.
+        """
         if commit is None:
             self._renew_due_s = clock_s() + WRITE_PAUSE_S
             return
--- a/packages/entry/src/cicadabank/entry/internal/app.py
+++ b/packages/entry/src/cicadabank/entry/internal/app.py
@@ -21,8 +21,8 @@
 from cicadabank.entry.internal.session import HeldCell, SessionTask
 from cicadabank.entry.internal.summaries import SummaryTask, announced_workers
 from cicadabank.entry.internal.tally import TallyTask
-from cicadabank.store import ObjectClient, TableClient
 from cicadabank.settings import EntrySettings
+from cicadabank.store import ObjectClient, TableClient
 from cicadabank.tasks import Metrics, StopSignal, clock_s, configure_logs, running
 from cicadabank.wire import ChannelPool, control_pb2_grpc, serve
 from loguru import logger
--- a/packages/entry/src/cicadabank/entry/internal/cell.py
+++ b/packages/entry/src/cicadabank/entry/internal/cell.py
@@ -29,8 +29,8 @@
 from cicadabank.entry.internal.store import CommitResult, JobStore, StoredJob
 from cicadabank.entry.internal.summary import CellSummary, head_of, summary_of
 from cicadabank.model import Key, encode, new_id
-from cicadabank.store import ObjectClient, PlatformError, TableClient, Transaction
 from cicadabank.settings import EntrySettings
+from cicadabank.store import ObjectClient, PlatformError, TableClient, Transaction
 from cicadabank.tasks import Metrics, Task, clock_s, unix_s
 from cicadabank.wire import ChannelPool, control_pb2
 from loguru import logger
--- a/packages/entry/src/cicadabank/entry/internal/requests.py
+++ b/packages/entry/src/cicadabank/entry/internal/requests.py
@@ -31,6 +31,7 @@
     encode,
     new_id,
 )
+from cicadabank.settings import EntrySettings
 from cicadabank.store import (
     ObjectClient,
     PlatformError,
@@ -40,7 +41,6 @@
     UnavailableError,
     put_new,
 )
-from cicadabank.settings import EntrySettings
 from cicadabank.tasks import Task, clock_s, unix_s
 from cicadabank.wire import (
     ChannelPool,
--- a/packages/entry/src/cicadabank/entry/internal/session.py
+++ b/packages/entry/src/cicadabank/entry/internal/session.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from cicadabank.model import Key, decode_as, encode, new_id
+from cicadabank.settings import EntrySettings
 from cicadabank.store import (
     PlatformError,
     Row,
@@ -20,7 +21,6 @@
     UnavailableError,
     UnknownOutcomeError,
 )
-from cicadabank.settings import EntrySettings
 from cicadabank.tasks import Task, clock_s
 from loguru import logger
 
--- a/packages/scheduling/src/cicadabank/scheduling/internal/__init__.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation of the scheduling decisions."""
--- a/packages/scheduling/src/cicadabank/scheduling/internal/placement.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/placement.py
@@ -1,4 +1,7 @@
-"""Choice of targets for a unit: packed tightly, whole racks kept for those that need them."""
+"""Choice of targets for a unit.
+
+Targets are packed tightly, so that whole racks stay free for gangs that need them.
+"""
 
 from __future__ import annotations
 
--- a/packages/tasks/src/cicadabank/tasks/internal/stop.py
+++ b/packages/tasks/src/cicadabank/tasks/internal/stop.py
@@ -23,7 +23,7 @@
         self._event.set()
 
     def reload(self, *_: object) -> None:
-        """Note that the settings may have changed; without a handler it would end us."""
+        """Note that the settings may have changed, instead of ending the process."""
         logger.bind(event="reload").info("the settings may have changed")
 
     def wait(self, timeout_s: float | None = None) -> bool:
--- a/tests/cover/test_resources.py
+++ b/tests/cover/test_resources.py
@@ -6,8 +6,8 @@
 from cicadabank.entry.internal.resources import Change, ResourceService
 from cicadabank.local import Ports
 from cicadabank.model import ConflictError
-from cicadabank.store import TableClient, UnknownOutcomeError
 from cicadabank.standin import serve_store
+from cicadabank.store import TableClient, UnknownOutcomeError
 
 
 @pytest.fixture
--- a/tests/processes/test_silent_connection.py
+++ b/tests/processes/test_silent_connection.py
@@ -15,9 +15,9 @@
 from cicadabank.entry.internal.tally import TallyTask
 from cicadabank.local import Ports
 from cicadabank.model import Workspace
-from cicadabank.store import TableClient
 from cicadabank.settings import EntrySettings, StandInSettings
 from cicadabank.standin import serve_store, stand_in_running
+from cicadabank.store import TableClient
 from cicadabank.tasks import Metrics, running
 from cicadabank.wire import ChannelPool, control_pb2
 
--- a/tests/support/modelled.py
+++ b/tests/support/modelled.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from collections.abc import Callable
 from typing import NamedTuple
@@ -327,6 +328,6 @@
             done.setdefault(ran.id[:3], []).append(ran)
         for runs in done.values():
             runs.sort(key=lambda ran: ran.began_s)
-            for before, after in zip(runs, runs[1:], strict=False):
+            for before, after in itertools.pairwise(runs):
                 assert after.began_s >= before.ended_s, "two runs of a task at once"
                 assert before.how != "done", "a task ran again after it was done"
