--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -37,6 +37,8 @@
 # Between reports while the holder doesn't answer.
 REPORT_RETRY_S = 0.3
 ANNOUNCE_RETRY_S = 0.7
+# While ends are not stored yet, a hold is answered at once.
+UNRECORDED_PAUSE_S = 0.08
 CALL_THREADS = 6
 ORDER_THREADS = 4
 BEAT_LIMITS = Limits(body_bytes=4_194_304, open_requests=8, connections=64)
@@ -144,7 +146,7 @@
                 starts=[s.id.job + f".{s.id.step}.{s.id.index}" for s in batch.starts],
                 stops=[s.job + f".{s.step}.{s.index}" for s in batch.stops],
             )
-        else:
+        elif not batch.incarnation:
             self.news.set()
         if self.steward.has_news():
             self.news.set()
@@ -227,6 +229,8 @@
 
     def hold_step(self) -> None:
         """Hold once a target is known."""
+        if self.steward.unrecorded:
+            time.sleep(UNRECORDED_PAUSE_S)
         if self.known.wait(1.0):
             self.hold(HOLD_WAIT_S)
 
--- a/packages/control/src/cicadabank/control/internal/holding.py
+++ b/packages/control/src/cicadabank/control/internal/holding.py
@@ -270,6 +270,7 @@
             incarnation=orders.place.incarnation if orders.place else "",
             starts=[start_message(start) for start in orders.starts],
             stops=[message_of(run) for run in orders.stops],
+            recorded=orders.recorded,
         )
         for start in orders.starts:
             log_event(
--- a/packages/control/src/cicadabank/control/internal/steward.py
+++ b/packages/control/src/cicadabank/control/internal/steward.py
@@ -176,10 +176,11 @@
         if batch.epoch < self.epoch:
             return False
         self.epoch, self.holder = batch.epoch, batch.holder
-        if not (batch.starts or batch.stops):
+        if not batch.incarnation:
             return True
         if batch.incarnation != self.incarnation or self.left:
             return False
+        self.recorded = max(self.recorded, batch.recorded)
         for order in batch.starts:
             self._take_start(order)
         for run in batch.stops:
@@ -328,6 +329,12 @@
         known = max((end.sequence for end in before.ended), default=0) if before else 0
         return before is None or newest > known or bool(self._gone)
 
+    @property
+    def unrecorded(self) -> bool:
+        """Whether the target lists ends that the holder hasn't stored yet."""
+        ended = self._listing.ended if self._listing else ()
+        return any(end.sequence > self.recorded for end in ended)
+
     def has_news(self) -> bool:
         """Whether there is an outcome that the holder waits for."""
         return bool(self._gone or self._refused)
--- a/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
@@ -157,7 +157,9 @@
 
     def take_orders(self) -> list[Orders]:
         """Return the orders to be sent now."""
-        orders = [o for o in self.state.orders.values() if o.starts or o.stops]
+        orders = [
+            o for o in self.state.orders.values() if o.starts or o.stops or o.recorded
+        ]
         self.state.orders = {}
         return [] if self.state.fenced else orders
 
@@ -192,8 +194,9 @@
             state.jobs[name].version = version
         for place, sequence in commit.recorded:
             target = state.places.get(place)
-            if target is not None:
-                target.recorded = max(target.recorded, sequence)
+            if target is not None and sequence > target.recorded:
+                target.recorded = sequence
+                state.orders_for(target).recorded = sequence
         for unit in commit.starting:
             self._start(unit)
 
--- a/packages/scheduling/src/cicadabank/scheduling/internal/state.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/state.py
@@ -53,13 +53,14 @@
 class Orders:
     """Orders for one life of a target, sent to its agent together."""
 
-    __slots__ = ("agent", "place", "starts", "stops")
+    __slots__ = ("agent", "place", "recorded", "starts", "stops")
 
     def __init__(self, agent: str, place: Place | None):
         self.agent = agent
         self.place = place
         self.starts: list[Start] = []
         self.stops: list[RunId] = []
+        self.recorded = 0  # ends up to this sequence are stored
 
 
 class RowChange(NamedTuple):
--- a/tests/support/modelled.py
+++ b/tests/support/modelled.py
@@ -297,6 +297,8 @@
             target = self.targets[orders.agent]
             if target.silent or orders.place != target.place:
                 continue
+            target.recorded = max(target.recorded, orders.recorded)
+            target.ended = [e for e in target.ended if e.sequence > target.recorded]
             for start in orders.starts:
                 self._start(target, start)
             for run in orders.stops:
