--- a/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
@@ -86,7 +86,11 @@
             self.on_cancel(job, now_s)
 
     def _add(self, job: Job) -> None:
-        self.state.jobs[job.record.job] = job
+        state, record = self.state, job.record
+        state.jobs[record.job] = job
+        count, mean = state.mean_work.get(record.queue, (0, 0.0))
+        mean += (planner.work_core_s(state, job) - mean) / (count + 1)
+        state.mean_work[record.queue] = (count + 1, mean)
         if not job.ended:
             self.state.open_jobs[job.record.job] = job
 
--- a/packages/scheduling/src/cicadabank/scheduling/internal/lifecycle.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/lifecycle.py
@@ -55,6 +55,10 @@
     if unit.phase is Phase.CLAIMING:
         withdraw(state, unit)
     newer = unit.run != run
+    if unit.phase is Phase.RUNNING and not newer and not unit.checkpoint:
+        taken_s = state.now_s - unit.started_s
+        queue = job.record.queue
+        state.forecast.observe(queue, unit.spec.estimate_s, taken_s)
     unit.phase = Phase.DONE
     unit.done_s = float("-inf") if newer else state.now_s
     state.mark(job)
--- a/packages/scheduling/src/cicadabank/scheduling/internal/placement.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/placement.py
@@ -59,7 +59,7 @@
     near = [t for t in able if not step.data_rack or t.rack == step.data_rack]
     racks = _free_by_rack(targets)
     for_gang = step.gang and step.same_rack and unit.size > 1
-    groups = _by_rack(near) if for_gang else [near]
+    groups = by_rack(near) if for_gang else [near]
     best: list[Target] | None = None
     best_left = float("inf")
     for group in groups:
@@ -113,7 +113,8 @@
     return racks
 
 
-def _by_rack(targets: list[Target]) -> list[list[Target]]:
+def by_rack(targets: list[Target]) -> list[list[Target]]:
+    """Group targets by their racks."""
     racks: dict[str, list[Target]] = defaultdict(list)
     for target in targets:
         racks[target.rack].append(target)
@@ -139,7 +140,7 @@
     near = [t for t in able if not step.data_rack or t.rack == step.data_rack]
     for_gang = step.gang and step.same_rack and unit.size > 1
     options: list[Choice] = []
-    for group in _by_rack(near) if for_gang else [near]:
+    for group in by_rack(near) if for_gang else [near]:
         choice = _clear(unit, group, victims_on, taken, True)
         if choice is not None:
             options.append(choice)
--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -6,6 +6,7 @@
 from collections import defaultdict
 
 from cicadabank.scheduling.internal import lifecycle
+from cicadabank.scheduling.internal.jobs import StepSpec
 from cicadabank.scheduling.internal.placement import (
     Choice,
     Victim,
@@ -13,8 +14,9 @@
     place,
     place_by_stopping,
 )
+from cicadabank.scheduling.internal.reservations import Reservations
 from cicadabank.scheduling.internal.state import CellState
-from cicadabank.scheduling.internal.targets import Target
+from cicadabank.scheduling.internal.targets import Target, how_many
 from cicadabank.scheduling.internal.units import Job, Phase, Unit
 
 # What a finished job of each priority is worth, from the users' sheets.
@@ -22,8 +24,16 @@
 DEFAULT_WORTH = 1.0
 # Share of its worth that a job keeps when it ends late, from the users' sheets.
 LATE_SHARE = 0.25
-# A job earns late credit up to this multiple of its objective.
-LATE_LIMIT = 3.0
+# A job is worth this much, and the rest by its work against the mean of its queue, up
+# to a limit; from the users' rules.
+WORTH_AT_NO_WORK = 0.3
+LARGEST_WORTH = 4.0
+# What a wasted core-second costs, in worth, from the users' sites.
+WASTE_PRICE = 0.004
+# Work is only thrown away for a gain that is this much larger, as forecasts are off.
+GAIN_FACTOR = 1.5
+# A step that is wider than this share of the room may run in waves.
+WAVE_SHARE = 0.25
 # Slack beyond which waiting costs little; about the mean time between two starts.
 PATIENCE_S = 8.0
 # How much longer a task takes on a rack away from its data or its gang.
@@ -37,19 +47,21 @@
     if state.fenced or state.stopping or not state.loaded:
         return
     _start_claims(state)
-    targets = usable(state)
-    surveyed = state.now_s - state.taken_over_s > state.timings.survey_s
-    if surveyed:
+    if state.now_s - state.taken_over_s > state.timings.survey_s:
         _end_hopeless(state)
     waiting = _waiting(state)
     if not waiting:
         return
     entitled = entitled_units(state)
     waiting.sort(key=lambda unit: _rank(state, unit, id(unit) in entitled))
+    targets = usable(state)
+    kept = Reservations(state)
     for unit in waiting:
-        choice = _choose(state, unit, targets, id(unit) in entitled, entitled)
+        choice = _choose(state, unit, kept.open_to(unit, targets), entitled)
         if choice is not None:
             _claim(state, unit, choice, id(unit) in entitled)
+        elif kept.left(targets):
+            kept.reserve(unit, targets)
 
 
 def usable(state: CellState) -> list[Target]:
@@ -109,23 +121,34 @@
 def objective_s(state: CellState, job: Job) -> float:
     """Return within which time of its acceptance a job is on time."""
     queue = state.queue_of(job.record)
-    return queue.stretch * chain_s(job) + queue.latency_s
+    return queue.stretch * chain_s(state, job) + queue.latency_s
 
 
-def chain_s(job: Job, left_only: bool = False) -> float:
-    """Return the longest chain of estimated work of a job."""
+def chain_s(state: CellState, job: Job, left_only: bool = False) -> float:
+    """Return the longest chain of expected work of a job."""
     done = job.done_steps() if left_only else set()
     ends: list[float] = []
+    queue = job.record.queue
     for number, step in enumerate(job.record.steps):
         before = max((ends[after] for after in step.after), default=0.0)
-        ends.append(before + (0.0 if number in done else step.estimate_s))
+        step_s = state.forecast.expected_s(queue, step.estimate_s)
+        left_s = 0.0 if number in done else step_s * waves(state, step)
+        ends.append(before + left_s)
     return max(ends, default=0.0)
 
 
+def waves(state: CellState, step: StepSpec) -> int:
+    """Return in how many waves a wide step may run and still be on time."""
+    if step.gang or not state.targets:
+        return 1
+    room = sum(how_many(step.need, t.capacity) for t in state.targets.values())
+    return max(1, math.ceil(step.count / max(1.0, room * WAVE_SHARE)))
+
+
 def slack_s(state: CellState, job: Job) -> float:
     """Return for how long a job can still wait and be on time."""
     age_s = state.now_s + state.store_offset_s - job.record.accepted_s
-    return objective_s(state, job) - age_s - chain_s(job, left_only=True)
+    return objective_s(state, job) - age_s - chain_s(state, job, left_only=True)
 
 
 def _rank(state: CellState, unit: Unit, entitled: bool) -> tuple:
@@ -137,16 +160,31 @@
     job = state.jobs[unit.job]
     if entitled:
         return (0, job.record.accepted_s, unit.step, unit.first)
-    queue = state.queue_of(job.record)
-    worth = WORTH_OF_PRIORITY.get(queue.priority, DEFAULT_WORTH)
     slack = slack_s(state, job)
-    if slack < 0:
-        worth *= LATE_SHARE
-    cost = max(1.0, unit.weight * max(0.1, unit.spec.estimate_s))
+    worth = job_worth(state, job) * (LATE_SHARE if slack < 0 else 1.0)
+    cost = max(1.0, work_core_s(state, job))
     index = worth / cost * math.exp(-max(0.0, slack) / PATIENCE_S)
     return (1, -index, job.record.accepted_s, unit.first)
 
 
+def work_core_s(state: CellState, job: Job) -> float:
+    """Return the expected work of a job, an accelerator counting as eight cores."""
+    return sum(
+        unit.weight * state.forecast.expected_s(job.record.queue, unit.spec.estimate_s)
+        for unit in job.units
+    )
+
+
+def job_worth(state: CellState, job: Job) -> float:
+    """Return what a job is worth if it ends on time."""
+    queue = state.queue_of(job.record)
+    _, mean = state.mean_work.get(job.record.queue, (0, 0.0))
+    size = work_core_s(state, job) / mean if mean > 0 else 1.0
+    share = WORTH_AT_NO_WORK + (1.0 - WORTH_AT_NO_WORK) * size
+    worth = WORTH_OF_PRIORITY.get(queue.priority, DEFAULT_WORTH)
+    return worth * min(LARGEST_WORTH, share)
+
+
 def _taken(unit: Unit, job: Job) -> dict[str, int]:
     """Return how many tasks of a unit's step are on each target, others included."""
     counts: dict[str, int] = defaultdict(int)
@@ -160,29 +198,58 @@
 
 
 def _choose(
-    state: CellState, unit: Unit, targets: list[Target], may_stop: bool, entitled
+    state: CellState, unit: Unit, targets: list[Target], entitled: set[int]
 ) -> Choice | None:
     job = state.jobs[unit.job]
     taken = _taken(unit, job)
     others = [t for t in targets if t.place.target not in unit.avoid]
     choice = place(unit, others, taken, False) or place(unit, targets, taken, False)
-    if choice is None and may_stop:
-        victims = _victims(state, entitled)
-        choice = place_by_stopping(unit, targets, victims, taken, True)
+    if choice is not None:
+        return choice
+    if id(unit) in entitled:
+        victims = _victims(state, entitled, -1)
+        return place_by_stopping(unit, targets, victims, taken, True)
+    choice = _worth_stopping(state, unit, targets, entitled, taken)
     if choice is None and _far_is_in_time(state, unit, job):
         choice = place(unit, targets, taken, True)
     return choice
 
 
+def _worth_stopping(
+    state: CellState,
+    unit: Unit,
+    targets: list[Target],
+    entitled: set[int],
+    taken: dict[str, int],
+) -> Choice | None:
+    """Choose targets for a unit in place of less urgent ones, if that is a gain."""
+    job = state.jobs[unit.job]
+    if slack_s(state, job) < 0:
+        return None
+    victims = _victims(state, entitled, state.queue_of(job.record).priority)
+    choice = place_by_stopping(unit, targets, victims, taken, False)
+    if choice is None:
+        return None
+    waiting = sum(1 for other in job.units if other.phase is Phase.WAITING)
+    gain = job_worth(state, job) * (1.0 - LATE_SHARE) / waiting
+    if choice.waste_core_s * WASTE_PRICE * GAIN_FACTOR > gain:
+        return None
+    return choice
+
+
 def _far_is_in_time(state: CellState, unit: Unit, job: Job) -> bool:
-    extra_s = (FAR_FACTOR - 1.0) * unit.spec.estimate_s
+    extra_s = (FAR_FACTOR - 1.0) * state.expected_s(unit)
     return 0.0 <= slack_s(state, job) - extra_s < PATIENCE_S
 
 
-def _victims(state: CellState, entitled: set[int]) -> dict[str, list[Victim]]:
+def _victims(
+    state: CellState, entitled: set[int], above: int
+) -> dict[str, list[Victim]]:
+    """Return the units that may be stopped, of lower priority than `above`."""
     found: dict[str, list[Victim]] = defaultdict(list)
     for unit in state.running_units():
-        if id(unit) in entitled:
+        priority = state.queue_of(state.jobs[unit.job].record).priority
+        if id(unit) in entitled or priority <= above:
             continue
         lost_s = unit.unsaved_s(state.now_s) + RESTART_WASTE_S
         victim = Victim(unit, unit.weight * lost_s)
--- a/packages/scheduling/src/cicadabank/scheduling/internal/state.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/state.py
@@ -5,10 +5,15 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from cicadabank.scheduling.internal.forecast import Forecast
 from cicadabank.scheduling.internal.jobs import ConfigView, JobRecord, QueueView, RunId
 from cicadabank.scheduling.internal.targets import Target
 from cicadabank.scheduling.internal.units import Job, Member, Phase, Place, Unit
 
+# A task that has outlived its forecast is expected to go on for this share of the time
+# that it has run, as run times with a long tail do.
+OVERRUN_SHARE = 0.5
+
 
 class Timings(NamedTuple):
     """Time bounds of a cell's holder, in seconds.
@@ -125,12 +130,26 @@
         self.dirty: dict[str, Job] = {}
         self.in_flight: Commit | None = None
         self.orders: dict[str, Orders] = {}
+        self.forecast = Forecast()
+        self.mean_work: dict[str, tuple[int, float]] = {}  # queue -> jobs, core-seconds
 
     def queue_of(self, record: JobRecord) -> QueueView:
         """Return a job's queue; a removed one keeps its last settings."""
         known = self.queues.get(record.queue)
         return known or QueueView(record.queue, self.cell, 2, 3, 3.0, 3.0)
 
+    def expected_s(self, unit: Unit) -> float:
+        """Return how long a unit is expected to run from its beginning."""
+        queue = self.jobs[unit.job].record.queue
+        return self.forecast.expected_s(queue, unit.spec.estimate_s)
+
+    def remaining_s(self, unit: Unit) -> float:
+        """Return how long a running unit is expected to go on."""
+        if unit.phase is not Phase.RUNNING:
+            return self.expected_s(unit)
+        elapsed_s = self.now_s - unit.started_s
+        return max(self.expected_s(unit) - elapsed_s, OVERRUN_SHARE * elapsed_s, 0.2)
+
     def mark(self, job: Job) -> None:
         """Have a job's row written."""
         self.dirty[job.record.job] = job
--- a/tests/support/modelled.py
+++ b/tests/support/modelled.py
@@ -28,6 +28,8 @@
 STEP_S = 0.1
 REPORT_S = 0.5
 STOP_S = 0.2
+SAVE_S = 1.0
+FAR_FACTOR = 3.0
 TARGET = Need(32_000, 131_072, 8)
 
 
@@ -49,7 +51,9 @@
         self.spec = spec
         self.began_s = began_s
         self.left_s = left_s
+        self.total_s = left_s
         self.saved = ""
+        self.saved_left_s = left_s
         self.stops_s = float("inf")
 
 
@@ -238,12 +242,28 @@
                 self._note(target, work, "failed")
                 self._end_gang(work, "broken")
             elif self._whole(work):
-                work.left_s -= STEP_S
+                work.left_s -= STEP_S / self._slowdown(target, work)
+                self._save(work)
                 if work.left_s <= 0:
                     target.end(work, "done")
                     self._note(target, work, "done")
                     self._end_gang(work, "done")
 
+    def _slowdown(self, target: ModelTarget, work: Work) -> float:
+        """Return how much longer a task takes away from its data or its gang."""
+        spec = work.spec
+        if spec.data_rack and target.rack != spec.data_rack:
+            return FAR_FACTOR
+        if spec.gang and spec.same_rack:
+            racks = {target.rack for target, _ in self._gang(work)}
+            return FAR_FACTOR if len(racks) > 1 else 1.0
+        return 1.0
+
+    def _save(self, work: Work) -> None:
+        if work.spec.saves_progress and work.saved_left_s - work.left_s >= SAVE_S:
+            work.saved_left_s = work.left_s
+            work.saved = f"{work.left_s:.2f}"
+
     def _gang(self, work: Work) -> list[tuple[ModelTarget, Work]]:
         same = work.run._replace(index=0)
         return [
@@ -267,7 +287,10 @@
         if how != "done":
             need = work.spec.need
             cores = need.cpu_millicores / 1000 + 8 * need.accelerators
-            self.wasted_core_s += cores * (self.now_s - work.began_s)
+            lost_s = work.saved_left_s - work.left_s
+            if not work.spec.saves_progress:
+                lost_s = self.now_s - work.began_s
+            self.wasted_core_s += cores * lost_s
 
     def _report(self, target: ModelTarget) -> None:
         self._reported_s[target.agent] = self.now_s
@@ -317,7 +340,8 @@
         if run in target.work:
             return
         spec = self.records[run.job].steps[run.step]
-        target.work[run] = Work(run, spec, self.now_s, self.duration_s(run, spec))
+        left_s = float(start.checkpoint or self.duration_s(run, spec))
+        target.work[run] = Work(run, spec, self.now_s, left_s)
         for kind, limit in enumerate(target.capacity):
             used = sum(w.spec.need[kind] for w in target.work.values())
             target.over_capacity += used > limit
