--- a/packages/control/src/cicadabank/control/internal/holding.py
+++ b/packages/control/src/cicadabank/control/internal/holding.py
@@ -34,7 +34,9 @@
 from cicadabank.wire import ChannelPool, fleet_pb2, fleet_pb2_grpc
 from loguru import logger
 
-TICK_S = 0.1
+TICK_S = 0.05
+# Least time between two rounds of planning: a burst of events takes one round.
+PLAN_PAUSE_S = 0.02
 # Several renewals fit into the time after which others take the cell.
 RENEW_S = 0.8
 # Pause before a write that the store turned away is tried again.
@@ -86,6 +88,7 @@
         self._writer = ThreadPoolExecutor(1, f"commit-{cell}")
         self._contact_s = clock_s()
         self._renew_due_s = 0.0
+        self._planned_s = float("-inf")
         self._writing = False
         self.scheduler = CellScheduler(cell, epoch, clock_s(), timings, log_event)
 
@@ -175,7 +178,10 @@
                 self._send(Orders(agent, None))
 
     def _act(self) -> None:
-        self.scheduler.tick(clock_s())
+        now_s = clock_s()
+        if now_s - self._planned_s >= PLAN_PAUSE_S:
+            self._planned_s = now_s
+            self.scheduler.tick(now_s)
         if not self._writing:
             commit = self.scheduler.take_commit()
             if commit is not None:
--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -53,14 +53,24 @@
     if not waiting:
         return
     entitled = entitled_units(state)
-    waiting.sort(key=lambda unit: _rank(state, unit, id(unit) in entitled))
+    indices = {
+        job: _index(state, state.jobs[job]) for job in {unit.job for unit in waiting}
+    }
+    waiting.sort(key=lambda unit: _rank(state, unit, id(unit) in entitled, indices))
     targets = usable(state)
     kept = Reservations(state)
+    blocked: set[tuple[str, int, bool]] = set()
     for unit in waiting:
+        # What holds for one task of a step holds for the others in this round.
+        kind = (unit.job, unit.step, id(unit) in entitled)
+        if kind in blocked:
+            continue
         choice = _choose(state, unit, kept.open_to(unit, targets), entitled)
         if choice is not None:
             _claim(state, unit, choice, id(unit) in entitled)
-        elif kept.left(targets):
+            continue
+        blocked.add(kind)
+        if kept.left(targets):
             kept.reserve(unit, targets)
 
 
@@ -151,20 +161,25 @@
     return objective_s(state, job) - age_s - chain_s(state, job, left_only=True)
 
 
-def _rank(state: CellState, unit: Unit, entitled: bool) -> tuple:
-    """Order by guarantee, then by the credit that waiting costs.
+def _rank(
+    state: CellState, unit: Unit, entitled: bool, indices: dict[str, float]
+) -> tuple:
+    """Order by guarantee, then by the credit that waiting costs."""
+    accepted_s = state.jobs[unit.job].record.accepted_s
+    if entitled:
+        return (0, accepted_s, unit.step, unit.first)
+    return (1, -indices[unit.job], accepted_s, unit.first)
+
 
-    The index is that of apparent tardiness cost: worth per accelerator-second, falling
-    with the slack that is left.
+def _index(state: CellState, job: Job) -> float:
+    """Return the index of apparent tardiness cost of a job.
+
+    It is the worth per accelerator-second, falling with the slack that is left.
     """
-    job = state.jobs[unit.job]
-    if entitled:
-        return (0, job.record.accepted_s, unit.step, unit.first)
     slack = slack_s(state, job)
     worth = job_worth(state, job) * (LATE_SHARE if slack < 0 else 1.0)
     cost = max(1.0, work_core_s(state, job))
-    index = worth / cost * math.exp(-max(0.0, slack) / PATIENCE_S)
-    return (1, -index, job.record.accepted_s, unit.first)
+    return worth / cost * math.exp(-max(0.0, slack) / PATIENCE_S)
 
 
 def work_core_s(state: CellState, job: Job) -> float:
--- a/packages/scheduling/src/cicadabank/scheduling/internal/reservations.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/reservations.py
@@ -10,6 +10,8 @@
 
 # Share of the targets that may be kept free; the rest goes on being filled.
 LARGEST_SHARE = 0.5
+# Units of one round that targets are sought for; the search is the dear part.
+MOST_UNITS = 4
 
 
 class Reservations:
@@ -23,6 +25,7 @@
         self._state = state
         self._until_s: dict[str, float] = {}  # agent -> when it is needed
         self._ends: dict[str, list[tuple[float, Need]]] | None = None
+        self._sought = 0
 
     def open_to(self, unit: Unit, targets: list[Target]) -> list[Target]:
         """Return the targets that a unit may use now."""
@@ -37,10 +40,12 @@
 
     def left(self, targets: list[Target]) -> bool:
         """Whether more targets may be kept."""
-        return len(self._until_s) < LARGEST_SHARE * len(targets)
+        few = len(self._until_s) < LARGEST_SHARE * len(targets)
+        return few and self._sought < MOST_UNITS
 
     def reserve(self, unit: Unit, targets: list[Target]) -> None:
         """Keep the targets on which a unit can start soonest."""
+        self._sought += 1
         step = unit.spec
         able = eligible(step, targets)
         if step.data_rack:
