--- a/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
@@ -88,6 +88,8 @@
     def _add(self, job: Job) -> None:
         state, record = self.state, job.record
         state.jobs[record.job] = job
+        for step in record.steps:
+            state.forecast.declare(record.queue, step.estimate_s)
         count, mean = state.mean_work.get(record.queue, (0, 0.0))
         mean += (planner.work_core_s(state, job) - mean) / (count + 1)
         state.mean_work[record.queue] = (count + 1, mean)
--- a/packages/scheduling/src/cicadabank/scheduling/internal/forecast.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/forecast.py
@@ -5,53 +5,74 @@
 import math
 
 SHORTEST_S = 0.2
-# Before any end was seen, declared times are trusted about this much more than the
-# mean of their queue.
-PRIOR_RUNS = 2.0
-PRIOR_DECLARED_VARIANCE = 0.25
-PRIOR_QUEUE_VARIANCE = 1.0
+# Before any end was seen, half of what a declared time differs from the mean of its
+# queue is taken for an error of the declaration.
+PRIOR_SLOPE = 0.5
+PRIOR_RUNS = 3.0
+PRIOR_VARIANCE = 0.5
+
+
+class _Line:
+    """Regression of logarithms of taken times on declared ones, with a prior."""
+
+    __slots__ = (
+        "count",
+        "declared",
+        "declared_all",
+        "declared_count",
+        "taken",
+        "xx",
+        "xy",
+    )
 
-
-class _Spread:
-    """Running mean and variance, starting from a prior variance."""
-
-    __slots__ = ("_squares", "count", "mean")
-
-    def __init__(self, prior_variance: float):
+    def __init__(self) -> None:
         self.count = 0
-        self.mean = 0.0
-        self._squares = PRIOR_RUNS * prior_variance
-
-    def add(self, value: float) -> None:
-        """Take in one value."""
+        self.declared = 0.0
+        self.taken = 0.0
+        self.xx = PRIOR_RUNS * PRIOR_VARIANCE
+        self.xy = PRIOR_SLOPE * self.xx
+        self.declared_all = 0.0
+        self.declared_count = 0
+
+    def declare(self, declared: float) -> None:
+        """Take in a declared time."""
+        self.declared_count += 1
+        self.declared_all += (declared - self.declared_all) / self.declared_count
+
+    def observe(self, declared: float, taken: float) -> None:
+        """Take in a declared time with the time that was taken."""
         self.count += 1
-        before = self.mean
-        self.mean += (value - before) / self.count
-        self._squares += (value - before) * (value - self.mean)
+        off = declared - self.declared
+        self.declared += off / self.count
+        self.taken += (taken - self.taken) / self.count
+        self.xx += off * (declared - self.declared)
+        self.xy += off * (taken - self.taken)
 
-    @property
-    def variance(self) -> float:
-        """The variance, never quite zero."""
-        return max(0.01, self._squares / (self.count + PRIOR_RUNS))
+    def expected(self, declared: float) -> float:
+        """Return the expected logarithm of the time taken."""
+        trust = self.count / (self.count + PRIOR_RUNS)
+        middle = trust * self.declared + (1.0 - trust) * self.declared_all
+        level = trust * self.taken + (1.0 - trust) * self.declared_all
+        return level + self.xy / self.xx * (declared - middle)
 
 
 class Forecast:
     """Forecasts how long the tasks of each queue take.
 
-    Declared times and the mean of the queue are weighed by how far each was off.
+    Declared times may be off by a factor. How much they tell is learnt from the ends of
+    their queue; at first they are drawn halfway to the queue's mean.
     """
 
     def __init__(self) -> None:
-        self._off: dict[str, _Spread] = {}
-        self._taken: dict[str, _Spread] = {}
+        self._lines: dict[str, _Line] = {}
+
+    def declare(self, queue: str, declared_s: float) -> None:
+        """Take in what a new job declares."""
+        self._line(queue).declare(_log(declared_s))
 
     def observe(self, queue: str, declared_s: float, taken_s: float) -> None:
         """Take in how long a task has taken from its start to its end."""
-        taken = math.log(max(SHORTEST_S, taken_s))
-        declared = math.log(max(SHORTEST_S, declared_s))
-        off = self._off.setdefault(queue, _Spread(PRIOR_DECLARED_VARIANCE))
-        off.add(taken - declared)
-        self._taken.setdefault(queue, _Spread(PRIOR_QUEUE_VARIANCE)).add(taken)
+        self._line(queue).observe(_log(declared_s), _log(taken_s))
 
     def expected_s(self, queue: str, declared_s: float) -> float:
         """Return how long a task is expected to take.
@@ -61,11 +82,14 @@
         declared_s : float
             What its job declared.
         """
-        declared_s = max(SHORTEST_S, declared_s)
-        off, taken = self._off.get(queue), self._taken.get(queue)
-        if off is None or taken is None:
-            return declared_s
-        trust = off.count / (off.count + PRIOR_RUNS)
-        by_declared = math.log(declared_s) + trust * off.mean
-        weight = trust * off.variance / (off.variance + taken.variance)
-        return math.exp((1.0 - weight) * by_declared + weight * taken.mean)
+        line = self._lines.get(queue)
+        if line is None:
+            return max(SHORTEST_S, declared_s)
+        return math.exp(line.expected(_log(declared_s)))
+
+    def _line(self, queue: str) -> _Line:
+        return self._lines.setdefault(queue, _Line())
+
+
+def _log(time_s: float) -> float:
+    return math.log(max(SHORTEST_S, time_s))
--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -31,7 +31,7 @@
 # What a wasted core-second costs, in worth, from the users' sites.
 WASTE_PRICE = 0.004
 # Work is only thrown away for a gain that is this much larger, as forecasts are off.
-GAIN_FACTOR = 1.5
+GAIN_FACTOR = 3.0
 # A step that is wider than this share of the room may run in waves.
 WAVE_SHARE = 0.25
 # Slack beyond which waiting costs little; about the mean time between two starts.
