--- a/packages/control/src/cicadabank/control/internal/desk.py
+++ b/packages/control/src/cicadabank/control/internal/desk.py
@@ -42,6 +42,10 @@
 # Left of a caller's deadline for the answer to travel.
 ANSWER_MARGIN_S = 0.25
 RETRY_PAUSE_S = 0.06
+# The store was heard this recently: a write will reach it.
+FRESH_CONTACT_S = 0.25
+# The feed is answered each second; after two and a half the store is out of reach.
+LOST_CONTACT_S = 2.5
 # A store that turns a write away is asked this often before the caller is.
 TRIES_WHEN_REFUSED = 2
 STATES_OVER_CANCEL = ("completed", "failed", "cancelled")
@@ -133,6 +137,7 @@
             request.steps,
         )
         key = JOB + request.job
+        self._check_contact(queue.cell, key)
         until_s = clock_s() + deadline_s - ANSWER_MARGIN_S
         try:
             self._write(queue.cell, {key: 0}, {key: pack(record)}, until_s)
@@ -156,6 +161,24 @@
             ],
         ).info("accepted")
 
+    def _check_contact(self, cell: str, key: str) -> None:
+        """Refuse while the store is out of reach, before anything is written.
+
+        A write that is lost on the way leaves the caller without a true answer, and
+        callers don't repeat a job after that; a read that is lost does no harm.
+        """
+        age_s = self._replica.age_s()
+        if age_s <= FRESH_CONTACT_S:
+            return
+        try:
+            if age_s <= LOST_CONTACT_S:
+                self._read(cell, key)
+                return
+            reason = f"not heard for {age_s:.1f} s"
+        except PlatformError as error:
+            reason = error.message
+        raise StoreAwayError(f"the store is away: {reason}", "come back in a second")
+
     def _known(self, job: str, queue: str) -> bool:
         cell = self._replica.cell_of.get(job)
         record = self._replica.cells[cell].jobs.get(job) if cell else None
