Reckon with the lease that an earlier life of the agent has prolonged

Cause: an agent that restarted beside a target that didn't answer would have called it dead after 1.2 s, and its tasks would have run twice. Found by a contract test of the agent's decisions, red before.

--- a/packages/control/src/cicadabank/control/internal/steward.py
+++ b/packages/control/src/cicadabank/control/internal/steward.py
@@ -18,6 +18,8 @@
 UNANSWERED_S = 1.2
 # The target's clock may run this much slow.
 CLOCK_DRIFT = 0.02
+# Targets allow no longer lease.
+LONGEST_LEASE_S = 10.0
 CLOSED_REMEMBERED = 4000
 # A target that turned a start away as unhealthy gets no others for this time.
 UNHEALTHY_S = 2.0
@@ -168,7 +170,10 @@
         self._listing = None
         self._sample = None
         self.recorded = 0
-        self._held_until_s = float("-inf")
+        # An earlier life of this agent may have prolonged the lease of a target that it
+        # hasn't met yet.
+        first = self.beat is None
+        self._held_until_s = now_s + LONGEST_LEASE_S if first else float("-inf")
         self._answered_s = now_s
 
     def on_orders(self, batch: fleet_pb2.OrderBatch, now_s: float) -> bool:
--- /dev/null
+++ b/tests/cover/test_steward.py
@@ -0,0 +1,208 @@
+from __future__ import annotations
+
+import pytest
+from cicadabank.control.internal.steward import (
+    Listing,
+    StartOutcome,
+    Steward,
+    TargetBeat,
+)
+from cicadabank.control.internal.translate import message_of
+from cicadabank.scheduling import EndedRun, Need, RunId, RunningRun
+from cicadabank.wire import fleet_pb2
+
+RUN = RunId("j", 0, 0, 1)
+OTHER = RunId("j", 0, 1, 1)
+
+
+def beat(born_ms=1, sequence=1, draining=False, **more) -> TargetBeat:
+    fields = {
+        "target": "t",
+        "born_ms": born_ms,
+        "sequence": sequence,
+        "cell": "cell",
+        "domain": "d",
+        "address": "a:1",
+        "capacity": Need(32_000, 1000, 8),
+        "labels": ("a", "r1"),
+        "rack": "r1",
+        "draining": draining,
+        "remaining_s": 2.0 if draining else 0.0,
+    }
+    return TargetBeat(**{**fields, **more})
+
+
+def start(run=RUN, accelerators=4) -> fleet_pb2.StartRun:
+    return fleet_pb2.StartRun(
+        id=message_of(run), spec="s", cpu_millicores=1, accelerators=accelerators
+    )
+
+
+def batch(steward, epoch=1, starts=(), stops=(), incarnation=None):
+    return fleet_pb2.OrderBatch(
+        cell="cell",
+        epoch=epoch,
+        holder="h:1",
+        incarnation=steward.incarnation if incarnation is None else incarnation,
+        starts=starts,
+        stops=[message_of(run) for run in stops],
+    )
+
+
+def listing(running=(), ended=(), born_ms=1, target_s=50.0) -> Listing:
+    rows = tuple(RunningRun(run, "", 100) for run in running)
+    ends = tuple(EndedRun(n, run, "done", "") for n, run in ended)
+    return Listing(born_ms, target_s, rows, ends)
+
+
+@pytest.fixture
+def steward() -> Steward:
+    made = Steward("a:2", "agent-1", "cell")
+    made.on_beat(beat(), 10.0)
+    made.on_orders(batch(made, incarnation=""), 10.0)
+    made.on_listing(listing(), 10.0, 10.0)
+    reply = fleet_pb2.ReportReply(accepted=True, epoch=1, holder="h:1", lease_s=8.0)
+    made.on_reply(reply, 10.0)
+    return made
+
+
+def refused(steward, now_s=11.0) -> dict[str, str]:
+    report = steward.report(now_s)
+    return {(r.id.job, r.id.index): r.reason for r in report.refused}
+
+
+class TestEpochs:
+    def test_orders_of_a_replaced_holder_are_refused(self, steward):
+        assert steward.on_orders(batch(steward, epoch=3), 11.0)
+        assert not steward.on_orders(batch(steward, epoch=2, starts=[start()]), 11.0)
+        assert steward.calls(11.0) == []
+
+    def test_orders_for_an_earlier_life_are_refused(self, steward):
+        old = batch(steward, starts=[start()])
+        steward.on_beat(beat(born_ms=2), 11.0)
+        assert not steward.on_orders(old, 11.0)
+        assert steward.calls(11.0) == []
+
+    def test_a_late_heartbeat_of_an_earlier_life_changes_nothing(self, steward):
+        steward.on_beat(beat(born_ms=2), 11.0)
+        assert not steward.on_beat(beat(born_ms=1, sequence=99), 11.5)
+        assert steward.incarnation == "t/2"
+
+    def test_a_late_heartbeat_doesn_t_end_a_drain(self, steward):
+        steward.on_beat(beat(sequence=5, draining=True), 11.0)
+        steward.on_beat(beat(sequence=4), 11.2)
+        assert steward.beat.draining
+
+
+class TestStarts:
+    def test_an_unanswered_start_is_repeated(self, steward):
+        steward.on_orders(batch(steward, starts=[start()]), 11.0)
+        assert [c.kind for c in steward.calls(11.0)] == ["start"]
+        assert steward.calls(11.1) == []
+        steward.on_started(RUN, StartOutcome(False), 11.5)
+        assert [c.kind for c in steward.calls(11.6)] == ["start"]
+
+    def test_a_started_run_is_reported_before_it_is_listed(self, steward):
+        steward.on_orders(batch(steward, starts=[start()]), 11.0)
+        steward.calls(11.0)
+        steward.on_started(RUN, StartOutcome(True), 11.1)
+        assert [r.id.job for r in steward.report(11.2).running] == ["j"]
+
+    def test_a_list_asked_for_before_a_start_doesn_t_end_it(self, steward):
+        steward.on_orders(batch(steward, starts=[start()]), 11.0)
+        steward.calls(11.0)
+        steward.on_started(RUN, StartOutcome(True), 11.1)
+        steward.on_listing(listing(), 10.9, 11.2)
+        assert [r.id.job for r in steward.report(11.2).running] == ["j"]
+
+    def test_more_than_the_target_has_is_refused(self, steward):
+        orders = [start(RUN, 8), start(OTHER, 1)]
+        steward.on_orders(batch(steward, starts=orders), 11.0)
+        assert refused(steward) == {("j", 1): "room"}
+
+    def test_a_draining_target_takes_nothing(self, steward):
+        steward.on_beat(beat(sequence=2, draining=True), 11.0)
+        steward.on_orders(batch(steward, starts=[start()]), 11.0)
+        assert refused(steward) == {("j", 0): "draining"}
+
+    def test_without_a_lease_nothing_starts(self, steward):
+        steward.on_orders(batch(steward, starts=[start()]), 30.0)
+        assert steward.calls(30.0) == []
+
+    def test_a_refused_run_stays_refused(self, steward):
+        steward.on_orders(batch(steward, starts=[start()]), 11.0)
+        steward.calls(11.0)
+        steward.on_started(RUN, StartOutcome(True, "old"), 11.1)
+        settled = fleet_pb2.ReportReply(
+            accepted=True, epoch=1, holder="h", settled=[message_of(RUN)]
+        )
+        steward.on_reply(settled, 11.2)
+        steward.on_orders(batch(steward, starts=[start()]), 11.3)
+        assert steward.calls(12.0) == []
+        assert refused(steward) == {("j", 0): "old"}
+
+
+class TestStops:
+    def test_a_run_is_gone_once_a_later_list_lacks_it(self, steward):
+        steward.on_orders(batch(steward, stops=[RUN]), 11.0)
+        assert [c.kind for c in steward.calls(11.0)] == ["stop"]
+        steward.on_stopped(RUN, True, 11.1)
+        steward.on_listing(listing(), 11.05, 11.2)
+        assert not steward.report(11.2).gone
+        steward.on_listing(listing(), 11.15, 11.3)
+        assert [r.job for r in steward.report(11.3).gone] == ["j"]
+
+    def test_an_unanswered_stop_is_repeated(self, steward):
+        steward.on_orders(batch(steward, stops=[RUN]), 11.0)
+        steward.calls(11.0)
+        steward.on_stopped(RUN, False, 11.5)
+        assert [c.kind for c in steward.calls(11.6)] == ["stop"]
+
+    def test_a_start_on_its_way_doesn_t_hold_up_a_stop(self, steward):
+        steward.on_orders(batch(steward, starts=[start()]), 11.0)
+        steward.calls(11.0)
+        steward.on_orders(batch(steward, stops=[RUN]), 11.1)
+        assert [c.kind for c in steward.calls(11.1)] == ["stop"]
+
+
+class TestLeases:
+    def test_a_lease_ends_no_later_on_the_target_s_clock(self, steward):
+        # The clock showed 50 s at 10.0 s at the latest, and the lease ends at 18.0 s.
+        assert steward.until_target_s(11.0) == pytest.approx(58.0)
+
+    def test_a_lapsed_lease_is_not_prolonged(self, steward):
+        assert steward.until_target_s(18.5) is None
+
+    def test_a_target_silent_beyond_its_lease_is_reported_as_ended(self, steward):
+        steward.on_beat(beat(born_ms=2), 10.0)
+        steward.on_listing(listing(born_ms=2), 10.0, 10.0)
+        steward.until_target_s(11.0)
+        assert not steward.target_is_dead(17.0)
+        assert steward.target_is_dead(18.5)
+        assert steward.report(18.5).incarnation.endswith("/ended")
+
+    def test_a_new_agent_reckons_with_the_longest_lease_of_the_one_before(self):
+        steward = Steward("a:2", "agent-2", "cell")
+        steward.on_beat(beat(), 10.0)
+        assert not steward.target_is_dead(19.0)
+        assert steward.target_is_dead(21.0)
+
+    def test_a_target_that_does_not_answer_is_unhealthy(self, steward):
+        assert not steward.report(10.5).unhealthy
+        assert steward.report(12.0).unhealthy
+
+
+class TestEnds:
+    def test_ends_are_told_until_they_are_stored(self, steward):
+        steward.on_listing(listing(ended=[(1, RUN)]), 11.0, 11.0)
+        assert [e.sequence for e in steward.report(11.0).ended] == [1]
+        assert steward.unrecorded
+        done = batch(steward)
+        done.recorded = 1
+        steward.on_orders(done, 11.5)
+        assert not steward.unrecorded
+        assert steward.recorded == 1
+
+    def test_a_list_of_another_life_is_passed_over(self, steward):
+        assert not steward.on_listing(listing([RUN], born_ms=2), 11.0, 11.0)
+        assert not steward.report(11.0).running
