--- a/packages/tasks/src/cicadabank/tasks/internal/observe.py
+++ b/packages/tasks/src/cicadabank/tasks/internal/observe.py
@@ -42,7 +42,13 @@
         target.flush()
 
     logger.remove()
-    logger.add(write, level=level, format="{message}\n{exception}")
+    logger.add(
+        write,
+        level=level,
+        format="{message}\n{exception}",
+        backtrace=False,
+        diagnose=False,
+    )
 
 
 class Metrics:
--- /dev/null
+++ b/tests/processes/test_platform_path.py
@@ -0,0 +1,109 @@
+from __future__ import annotations
+
+import signal
+
+import pytest
+
+from tests.support.platform import platform_running, wait_for
+
+JOB = "00000000000000a{}"
+
+
+@pytest.fixture(scope="class")
+def platform(tmp_path_factory):
+    with platform_running(tmp_path_factory.mktemp("platform")) as running:
+        yield running
+
+
+def completed(platform, job: str) -> bool:
+    survivors = [name for name in platform.fronts if name in platform.processes]
+    return platform.state(job, survivors[0]) == "completed"
+
+
+class TestWholePath:
+    def test_a_job_is_accepted_run_and_shown(self, platform):
+        job = JOB.format(0)
+        assert platform.submit(job, 0.3, count=2) == 200
+        wait_for(lambda: platform.state(job) == "completed")
+        assert platform.state(job, "entry-1") == "completed"
+
+    def test_requests_that_name_nothing_are_refused(self, platform):
+        job = JOB.format(1)
+        assert platform.call("GET", f"/q/{job}").status_code == 410
+        assert platform.call("GET", "/none/").status_code == 404
+        key = {"Authorization": "Bearer other"}
+        assert platform.call("GET", f"/q/{job}", headers=key).status_code == 401
+        bad = platform.call("POST", f"/q/{job}", content=b"{}")
+        assert bad.status_code == 400
+        assert bad.json()["code"] == "bad-job"
+        assert platform.submit(job, 1.0, longRunning=True) == 501
+
+    def test_a_cancelled_job_s_tasks_are_stopped(self, platform):
+        job = JOB.format(2)
+        platform.submit(job, 60.0)
+        wait_for(lambda: platform.state(job) == "running")
+        assert platform.call("DELETE", f"/q/{job}").status_code == 200
+        wait_for(lambda: platform.state(job) == "cancelled")
+
+    def test_a_start_without_an_answer_runs_once(self, platform):
+        job = JOB.format(3)
+        for target in platform.targets:
+            target.deaf = True
+        try:
+            platform.submit(job, 0.5)
+            wait_for(lambda: platform.state(job) == "completed")
+        finally:
+            for target in platform.targets:
+                target.deaf = False
+        runs = [s for t in platform.targets for s in t.started if job in s[0]]
+        assert len(runs) == 1
+
+
+class TestFailures:
+    """One platform, hurt again and again."""
+
+    def test_running_tasks_outlive_their_holder(self, platform):
+        job = JOB.format(4)
+        platform.submit(job, 6.0, count=2)
+        wait_for(lambda: platform.state(job) == "running")
+        held = platform.holder()
+        platform.kill(held)
+        assert wait_for(lambda: platform.holder() != held) < 6.0
+        wait_for(lambda: completed(platform, job))
+        platform.start(held)
+        runs = [s for t in platform.targets for s in t.started if job in s[0]]
+        assert len(runs) == 2
+
+    def test_running_tasks_outlive_their_agents(self, platform):
+        job = JOB.format(5)
+        wait_for(lambda: platform.submit(job, 5.0, count=2) == 200)
+        wait_for(lambda: platform.state(job) == "running")
+        for name in ("agent-0", "agent-1"):
+            platform.kill(name)
+            platform.start(name)
+        wait_for(lambda: completed(platform, job))
+        runs = [s for t in platform.targets for s in t.started if job in s[0]]
+        assert len(runs) == 2
+
+    def test_running_tasks_outlive_an_outage_of_the_store(self, platform):
+        job = JOB.format(6)
+        platform.submit(job, 5.0)
+        wait_for(lambda: platform.state(job) == "running")
+        platform.store.turned_away = True
+        assert platform.submit(JOB.format(7), 1.0) == 503
+        wait_for(lambda: any(t.started for t in platform.targets))
+        platform.store.turned_away = False
+        wait_for(lambda: completed(platform, job))
+        runs = [s for t in platform.targets for s in t.started if job in s[0]]
+        assert len(runs) == 1
+        assert platform.call("GET", f"/q/{JOB.format(7)}").status_code == 410
+
+    def test_a_stopped_holder_hands_over_at_once(self, platform):
+        held = platform.holder()
+        other = next(name for name in platform.fronts if name != held)
+        platform.processes[held].send_signal(signal.SIGHUP)
+        platform.processes[held].send_signal(signal.SIGTERM)
+        assert wait_for(lambda: platform.holder() != held) < 3.0
+        assert platform.processes.pop(held).wait(timeout=10.0) == 0
+        assert platform.submit(JOB.format(8), 0.2, other) == 200
+        wait_for(lambda: platform.state(JOB.format(8), other) == "completed")
--- /dev/null
+++ b/tests/support/platform.py
@@ -0,0 +1,194 @@
+"""The real entries and agents as processes, on stand-ins of the users' platform."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+
+import httpx
+from cicadabank.local import Ports
+from cicadabank.platform.standin import (
+    StoreStandIn,
+    TargetStandIn,
+    serving,
+    target_running,
+)
+
+KEY = "key-1"
+HEADERS = {"Host": "h.example", "Authorization": f"Bearer {KEY}"}
+CONFIG = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "q",
+            "host": "h.example",
+            "pathPrefix": "/q/",
+            "priority": 1,
+            "service": "cell",
+            "attempts": 3,
+            "stretch": 3.0,
+            "targetLatencyMs": 1000,
+        }
+    ],
+    "services": [{"name": "cell"}],
+    "tenants": [{"name": "w", "apiKeys": [KEY], "guaranteed": {"gpu": 8}}],
+}
+SETTINGS = """
+node = "{name}"
+zone = "d{number}"
+ip = "127.0.0.1"
+portRange = [{peer}, {peer}]
+app = "{target}"
+service = "cell"
+[listen]
+front = "{front}"
+ready = "{ready}"
+control = "{control}"
+[bounds]
+graceS = 6
+configMs = 2000
+holdMaxMs = 10000
+status_s = 120
+[platform]
+address = "{store}"
+"""
+
+
+class SmallPlatform:
+    """A store, entries, and targets with their agents."""
+
+    def __init__(self, folder: Path, ports: Ports):
+        self.folder = folder
+        self.ports = ports
+        self.store = StoreStandIn()
+        self.store_address = ports.address()
+        self.targets: list[TargetStandIn] = []
+        self.fronts: dict[str, str] = {}
+        self.processes: dict[str, subprocess.Popen] = {}
+        self._roles: dict[str, str] = {}
+
+    def settings(self, name: str, role: str, number: int, **fields: str) -> None:
+        """Write the settings file of a process."""
+        self._roles[name] = role
+        peer = self.ports.address().rpartition(":")[2]
+        values = {"front": "", "ready": "", "control": "", "target": "", **fields}
+        text = SETTINGS.format(
+            name=name, number=number, peer=peer, store=self.store_address, **values
+        )
+        (self.folder / f"{name}.toml").write_text(text)
+
+    def start(self, name: str) -> None:
+        """Start a process."""
+        environment = dict(os.environ)
+        environment["CICADABANK_SETTINGS"] = str(self.folder / f"{name}.toml")
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", "cicadabank.platform", self._roles[name]],
+                env=environment,
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+            )
+
+    def kill(self, name: str, number: signal.Signals = signal.SIGKILL) -> None:
+        """End a process, and wait until it is gone."""
+        process = self.processes.pop(name)
+        process.send_signal(number)
+        process.wait(timeout=10.0)
+
+    def call(self, method: str, path: str, entry: str = "", **more) -> httpx.Response:
+        """Make a caller's request."""
+        front = self.fronts[entry or next(iter(self.fronts))]
+        headers = {**HEADERS, **more.pop("headers", {})}
+        return httpx.request(
+            method,
+            f"http://{front}{path}",
+            headers=headers,
+            timeout=5.0,
+            trust_env=False,
+            **more,
+        )
+
+    def submit(self, job: str, seconds: float, entry: str = "", **step) -> int:
+        """Hand in a job whose tasks run for some seconds; return the status."""
+        fields = {"count": 1, "cpu": 1000, "memMb": 100, "gpu": 1, "estimateMs": 1000}
+        body = {"spec": str(seconds), "steps": [{**fields, **step}]}
+        return self.call("POST", f"/q/{job}", entry, json=body).status_code
+
+    def state(self, job: str, entry: str = "") -> str:
+        """Return a job's state."""
+        return self.call("GET", f"/q/{job}", entry).json().get("state", "")
+
+    def holder(self) -> str:
+        """Return the entry that holds the cell, from its log."""
+        found: list[tuple[str, str]] = []
+        for name in self.fronts:
+            for line in (self.folder / f"{name}.log").read_text().splitlines():
+                if '"event": "cell_loaded"' in line:
+                    found.append((json.loads(line)["at"], name))
+        return max(found)[1]
+
+
+def wait_for(condition: Callable[[], bool], limit_s: float = 30.0) -> float:
+    """Wait until something holds; return how long it took."""
+    began_s = time.monotonic()
+    while True:
+        try:
+            if condition():
+                return time.monotonic() - began_s
+        except (httpx.HTTPError, ValueError):
+            pass
+        assert time.monotonic() - began_s < limit_s, "it did not come about in time"
+        time.sleep(0.05)
+
+
+@contextmanager
+def platform_running(
+    folder: Path, entries: int = 2, targets: int = 2
+) -> Iterator[SmallPlatform]:
+    """Run a small platform until the block ends."""
+    ports = Ports()
+    platform = SmallPlatform(folder, ports)
+    platform.store.put("op", "config", CONFIG)
+    with ExitStack() as stack:
+        stack.enter_context(serving(platform.store_address, platform.store.dispatch))
+        for number in range(targets):
+            address, control = ports.address(), ports.address()
+            name = f"agent-{number}"
+            platform.settings(name, "agent", number, control=control, target=address)
+            target = target_running(f"t{number}", address, control, f"d{number}")
+            platform.targets.append(stack.enter_context(target))
+            platform.start(name)
+        for number in range(entries):
+            name = f"entry-{number}"
+            platform.fronts[name] = ports.address()
+            platform.settings(
+                name,
+                "entry",
+                number,
+                front=platform.fronts[name],
+                ready=ports.address(),
+            )
+            platform.start(name)
+        stack.callback(_end_all, platform)
+        wait_for(lambda: bool(platform.holder()) if _logged(platform) else False)
+        for name in platform.fronts:
+            wait_for(lambda name=name: platform.call("GET", "/q/", name).is_success)
+        yield platform
+
+
+def _logged(platform: SmallPlatform) -> bool:
+    logs = [platform.folder / f"{name}.log" for name in platform.fronts]
+    return any('"cell_loaded"' in log.read_text() for log in logs if log.exists())
+
+
+def _end_all(platform: SmallPlatform) -> None:
+    for name in list(platform.processes):
+        platform.kill(name)
