Answer a caller within half of its time when the store is silent

Ruled out: the feed (it noted the outage at once). Red before: a bound of half the deadline, and no call beyond what is left.

--- a/packages/control/src/cicadabank/control/internal/desk.py
+++ b/packages/control/src/cicadabank/control/internal/desk.py
@@ -39,8 +39,11 @@
 from cicadabank.tasks import clock_s
 from loguru import logger
 
-# Left of a caller's deadline for the answer to travel.
-ANSWER_MARGIN_S = 0.25
+# Share of a caller's deadline after which an answer would come too late to be of use.
+DEADLINE_SHARE = 0.45
+# The store answers in 4 ms, and within this at its slowest.
+CALL_TIMEOUT_S = 0.6
+SHORTEST_TIMEOUT_S = 0.05
 RETRY_PAUSE_S = 0.06
 # The store was heard this recently: a write will reach it.
 FRESH_CONTACT_S = 0.25
@@ -137,8 +140,8 @@
             request.steps,
         )
         key = JOB + request.job
+        until_s = clock_s() + deadline_s * DEADLINE_SHARE
         self._check_contact(queue.cell, key)
-        until_s = clock_s() + deadline_s - ANSWER_MARGIN_S
         try:
             self._write(queue.cell, {key: 0}, {key: pack(record)}, until_s)
         except RowConflictError as error:
@@ -196,7 +199,9 @@
         refused = 0
         while True:
             try:
-                self._table.commit(cell, expected, puts)
+                left_s = max(SHORTEST_TIMEOUT_S, until_s - clock_s())
+                timeout_s = min(CALL_TIMEOUT_S, left_s)
+                self._table.commit(cell, expected, puts, timeout_s=timeout_s)
                 return
             except RowConflictError:
                 raise
@@ -241,7 +246,8 @@
         return _shown(None if run is None else unpack(run, RunRow), cancelled)
 
     def _read(self, cell: str, key: str) -> bytes | None:
-        rows = self._table.read(cell, key, key + "\x00").rows
+        page = self._table.read(cell, key, key + "\x00", CALL_TIMEOUT_S)
+        rows = page.rows
         return rows[0].value if rows else None
 
     def cancel(self, route: RouteView, job: str, deadline_s: float) -> None:
@@ -256,7 +262,7 @@
             return
         cell = self._replica.cell_of.get(job, route.queue.cell)
         row = pack(CancelRow(self._replica.store_now_s()))
-        until_s = clock_s() + deadline_s - ANSWER_MARGIN_S
+        until_s = clock_s() + deadline_s * DEADLINE_SHARE
         self._write(cell, {}, {CANCEL + job: row}, until_s)
         logger.bind(event="cancel_accepted", job=job).info("cancel accepted")
 
--- a/packages/standin/src/cicadabank/standin/internal/partitions.py
+++ b/packages/standin/src/cicadabank/standin/internal/partitions.py
@@ -56,7 +56,13 @@
             names = sorted({partition for partition, _ in self.rows})
             return self._page([StoredRow(name, "", None, 0) for name in names])
 
-    def read(self, partition: str, first: str = "", end: str = "") -> Page:
+    def read(
+        self,
+        partition: str,
+        first: str = "",
+        end: str = "",
+        timeout_s: float | None = None,
+    ) -> Page:
         """Return the rows of a partition from a key up to, without, another."""
         self._check()
         with self._changed:
@@ -83,6 +89,7 @@
         expected: Mapping[str, int],
         puts: Mapping[str, bytes],
         removes: tuple[str, ...] = (),
+        timeout_s: float | None = None,
     ) -> int:
         """Write rows if others have the expected versions; return the new version."""
         self._check()
--- a/packages/store/src/cicadabank/store/internal/partitions.py
+++ b/packages/store/src/cicadabank/store/internal/partitions.py
@@ -34,13 +34,20 @@
 class PartitionedTable(Protocol):
     """A table of rows in partitions.
 
-    Every method blocks and raises `UnavailableError` if nothing was done.
+    Every method blocks and raises `UnavailableError` if nothing was done. A time-out
+    of None stands for the adapter's own.
     """
 
     def partitions(self) -> Page:
         """Return the names of all partitions, as rows without a value."""
 
-    def read(self, partition: str, first: str = "", end: str = "") -> Page:
+    def read(
+        self,
+        partition: str,
+        first: str = "",
+        end: str = "",
+        timeout_s: float | None = None,
+    ) -> Page:
         """Return the rows of a partition from a key up to, without, another."""
 
     def changes(self, after: int, wait_s: float) -> Page:
@@ -58,6 +65,7 @@
         expected: Mapping[str, int],
         puts: Mapping[str, bytes],
         removes: tuple[str, ...] = (),
+        timeout_s: float | None = None,
     ) -> int:
         """Write rows if others have the expected versions; return the new version.
 
--- a/tests/cover/test_job_desk.py
+++ b/tests/cover/test_job_desk.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import time
+
 import pytest
 from cicadabank.control import errors
 from cicadabank.control.internal import desk as desk_module
@@ -142,6 +144,29 @@
             world.desk.submit(ROUTE, REQUEST._replace(steps=(step,)), 1.0)
 
 
+class TestDeadlines:
+    def test_a_caller_is_answered_in_half_of_its_time(self, world):
+        world.table.lose_writes = True
+        began_s = time.monotonic()
+        with pytest.raises(errors.OutcomeUnknownError):
+            world.submit(deadline_s=1.0)
+        assert time.monotonic() - began_s < 0.5
+
+    def test_no_call_outlasts_what_is_left(self, world):
+        timeouts_s = []
+        commit = world.table.commit
+
+        def noted(*arguments, timeout_s=None):
+            timeouts_s.append(timeout_s)
+            return commit(*arguments)
+
+        world.table.commit = noted
+        world.table.lose_writes = True
+        with pytest.raises(errors.OutcomeUnknownError):
+            world.submit(deadline_s=1.0)
+        assert max(timeouts_s) <= 0.45
+
+
 class TestStates:
     def test_an_unknown_job_is_only_denied_by_the_store(self, world):
         with pytest.raises(errors.NoJobError):
