--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -25,7 +25,7 @@
 from cicadabank.scheduling import AGENT, AgentRow, RunId, pack
 from cicadabank.settings import Limits
 from cicadabank.store import PartitionedTable, PlatformError
-from cicadabank.tasks import StopSignal, Task, clock_s, configure_logs, running
+from cicadabank.tasks import FLUSH_S, StopSignal, Task, clock_s, configure_logs, running
 from cicadabank.wire import ChannelPool, fleet_pb2, fleet_pb2_grpc, serve
 from loguru import logger
 
@@ -315,8 +315,9 @@
 
 def run_agent(parts: AgentParts, log_level: str = "INFO") -> None:
     """Run an agent until the process is asked to stop."""
-    configure_logs(parts.name, log_level)
+    logs = configure_logs(parts.name, log_level)
     with StopSignal().on_signals() as stop, agent_running(parts):
         log_event("agent_started", control=parts.control, peer=parts.peer)
         stop.wait()
     log_event("agent_stopped")
+    logs.flush(FLUSH_S)
--- a/packages/control/src/cicadabank/control/internal/desk.py
+++ b/packages/control/src/cicadabank/control/internal/desk.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from cicadabank.control.errors import (
+    DeskError,
     InvalidJobError,
     NoConfigError,
     NoJobError,
@@ -117,6 +118,18 @@
             return ""
         raise UnknownKeyError("the key is not in the configuration")
 
+    def note_refusal(self, method: str, path: str, error: DeskError) -> None:
+        """Log why a request was not served, with what that was decided from."""
+        config = self._operator().config
+        logger.bind(
+            event="request_refused",
+            method=method,
+            job=path.rpartition("/")[2],
+            code=error.code,
+            store_age_s=round(min(1e6, self._replica.age_s()), 3),
+            config_version=config.version if config else None,
+        ).info("{}", error.message)
+
     def submit(self, route: RouteView, request: JobRequest, deadline_s: float) -> None:
         """Accept a job: it is stored when this returns.
 
--- a/packages/control/src/cicadabank/control/internal/entry.py
+++ b/packages/control/src/cicadabank/control/internal/entry.py
@@ -22,7 +22,7 @@
 from cicadabank.scheduling import HOLDER, LEASE, HolderRow, LeaseRow, Timings, pack
 from cicadabank.settings import Limits
 from cicadabank.store import PartitionedTable, PlatformError, StoredRow
-from cicadabank.tasks import StopSignal, Task, clock_s, configure_logs, running
+from cicadabank.tasks import FLUSH_S, StopSignal, Task, clock_s, configure_logs, running
 from cicadabank.wire import ChannelPool, fleet_pb2, fleet_pb2_grpc, serve
 from loguru import logger
 
@@ -298,8 +298,9 @@
 
 def run_entry(parts: EntryParts, log_level: str = "INFO") -> None:
     """Run an entry until the process is asked to stop."""
-    configure_logs(parts.name, log_level)
+    logs = configure_logs(parts.name, log_level)
     with StopSignal().on_signals() as stop, entry_running(parts):
         log_event("entry_started", front=parts.front, peer=parts.peer)
         stop.wait()
     log_event("entry_stopped")
+    logs.flush(FLUSH_S)
--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -39,8 +39,8 @@
 RECLAIM_WAIT_S = 1.0
 # Slack beyond which waiting costs little; about the mean time between two starts.
 PATIENCE_S = 8.0
-# A unit is placed on racks where it is slow, three times by the users' pages, only if it
-# would have to wait for this multiple of its run time: there it takes more room, too.
+# A unit is placed on racks where it takes three times as long only if it would have to
+# wait for this multiple of its run time: it also takes the room for longer there.
 FAR_PATIENCE = 6.0
 # Work that a stop wastes beside what was not saved: restoring and stopping.
 RESTART_WASTE_S = 0.5
--- a/tests/processes/test_observability.py
+++ b/tests/processes/test_observability.py
@@ -73,12 +73,13 @@
     def test_are_json_lines_with_what_was_bound(self):
         stream = io.StringIO()
         try:
-            configure_logs("entry-1", "INFO", stream)
+            writer = configure_logs("entry-1", "INFO", stream)
             logger.bind(job="job-1", epoch=3).info("placed {}", "a gang")
             try:
                 raise ValueError("bad")
             except ValueError:
                 logger.exception("it failed")
+            assert writer.flush(2.0)
         finally:
             logger.remove()
             logger.add(sys.stderr)
