--- a/packages/control/src/cicadabank/control/internal/desk.py
+++ b/packages/control/src/cicadabank/control/internal/desk.py
@@ -45,13 +45,10 @@
 # The store answers in 4 ms, and within this at its slowest.
 CALL_TIMEOUT_S = 0.6
 SHORTEST_TIMEOUT_S = 0.05
-RETRY_PAUSE_S = 0.06
+# Between tries at a store that is away: it may be back at any moment.
+RETRY_PAUSE_S = 0.1
 # The store was heard this recently: a write will reach it.
 FRESH_CONTACT_S = 0.25
-# The feed is answered each second; after two and a half the store is out of reach.
-LOST_CONTACT_S = 2.5
-# A store that turns a write away is asked this often before the caller is.
-TRIES_WHEN_REFUSED = 2
 STATES_OVER_CANCEL = ("completed", "failed", "cancelled")
 
 
@@ -154,7 +151,7 @@
         )
         key = JOB + request.job
         until_s = clock_s() + deadline_s * DEADLINE_SHARE
-        self._check_contact(queue.cell, key)
+        self._await_contact(queue.cell, key, until_s)
         try:
             self._write(queue.cell, {key: 0}, {key: pack(record)}, until_s)
         except RowConflictError as error:
@@ -177,23 +174,22 @@
             ],
         ).info("accepted")
 
-    def _check_contact(self, cell: str, key: str) -> None:
-        """Refuse while the store is out of reach, before anything is written.
+    def _await_contact(self, cell: str, key: str, until_s: float) -> None:
+        """Wait until the store is within reach, before anything is written.
 
         A write that is lost on the way leaves the caller without a true answer, and
         callers don't repeat a job after that; a read that is lost does no harm.
         """
-        age_s = self._replica.age_s()
-        if age_s <= FRESH_CONTACT_S:
-            return
-        try:
-            if age_s <= LOST_CONTACT_S:
+        while self._replica.age_s() > FRESH_CONTACT_S:
+            try:
                 self._read(cell, key)
                 return
-            reason = f"not heard for {age_s:.1f} s"
-        except PlatformError as error:
-            reason = error.message
-        raise StoreAwayError(f"the store is away: {reason}", "come back in a second")
+            except PlatformError as error:
+                if clock_s() >= until_s:
+                    raise StoreAwayError(
+                        f"the store is away: {error.message}", "come back in a second"
+                    ) from error
+            time.sleep(RETRY_PAUSE_S)
 
     def _known(self, job: str, queue: str) -> bool:
         cell = self._replica.cell_of.get(job)
@@ -209,7 +205,6 @@
     ) -> None:
         """Write with the same conditions until the outcome is certain."""
         uncertain = False
-        refused = 0
         while True:
             try:
                 left_s = max(SHORTEST_TIMEOUT_S, until_s - clock_s())
@@ -219,14 +214,13 @@
             except RowConflictError:
                 raise
             except UnavailableError as error:
-                refused += 1
-                if not uncertain and refused >= TRIES_WHEN_REFUSED:
+                if not uncertain and clock_s() >= until_s:
                     raise StoreAwayError(
                         f"the store is away: {error.message}", "come back in a second"
                     ) from error
             except UnknownOutcomeError:
                 uncertain = True
-            if clock_s() >= until_s:
+            if uncertain and clock_s() >= until_s:
                 raise OutcomeUnknownError(
                     "the store did not say whether it wrote", "ask again"
                 )
--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -37,6 +37,8 @@
 # A guaranteed job waits this long for room to become free by itself; the users allow
 # 2.7 s, the stops that may be needed after it included.
 RECLAIM_WAIT_S = 1.0
+# Forecasts of when room becomes free are off by about this factor.
+WAIT_MARGIN = 1.5
 # Slack beyond which waiting costs little; about the mean time between two starts.
 PATIENCE_S = 8.0
 # A unit is placed on racks where it takes three times as long only if it would have to
@@ -240,7 +242,7 @@
         victims = _victims(state, entitled, -1)
         return place_by_stopping(unit, targets, victims, taken, True)
     wait_s = kept.wait_s(unit, targets)
-    if wait_s <= slack_s(state, job):
+    if wait_s * WAIT_MARGIN <= slack_s(state, job):
         return None
     choice = _worth_stopping(state, unit, targets, entitled, taken)
     # Far from its data or spread over racks a unit is slow, but may end sooner than if
--- a/packages/scheduling/src/cicadabank/scheduling/internal/reservations.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/reservations.py
@@ -105,7 +105,7 @@
             state = self._state
             for job in state.open_jobs.values():
                 for unit in job.units:
-                    if unit.phase not in (Phase.RUNNING, Phase.STOPPING):
+                    if unit.phase in (Phase.WAITING, Phase.DONE):
                         continue
                     left_s = 0.3 if unit.phase is Phase.STOPPING else None
                     left_s = left_s or state.remaining_s(unit)
--- a/tests/cover/test_job_desk.py
+++ b/tests/cover/test_job_desk.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import threading
 import time
 
 import pytest
@@ -122,6 +123,14 @@
         assert world.table.carry_out_lost() == 0
         assert world.stored() is None
 
+    def test_a_store_that_is_soon_back_is_waited_for(self, world):
+        world.table.down = True
+        timer = threading.Timer(0.2, setattr, (world.table, "down", False))
+        timer.start()
+        world.submit(deadline_s=2.0)
+        timer.join()
+        assert world.stored() is not None
+
     def test_an_unknown_outcome_is_no_refusal(self, world):
         world.table.lose_writes = True
         with pytest.raises(errors.OutcomeUnknownError):
@@ -132,8 +141,8 @@
         assert len([k for k in world.table.rows if k[1].startswith(JOB)]) == 1
 
     def test_nothing_is_written_when_the_store_was_not_heard(self, world, monkeypatch):
-        monkeypatch.setattr(desk_module, "LOST_CONTACT_S", -1.0)
         monkeypatch.setattr(desk_module, "FRESH_CONTACT_S", -1.0)
+        world.table.down = True
         with pytest.raises(errors.StoreAwayError):
             world.submit()
         assert world.table.writes == 0
