--- /dev/null
+++ b/tests/cover/test_platform_adapter.py
@@ -0,0 +1,259 @@
+from __future__ import annotations
+
+import json
+
+import msgspec
+import pytest
+from cicadabank.control.errors import NoRouteError, UnsupportedJobError
+from cicadabank.entry.internal.http.messages import ApiCall, ApiReply
+from cicadabank.local import Ports
+from cicadabank.platform import operator, settings, store
+from cicadabank.platform.front import JobFront
+from cicadabank.platform.http import BadAnswerError
+from cicadabank.platform.standin import StoreStandIn, serving
+from cicadabank.platform.target import HttpTarget, read_beat
+from cicadabank.scheduling import Need, QueueView, RouteView, RunId
+from cicadabank.store import (
+    HistoryLostError,
+    RowConflictError,
+    StoredRow,
+    UnavailableError,
+)
+
+QUEUE = QueueView("q", "cell", 1, 3, 3.0, 1.0)
+ROUTE = RouteView("h", "/q/", False, QUEUE)
+STEP = {"count": 2, "cpu": 1500, "memMb": 64, "gpu": 4, "estimateMs": 2500}
+
+
+class Desk:
+    """Notes what the front asks for."""
+
+    def __init__(self):
+        self.submitted = []
+        self.refused = []
+
+    def route(self, host, path):
+        if not path.startswith("/q/"):
+            raise NoRouteError("no queue")
+        return ROUTE, path[3:]
+
+    def authorize(self, route, key):
+        self.key = key
+        return "w"
+
+    def note_refusal(self, method, path, error):
+        self.refused.append(error)
+
+    def submit(self, route, request, deadline_s):
+        self.submitted.append((request, deadline_s))
+
+    def state(self, route, job):
+        return "running"
+
+    def waiting(self, route):
+        return 12
+
+
+def call(method, path, document=None, **headers) -> ApiCall:
+    body = b"" if document is None else json.dumps(document).encode()
+    return ApiCall(method, path, {}, {"host": "h:80", **headers}, body)
+
+
+class TestFront:
+    def test_a_job_is_decoded_once(self):
+        desk = Desk()
+        step = {**STEP, "after": [0], "gang": True, "sameRack": True}
+        step.update(requires="a", dataRack="r1", antiAffinity=2, checkpointable=True)
+        body = {"spec": "text", "steps": [STEP, step]}
+        headers = {"authorization": "Bearer k", "x-deadline-ms": "1500"}
+        reply = JobFront(desk).dispatch(call("POST", "/q/" + "a" * 16, body, **headers))
+        (request, deadline_s), *_ = desk.submitted
+        assert (reply.status, deadline_s, desk.key) == (200, 1.5, "k")
+        assert (request.payload, request.workspace) == ("text", "w")
+        second = request.steps[1]
+        assert second.need == Need(1500, 64, 4)
+        assert (second.estimate_s, second.after, second.gang) == (2.5, (0,), True)
+        assert (second.same_rack, second.label, second.data_rack) == (True, "a", "r1")
+        assert (second.per_target, second.saves_progress) == (2, True)
+
+    @pytest.mark.parametrize(
+        "body",
+        [
+            None,
+            [],
+            {},
+            {"spec": 1, "steps": [STEP]},
+            {"spec": "s", "steps": []},
+            {"spec": "s", "steps": [{"count": 0}]},
+            {"spec": "s", "steps": [{"count": "x"}]},
+            {"spec": "s", "steps": [{**STEP, "gpu": -1}]},
+        ],
+    )
+    def test_a_malformed_job_is_refused_with_a_code(self, body):
+        desk = Desk()
+        reply = JobFront(desk).dispatch(call("POST", "/q/" + "a" * 16, body))
+        assert (reply.status, json.loads(reply.body)["code"]) == (400, "bad-job")
+        assert not desk.submitted
+
+    @pytest.mark.parametrize("field", ["longRunning", "fills", "targetMs", "mayMiss"])
+    def test_work_that_is_not_built_is_refused_whole(self, field):
+        desk = Desk()
+        body = {"spec": "s", "steps": [STEP, {**STEP, field: 1}]}
+        reply = JobFront(desk).dispatch(call("POST", "/q/" + "a" * 16, body))
+        assert reply.status == 501
+        assert isinstance(desk.refused[0], UnsupportedJobError)
+
+    def test_states_and_counts_are_shown(self):
+        front = JobFront(Desk())
+        shown = front.dispatch(call("GET", "/q/" + "a" * 16))
+        assert json.loads(shown.body) == {"state": "running"}
+        assert json.loads(front.dispatch(call("GET", "/q/")).body) == {"waiting": 12}
+        assert front.dispatch(call("GET", "/q/short")).status == 404
+        assert front.dispatch(call("GET", "/other/")).status == 404
+
+
+class TestHeartbeats:
+    BEAT = {
+        "service": "cell",
+        "address": "a:1",
+        "zone": "d",
+        "state": "draining",
+        "remainingMs": 2500,
+        "capacity": {"cpu": 32000, "memMb": 1000, "gpu": 8},
+        "labels": ["a", "r1-2"],
+        "seq": 4,
+        "born": 17,
+    }
+
+    def test_is_decoded_once(self):
+        beat = read_beat("t", json.dumps(self.BEAT).encode())
+        assert (beat.target, beat.born_ms, beat.sequence) == ("t", 17, 4)
+        assert (beat.rack, beat.draining, beat.remaining_s) == ("r1-2", True, 2.5)
+        assert beat.capacity == Need(32000, 1000, 8)
+
+    @pytest.mark.parametrize(
+        "change",
+        [{"state": "odd"}, {"capacity": None}, {"seq": None}, {"labels": 5}],
+    )
+    def test_one_of_another_form_names_no_target(self, change):
+        body = json.dumps({**self.BEAT, **change}).encode()
+        with pytest.raises((ValueError, TypeError, KeyError)):
+            read_beat("t", body)
+
+    def test_bytes_that_are_no_json_name_no_target(self):
+        with pytest.raises(msgspec.DecodeError):
+            read_beat("t", b"\xff{")
+
+
+class TestOperator:
+    def rows(self, document, *keys):
+        rows = {"config": StoredRow("", "config", json.dumps(document).encode(), 1)}
+        return rows | {key: StoredRow("", key, b"{}", 2) for key in keys}
+
+    def test_configuration_and_evacuations_are_read(self):
+        route = {"name": "q", "pathPrefix": "/q/", "service": "s", "host": "H"}
+        tenant = {"name": "w", "apiKeys": ["k"], "guaranteed": {"gpu": 16}}
+        document = {"version": 5, "routes": [route], "tenants": [tenant]}
+        view = operator.read_operator(self.rows(document, "evacuate/z", "wave/1"))
+        assert view.domains_out == {"z"}
+        assert view.config.version == 5
+        assert view.config.guarantees() == {"w": 16}
+        assert view.config.routes[0].host == "h"
+
+    def test_an_unreadable_one_changes_nothing(self):
+        with pytest.raises(BadAnswerError):
+            operator.read_operator(self.rows({"routes": [{}]}))
+
+
+class TestSettings:
+    def test_a_missing_field_is_named(self, tmp_path):
+        path = tmp_path / "settings.toml"
+        path.write_text('node = "n"\n[listen]\n[bounds]\n')
+        with pytest.raises(settings.PlatformSettingsError, match="zone"):
+            settings.load(str(path))
+
+    def test_no_file_is_no_traceback(self, tmp_path):
+        with pytest.raises(settings.PlatformSettingsError):
+            settings.load(str(tmp_path / "none"))
+
+
+@pytest.fixture(scope="class")
+def served():
+    address = Ports().address()
+    stand_in = StoreStandIn()
+    with serving(address, stand_in.dispatch):
+        yield stand_in, store.HttpTable(address, "cells")
+
+
+class TestStore:
+    def test_rows_are_written_read_and_fed(self, served):
+        _, table = served
+        version = table.commit("p", {"a": 0}, {"a": b"\x00one", "b": b"two"})
+        assert [r.value for r in table.read("p").rows] == [b"\x00one", b"two"]
+        assert [r.key for r in table.read("p", "b", "b\x00").rows] == ["b"]
+        assert [r.partition for r in table.partitions().rows] == ["p"]
+        page = table.changes(version - 1, 0.1)
+        assert {r.key for r in page.rows} == {"a", "b"}
+        table.commit("p", {}, {}, ("b",))
+        assert table.changes(version, 0.1).rows[0].value is None
+
+    def test_a_conflict_brings_the_rows(self, served):
+        _, table = served
+        table.commit("q", {}, {"a": b"one"})
+        with pytest.raises(RowConflictError) as caught:
+            table.commit("q", {"a": 0}, {"a": b"two"})
+        assert caught.value.rows["a"].value == b"one"
+
+    def test_a_lost_history_is_told(self, served):
+        stand_in, table = served
+        table.commit("r", {}, {"a": b"one"})
+        stand_in.tables["cells"].forget_history()
+        with pytest.raises(HistoryLostError):
+            table.changes(0, 0.1)
+
+    def test_a_store_that_turns_away_has_done_nothing(self, served):
+        stand_in, table = served
+        stand_in.turned_away = True
+        try:
+            with pytest.raises(UnavailableError):
+                table.commit("p", {}, {"c": b"three"})
+        finally:
+            stand_in.turned_away = False
+
+    def test_nobody_there_is_unavailable(self):
+        table = store.HttpTable(Ports().address(), "cells")
+        with pytest.raises(UnavailableError):
+            table.commit("p", {}, {"a": b"one"})
+
+
+class TestTargetCalls:
+    @pytest.mark.parametrize(
+        ("status", "body", "outcome"),
+        [
+            (200, {}, (True, "")),
+            (409, {"reason": "old"}, (True, "old")),
+            (503, {}, (True, "unhealthy")),
+            (429, {}, (True, "unhealthy")),
+            (400, {}, (True, "malformed")),
+            (421, {}, (False, "")),
+            (500, {}, (False, "")),
+        ],
+    )
+    def test_each_answer_to_a_start_is_told_apart(self, status, body, outcome):
+        address, seen = Ports().address(), []
+
+        def dispatch(request):
+            seen.append(json.loads(request.body))
+            return ApiReply(status, json.dumps(body).encode())
+
+        with serving(address, dispatch):
+            run = RunId("a" * 16, 1, 2, 3)
+            got = HttpTarget(address).start(run, "spec", "", 12.5, 4, "t")
+        assert tuple(got) == outcome
+        assert seen[0]["task"] == "a" * 16 + ".0.1.2"
+        assert (seen[0]["untilMs"], seen[0]["fence"]) == (12500, 4)
+
+    def test_no_answer_leaves_the_outcome_open(self):
+        run = RunId("a" * 16, 1, 2, 3)
+        got = HttpTarget(Ports().address()).start(run, "spec", "", 12.5, 4, "t")
+        assert not got.known
