--- a/packages/control/src/cicadabank/control/__init__.py
+++ b/packages/control/src/cicadabank/control/__init__.py
@@ -13,10 +13,10 @@
     "EntryParts": "entry",
     "JobDesk": "desk",
     "JobRequest": "desk",
-    "Listing": "steward",
+    "Listing": "target_messages",
     "OperatorView": "feed",
-    "StartOutcome": "steward",
-    "TargetBeat": "steward",
+    "StartOutcome": "target_messages",
+    "TargetBeat": "target_messages",
     "run_agent": "agent",
     "run_entry": "entry",
 }
--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -12,11 +12,11 @@
 import grpc
 from cicadabank.control.internal.feed import following
 from cicadabank.control.internal.holding import log_event
-from cicadabank.control.internal.steward import (
+from cicadabank.control.internal.steward import Steward
+from cicadabank.control.internal.target_messages import (
     Call,
     Listing,
     StartOutcome,
-    Steward,
     TargetBeat,
 )
 from cicadabank.entry.internal.http.front import HttpTask
--- a/packages/control/src/cicadabank/control/internal/entry.py
+++ b/packages/control/src/cicadabank/control/internal/entry.py
@@ -246,7 +246,7 @@
             try:
                 self.parts.cells.commit(
                     cell,
-                    {HOLDER: task._version},
+                    {HOLDER: task.version},
                     {HOLDER: pack(HolderRow(task.epoch, self.parts.name, ""))},
                 )
             except PlatformError as error:
--- a/packages/control/src/cicadabank/control/internal/holding.py
+++ b/packages/control/src/cicadabank/control/internal/holding.py
@@ -78,7 +78,7 @@
         super().__init__(TICK_S)
         self.cell = cell
         self.epoch = epoch
-        self._version = version
+        self.version = version
         self._address = address
         self._table = table
         self._replica = replica
@@ -199,7 +199,7 @@
     def _write_now(self, commit: Commit | None) -> tuple[int, float]:
         """Return the new version, and when the successful write was sent."""
         rows = commit.rows if commit else ()
-        expected = {HOLDER: self._version}
+        expected = {HOLDER: self.version}
         expected.update({row.key: row.expected for row in rows})
         puts = {row.key: row.value for row in rows}
         sent_s = clock_s()
@@ -245,7 +245,7 @@
     def _conflict(self, commit: Commit | None, error: RowConflictError) -> None:
         """Tell an earlier attempt of the same write from a change of the holder."""
         holder = error.rows.get(HOLDER)
-        if holder is None or holder.version != self._version:
+        if holder is None or holder.version != self.version:
             self._lost("the holder's row has changed")
             return
         rows = commit.rows if commit else ()
--- a/packages/control/src/cicadabank/control/internal/steward.py
+++ b/packages/control/src/cicadabank/control/internal/steward.py
@@ -6,10 +6,16 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from typing import NamedTuple
 
+from cicadabank.control.internal.target_messages import (
+    Call,
+    Listing,
+    LocalRun,
+    StartOutcome,
+    TargetBeat,
+)
 from cicadabank.control.internal.translate import message_of, run_of
-from cicadabank.scheduling import EndedRun, Need, RunId, RunningRun
+from cicadabank.scheduling import Need, RunId
 from cicadabank.wire import fleet_pb2
 
 # A call to the target that brought no answer is repeated after this time.
@@ -25,84 +31,6 @@
 UNHEALTHY_S = 2.0
 
 
-class TargetBeat(NamedTuple):
-    """What a target says of itself.
-
-    Attributes
-    ----------
-    born_ms : int
-        Unix time of its start; tells apart lives under one name.
-    remaining_s : float
-        While it drains, at least this long until it ends.
-    """
-
-    target: str
-    born_ms: int
-    sequence: int
-    cell: str
-    domain: str
-    address: str
-    capacity: Need
-    labels: tuple[str, ...]
-    rack: str
-    draining: bool
-    remaining_s: float
-
-
-class Listing(NamedTuple):
-    """What a target lists: what runs, what has ended, and its clock."""
-
-    born_ms: int
-    target_s: float
-    running: tuple[RunningRun, ...]
-    ended: tuple[EndedRun, ...]
-
-
-class StartOutcome(NamedTuple):
-    """How a target answered a start; `refused` is empty if it runs.
-
-    Attributes
-    ----------
-    known : bool
-        False if no answer came: the start may still be carried out.
-    """
-
-    known: bool
-    refused: str = ""
-
-
-class Call(NamedTuple):
-    """A call to the target that is due."""
-
-    kind: str  # start or stop
-    run: RunId
-    payload: str = ""
-    checkpoint: str = ""
-
-
-class LocalRun:
-    """A run that this agent was told to start."""
-
-    __slots__ = ("busy", "order", "present_s", "stop_s", "stopping", "tried_s")
-
-    def __init__(self, order: fleet_pb2.StartRun | None):
-        self.order = order
-        self.busy = False
-        self.tried_s = float("-inf")
-        self.present_s = float("inf")  # since when it is known to be there
-        self.stopping = False
-        self.stop_s = float("inf")  # when a stop was confirmed
-
-    @property
-    def need(self) -> Need:
-        """What it takes of the target; nothing if that is not known."""
-        if self.order is None:
-            return Need(0, 0, 0)
-        return Need(
-            self.order.cpu_millicores, self.order.memory_mb, self.order.accelerators
-        )
-
-
 class Steward:
     """Decides for one target.
 
--- a/packages/scheduling/src/cicadabank/scheduling/internal/lifecycle.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/lifecycle.py
@@ -118,7 +118,6 @@
         return
     unit.members = []
     unit.phase = Phase.WAITING
-    unit.ready_s = state.now_s
     reason, unit.stop_reason = unit.stop_reason, ""
     state.mark(job)
     attempts = state.queue_of(job.record).attempts
--- a/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
@@ -74,7 +74,6 @@
         "capacity",
         "domain",
         "draining",
-        "drains_until_s",
         "failures",
         "granted_until_s",
         "heard_s",
@@ -105,7 +104,6 @@
         self.heard_s = float("-inf")
         self.granted_until_s = float("-inf")
         self.draining = False
-        self.drains_until_s = float("inf")
         self.leaving = False
         self.observed = False
         self.unhealthy = False
@@ -156,7 +154,6 @@
         self.leaving = report.leaving
         if report.draining:
             self.draining = True
-            self.drains_until_s = now_s + report.remaining_s
 
 
 def fits(need: Need, room: Need) -> bool:
--- a/packages/scheduling/src/cicadabank/scheduling/internal/units.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/units.py
@@ -53,7 +53,6 @@
         "job",
         "members",
         "phase",
-        "ready_s",
         "run",
         "saved_s",
         "size",
@@ -76,7 +75,6 @@
         self.members: list[Member] = []
         self.started_s = 0.0
         self.saved_s = 0.0
-        self.ready_s = 0.0
         self.done_s = float("-inf")
         self.stop_reason = ""
         self.avoid: set[str] = set()  # targets on which a run of it has failed
--- a/tests/cover/test_steward.py
+++ b/tests/cover/test_steward.py
@@ -1,10 +1,10 @@
 from __future__ import annotations
 
 import pytest
-from cicadabank.control.internal.steward import (
+from cicadabank.control.internal.steward import Steward
+from cicadabank.control.internal.target_messages import (
     Listing,
     StartOutcome,
-    Steward,
     TargetBeat,
 )
 from cicadabank.control.internal.translate import message_of
