--- a/tests/nocover/test_steps_machine.py
+++ b/tests/nocover/test_steps_machine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from cicadabank.scheduling import Need, QueueView, StepSpec, WorkspaceView
 from hypothesis import Phase, settings
 from hypothesis import strategies as st
@@ -9,6 +10,9 @@
 
 from tests.support.modelled import ModelCell, ModelTarget
 
+# 300 sequences take 36 s of processor time, and several times that beside other work.
+pytestmark = pytest.mark.timeout(900)
+
 QUEUES = [
     QueueView("q0", "cell", 0, 3, 1.5, 0.25),
     QueueView("q1", "cell", 1, 3, 3.0, 1.0),
