Close a cancelled or failed job whose last task ends done; time for the state machines

A job that fails would have stayed open in the same way. Red before: TestCancel's new case; the saved example passes now.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/lifecycle.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/lifecycle.py
@@ -34,6 +34,7 @@
         return
     if end.how == "done" and run.run <= unit.run:
         unit_done(state, job, unit, run.run)
+        close_if_idle(state, job)
     elif found is not None:
         if end.checkpoint:
             unit.checkpoint = end.checkpoint
--- a/tests/cover/test_scheduler.py
+++ b/tests/cover/test_scheduler.py
@@ -222,6 +222,19 @@
         cell.run(1.0)
         assert cell.state("j") == "cancelled"
 
+    def test_one_whose_last_task_ends_done_meanwhile_is_closed(self, cell):
+        cell.submit("b", "batch", [gang(6, 7, 20.0)])
+        cell.run(1.0)
+        cell.submit("j", "normal", [tasks(7, 1, 4.0)])
+        cell.run_until(lambda: cell.state("j") == "running")
+        for target in cell.targets.values():
+            target.silent = True
+        cell.run(4.2)
+        cell.cancel("j")
+        for target in cell.targets.values():
+            target.silent = False
+        cell.run_until(lambda: cell.state("j") == "cancelled", 60.0)
+
     def test_a_waiting_job_never_starts(self, cell):
         cell.submit("b", "batch", [gang(6, 8, 20.0)])
         cell.run(1.0)
--- a/tests/nocover/test_cell_machine.py
+++ b/tests/nocover/test_cell_machine.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import pytest
 from cicadabank.model import Guarantee, GuaranteedShape, JobSpec, JobState, Workspace
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -19,6 +20,9 @@
 
 from tests.support.world import World
 
+# 1,500 sequences take minutes beside other work.
+pytestmark = pytest.mark.timeout(900)
+
 WORKERS = ("w00", "w01", "w10", "w11")
 DOMAINS = ("erie", "huron")
 LONGEST_HEALING_S = 400.0
