--- /dev/null
+++ b/tests/nocover/test_cell_machine_kept.py
@@ -0,0 +1,23 @@
+"""Sequences of the cell machine that failed once; each is kept with its cause."""
+
+from __future__ import annotations
+
+from hypothesis import reproduce_failure, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from tests.nocover.test_cell_machine import CellMachine
+
+# Two jobs that fail everywhere put workers on probation; failures there don't count
+# against the jobs, so they end only after more than 400 s.
+TWO_BAD_JOBS = (
+    b"AXicZVCJEYMwDJMSaAslQ4kJuv809ccB7R0EIcuyHOx9QIA+ArVRwz6dgqag"
+    b"7e+FQPPfabUETDXVftTD3m7IawY3L/Nm0HgzM6e3nU48qdWzBFqKnKhHyN2H"
+    b"OcBdrr2MQaYMSxKwB1rD64zQ0z8RM5JTYbREaByKLI/Sxkq4Zqql1wzVj1Xq"
+    b"Lps3JO+zW9mXwFvPe5z5BQOAIy4="
+)
+
+
+class TestKeptSequences:
+    def test_two_bad_jobs_end_in_time(self):
+        machine = reproduce_failure("6.170.27", TWO_BAD_JOBS)(CellMachine)
+        run_state_machine_as_test(machine, settings=settings(deadline=None))
