--- a/packages/scheduling/src/cicadabank/scheduling/internal/placement.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/placement.py
@@ -35,6 +35,18 @@
     return [t for t in targets if not step.label or step.label in t.labels]
 
 
+def needs_one_rack(unit: Unit) -> bool:
+    """Whether a unit is slow when it spans racks."""
+    return unit.spec.gang and unit.spec.same_rack and unit.size > 1
+
+
+def near_groups(unit: Unit, able: list[Target]) -> list[list[Target]]:
+    """Return groups of targets on any one of which a unit runs at full speed."""
+    rack = unit.spec.data_rack
+    near = [t for t in able if not rack or t.rack == rack]
+    return by_rack(near) if needs_one_rack(unit) else [near]
+
+
 def place(
     unit: Unit, targets: list[Target], taken: dict[str, int], allow_far: bool
 ) -> Choice | None:
@@ -56,13 +68,11 @@
     """
     step = unit.spec
     able = eligible(step, targets)
-    near = [t for t in able if not step.data_rack or t.rack == step.data_rack]
     racks = _free_by_rack(targets)
-    for_gang = step.gang and step.same_rack and unit.size > 1
-    groups = by_rack(near) if for_gang else [near]
+    for_gang = needs_one_rack(unit)
     best: list[Target] | None = None
     best_left = float("inf")
-    for group in groups:
+    for group in near_groups(unit, able):
         chosen = _fill(unit, group, taken, racks)
         if chosen is None:
             continue
@@ -137,10 +147,8 @@
     """
     step = unit.spec
     able = eligible(step, targets)
-    near = [t for t in able if not step.data_rack or t.rack == step.data_rack]
-    for_gang = step.gang and step.same_rack and unit.size > 1
     options: list[Choice] = []
-    for group in by_rack(near) if for_gang else [near]:
+    for group in near_groups(unit, able):
         choice = _clear(unit, group, victims_on, taken, True)
         if choice is not None:
             options.append(choice)
--- a/packages/scheduling/src/cicadabank/scheduling/internal/reservations.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/reservations.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from cicadabank.scheduling.internal.jobs import Need
-from cicadabank.scheduling.internal.placement import by_rack, eligible
+from cicadabank.scheduling.internal.placement import eligible, near_groups
 from cicadabank.scheduling.internal.state import CellState
 from cicadabank.scheduling.internal.targets import Target, how_many
 from cicadabank.scheduling.internal.units import Phase, Unit
@@ -60,14 +60,10 @@
         self, unit: Unit, targets: list[Target]
     ) -> tuple[float, list[Target]] | None:
         """Return when a unit can start at the soonest, and on which targets."""
-        step = unit.spec
-        able = eligible(step, targets)
-        if step.data_rack:
-            able = [t for t in able if t.rack == step.data_rack]
+        able = eligible(unit.spec, targets)
         able = [t for t in able if t.agent not in self._until_s]
-        tight = step.gang and step.same_rack and unit.size > 1
         best: tuple[float, list[Target]] | None = None
-        for group in by_rack(able) if tight else [able]:
+        for group in near_groups(unit, able):
             found = self._soonest(unit, group)
             if found is not None and (best is None or found[0] < best[0]):
                 best = found
