--- a/packages/agent/src/cicadabank/agent/internal/health.py
+++ b/packages/agent/src/cicadabank/agent/internal/health.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 
 from cicadabank.model import encode
-from cicadabank.tasks import QuietServer
+from cicadabank.web.listeners import listen
+from cicadabank.web.quiet import QuietServer
 from circuits.web import Controller
 from circuits.web.dispatchers import Dispatcher
 
@@ -31,8 +32,7 @@
 
 def health_server(address: str, ready: Callable[[], bool]) -> QuietServer:
     """Return a server for the health pages, to be registered with a task."""
-    host, _, port = address.rpartition(":")
-    server = QuietServer((host, int(port)))
+    server = QuietServer(listen(address))
     Dispatcher(channel=server.channel).register(server)
     HealthController(ready).register(server)
     return server
--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -19,13 +20,13 @@
     StartOutcome,
     TargetBeat,
 )
-from cicadabank.entry.internal.http.front import HttpTask
-from cicadabank.entry.internal.http.messages import ApiCall, ApiReply
 from cicadabank.model import new_id
 from cicadabank.scheduling import AGENT, AgentRow, RunId, pack
-from cicadabank.settings import Limits
 from cicadabank.store import PartitionedTable, PlatformError
 from cicadabank.tasks import FLUSH_S, StopSignal, Task, clock_s, configure_logs, running
+from cicadabank.web.limits import Limits
+from cicadabank.web.messages import ApiCall, ApiReply
+from cicadabank.web.server import HttpTask
 from cicadabank.wire import ChannelPool, fleet_pb2, fleet_pb2_grpc, serve
 from loguru import logger
 
@@ -83,8 +84,8 @@
 
     Attributes
     ----------
-    control : str
-        Where the target sends its heartbeats.
+    control : socket.socket
+        Listens for the heartbeats of the target.
     peer : str
         Where entries send orders.
     dispatch_for : callable
@@ -93,7 +94,7 @@
 
     name: str
     cell: str
-    control: str
+    control: socket.socket
     peer: str
     cells: PartitionedTable
     calls: TargetCalls
@@ -317,7 +318,7 @@
     """Run an agent until the process is asked to stop."""
     logs = configure_logs(parts.name, log_level)
     with StopSignal().on_signals() as stop, agent_running(parts):
-        log_event("agent_started", control=parts.control, peer=parts.peer)
+        log_event("agent_started", peer=parts.peer)
         stop.wait()
     log_event("agent_stopped")
     logs.flush(FLUSH_S)
--- a/packages/control/src/cicadabank/control/internal/entry.py
+++ b/packages/control/src/cicadabank/control/internal/entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import time
 from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
@@ -17,12 +18,12 @@
 )
 from cicadabank.control.internal.holding import CellTask, log_event
 from cicadabank.control.internal.replica import CellRows, Replica
-from cicadabank.entry.internal.http.front import HttpTask
-from cicadabank.entry.internal.http.messages import ApiCall, ApiReply
 from cicadabank.scheduling import HOLDER, LEASE, HolderRow, LeaseRow, Timings, pack
-from cicadabank.settings import Limits
 from cicadabank.store import PartitionedTable, PlatformError, StoredRow
 from cicadabank.tasks import FLUSH_S, StopSignal, Task, clock_s, configure_logs, running
+from cicadabank.web.limits import Limits
+from cicadabank.web.messages import ApiCall, ApiReply
+from cicadabank.web.server import HttpTask
 from cicadabank.wire import ChannelPool, fleet_pb2, fleet_pb2_grpc, serve
 from loguru import logger
 
@@ -46,8 +47,8 @@
 
     Attributes
     ----------
-    front, ready : str
-        Where callers connect, and where the balancer asks for readiness.
+    front, ready : socket.socket
+        Listen for callers, and for the balancer that asks for readiness.
     peer : str
         Where agents report.
     cells : PartitionedTable
@@ -61,8 +62,8 @@
     """
 
     name: str
-    front: str
-    ready: str
+    front: socket.socket
+    ready: socket.socket
     peer: str
     stop_grace_s: float
     cells: PartitionedTable
@@ -300,7 +301,7 @@
     """Run an entry until the process is asked to stop."""
     logs = configure_logs(parts.name, log_level)
     with StopSignal().on_signals() as stop, entry_running(parts):
-        log_event("entry_started", front=parts.front, peer=parts.peer)
+        log_event("entry_started", peer=parts.peer)
         stop.wait()
     log_event("entry_stopped")
     logs.flush(FLUSH_S)
--- a/packages/entry/src/cicadabank/entry/errors.py
+++ b/packages/entry/src/cicadabank/entry/errors.py
@@ -2,39 +2,12 @@
 
 from __future__ import annotations
 
-from cicadabank.model import (
-    CicadabankError,
-    ConflictError,
-    InvalidInputError,
-    NotFoundError,
-    Ran,
-)
-from cicadabank.store import PlatformError, UnknownOutcomeError
+from cicadabank.model import Ran
+from cicadabank.web.errors import AnsweredError
 
 
-class EntryError(CicadabankError):
-    """Base of the faults that an entry answers.
-
-    Parameters
-    ----------
-    ran : Ran, default=Ran.NO
-        Whether the job or request was run.
-    """
-
-    code = "entry"
-    status = 500
-
-    def __init__(self, message: str, action: str = "", ran: Ran = Ran.NO):
-        super().__init__(message, action)
-        self.ran = ran
-        self.job = ""
-
-
-class BadRequestError(EntryError):
-    """The request's form is wrong."""
-
-    code = "bad-request"
-    status = 400
+class EntryError(AnsweredError):
+    """Base of the faults that an entry answers."""
 
 
 class UnknownWorkspaceError(EntryError):
@@ -72,13 +45,6 @@
     status = 409
 
 
-class OverloadedError(EntryError):
-    """The request was shed and not run."""
-
-    code = "overloaded"
-    status = 503
-
-
 class RateLimitError(EntryError):
     """The workspace sends more requests than it may; this one was not run."""
 
@@ -125,36 +91,3 @@
 
     code = "acting-not-stored"
     status = 503
-
-
-class StoppingError(EntryError):
-    """The entry is stopping and takes no new requests."""
-
-    code = "stopping"
-    status = 503
-
-
-def status_of(error: CicadabankError) -> int:
-    """Return the HTTP status that an error is answered with."""
-    if isinstance(error, EntryError):
-        return error.status
-    for kind, status in STATUSES.items():
-        if isinstance(error, kind):
-            return status
-    return 500
-
-
-def ran_of(error: CicadabankError) -> Ran:
-    """Return whether what was asked for may have happened."""
-    if isinstance(error, UnknownOutcomeError):
-        return Ran.UNKNOWN
-    return getattr(error, "ran", Ran.NO)
-
-
-STATUSES: dict[type, int] = {
-    NotFoundError: 404,
-    ConflictError: 409,
-    InvalidInputError: 400,
-    UnknownOutcomeError: 504,
-    PlatformError: 503,
-}
--- a/packages/entry/src/cicadabank/entry/internal/app.py
+++ b/packages/entry/src/cicadabank/entry/internal/app.py
@@ -9,14 +9,13 @@
 
 from cicadabank.entry.internal.cell import CellTask
 from cicadabank.entry.internal.config import ConfigTask, Seen
-from cicadabank.entry.internal.http.front import HttpTask
-from cicadabank.entry.internal.http.routes import Api, EntryState
 from cicadabank.entry.internal.jobs import JobService
 from cicadabank.entry.internal.minions import MinionTask
 from cicadabank.entry.internal.record import RecordService
 from cicadabank.entry.internal.renewal import RenewalTask
 from cicadabank.entry.internal.requests import RequestService, RetryTask
 from cicadabank.entry.internal.resources import ResourceService
+from cicadabank.entry.internal.routes import Api, EntryState
 from cicadabank.entry.internal.services import MembershipService, Peers, PeerService
 from cicadabank.entry.internal.session import HeldCell, SessionTask
 from cicadabank.entry.internal.summaries import SummaryTask, announced_workers
@@ -24,6 +23,8 @@
 from cicadabank.settings import EntrySettings
 from cicadabank.store import ObjectClient, TableClient
 from cicadabank.tasks import Metrics, StopSignal, clock_s, configure_logs, running
+from cicadabank.web.listeners import listen
+from cicadabank.web.server import HttpTask
 from cicadabank.wire import ChannelPool, control_pb2_grpc, serve
 from loguru import logger
 
@@ -86,7 +87,8 @@
             self._view,
             self.record,
         )
-        self.http = HttpTask(settings.http_listen, self.api.dispatch, settings.limits)
+        listener = listen(settings.http_listen)
+        self.http = HttpTask(listener, self.api.dispatch, settings.limits)
 
     def grpc_services(self) -> list:
         """Return the gRPC services to be served."""
--- a/packages/entry/src/cicadabank/entry/internal/http/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The HTTP interface of callers and operators."""
--- a/packages/entry/src/cicadabank/entry/internal/requests.py
+++ b/packages/entry/src/cicadabank/entry/internal/requests.py
@@ -14,7 +14,6 @@
 from cicadabank.entry.errors import (
     KeyReusedError,
     OutcomeUnknownError,
-    OverloadedError,
     RateLimitError,
     RequestFailedError,
     StoreUnavailableError,
@@ -42,6 +41,7 @@
     put_new,
 )
 from cicadabank.tasks import Task, clock_s, unix_s
+from cicadabank.web.errors import OverloadedError
 from cicadabank.wire import (
     ChannelPool,
     control_pb2,
--- a/packages/entry/src/cicadabank/entry/internal/http/routes.py
+++ b/packages/entry/src/cicadabank/entry/internal/routes.py
@@ -6,8 +6,6 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from cicadabank.entry.errors import BadRequestError
-from cicadabank.entry.internal.http.messages import ApiCall, ApiReply, json_reply
 from cicadabank.entry.internal.jobs import JobService
 from cicadabank.entry.internal.record import RecordService
 from cicadabank.entry.internal.requests import RequestCall, RequestService
@@ -19,6 +17,8 @@
 )
 from cicadabank.entry.internal.store import StoredJob
 from cicadabank.model import KINDS, NotFoundError, from_builtins, to_builtins
+from cicadabank.web.errors import BadRequestError
+from cicadabank.web.messages import ApiCall, ApiReply, json_reply
 
 LONGEST_WAIT_S = 30.0
 LONGEST_LIST = 1000
--- a/packages/settings/src/cicadabank/settings/__init__.py
+++ b/packages/settings/src/cicadabank/settings/__init__.py
@@ -7,7 +7,6 @@
 from cicadabank.settings.internal.kinds import (
     AgentSettings,
     EntrySettings,
-    Limits,
     StandInSettings,
 )
 from cicadabank.settings.internal.load import KINDS, check_file, load
@@ -16,7 +15,6 @@
     "KINDS",
     "AgentSettings",
     "EntrySettings",
-    "Limits",
     "SettingsError",
     "StandInSettings",
     "check_file",
--- a/packages/store/src/cicadabank/store/__init__.py
+++ b/packages/store/src/cicadabank/store/__init__.py
@@ -1,4 +1,7 @@
-"""Clients of the platform's table and object services."""
+"""Interfaces to a table and to objects, and clients of services that speak gRPC."""
+
+from importlib import import_module
+from typing import Any
 
 from cicadabank.store.errors import (
     HistoryLostError,
@@ -7,14 +10,15 @@
     UnavailableError,
     UnknownOutcomeError,
 )
-from cicadabank.store.internal.objects import ObjectClient
 from cicadabank.store.internal.partitions import (
     Page,
     PartitionedTable,
     StoredRow,
 )
 from cicadabank.store.internal.rows import Row, Transaction, put_new
-from cicadabank.store.internal.table import TableClient
+
+# Adapters of other protocols don't need these, whose imports take a quarter of a start.
+_CLIENTS = {"ObjectClient": "objects", "TableClient": "table"}
 
 __all__ = [
     "HistoryLostError",
@@ -31,3 +35,11 @@
     "UnknownOutcomeError",
     "put_new",
 ]
+
+
+def __getattr__(name: str) -> Any:
+    """Import a client on its first use."""
+    if name in _CLIENTS:
+        module = import_module(f"cicadabank.store.internal.{_CLIENTS[name]}")
+        return getattr(module, name)
+    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
--- a/packages/tasks/src/cicadabank/tasks/__init__.py
+++ b/packages/tasks/src/cicadabank/tasks/__init__.py
@@ -4,12 +4,10 @@
 from cicadabank.tasks.internal.observe import FLUSH_S, Metrics, configure_logs
 from cicadabank.tasks.internal.stop import StopSignal
 from cicadabank.tasks.internal.time import clock_s, unix_s
-from cicadabank.tasks.internal.web import QuietServer
 
 __all__ = [
     "FLUSH_S",
     "Metrics",
-    "QuietServer",
     "StopSignal",
     "Task",
     "clock_s",
--- a/packages/entry/src/cicadabank/entry/internal/http/guard.py
+++ b/packages/web/src/cicadabank/web/guard.py
@@ -10,11 +10,11 @@
 import re
 from typing import NamedTuple
 
-from cicadabank.entry.errors import BadRequestError, EntryError, OverloadedError
-from cicadabank.entry.internal.http.messages import error_document
 from cicadabank.model import encode
-from cicadabank.settings import Limits
 from cicadabank.tasks import clock_s
+from cicadabank.web.errors import AnsweredError, BadRequestError, OverloadedError
+from cicadabank.web.limits import Limits
+from cicadabank.web.messages import error_document
 from circuits import BaseComponent, Event, Timer, handler
 from circuits.net.events import close, read, write
 
@@ -34,28 +34,28 @@
 }
 
 
-class HeadersTooLargeError(EntryError):
+class HeadersTooLargeError(AnsweredError):
     """The header section is larger than the limit."""
 
     code = "headers-too-large"
     status = 431
 
 
-class BodyTooLargeError(EntryError):
+class BodyTooLargeError(AnsweredError):
     """The body is larger than the limit."""
 
     code = "body-too-large"
     status = 413
 
 
-class LengthRequiredError(EntryError):
+class LengthRequiredError(AnsweredError):
     """The body has no Content-Length."""
 
     code = "length-required"
     status = 411
 
 
-class SlowSenderError(EntryError):
+class SlowSenderError(AnsweredError):
     """The request did not arrive whole in time."""
 
     code = "slow-sender"
@@ -75,7 +75,7 @@
 
     Raises
     ------
-    EntryError
+    AnsweredError
         If the head is malformed or larger than the limits.
     """
     end = data.find(HEADER_END)
@@ -200,7 +200,7 @@
             return
         try:
             head = read_head(bytes(connection.buffer), self._limits)
-        except EntryError as error:
+        except AnsweredError as error:
             self._reject(sock, error)
             return
         if head is None:
@@ -231,7 +231,7 @@
             elif not connection.buffer and age_s > IDLE_TIME_S:
                 self.fire(close(sock))
 
-    def _reject(self, sock, error: EntryError) -> None:
+    def _reject(self, sock, error: AnsweredError) -> None:
         """Answer and close.
 
         After a malformed request the stream has no known boundary.
--- a/packages/entry/src/cicadabank/entry/internal/http/messages.py
+++ b/packages/web/src/cicadabank/web/messages.py
@@ -4,8 +4,8 @@
 
 from typing import Any, NamedTuple
 
-from cicadabank.entry.errors import BadRequestError, ran_of, status_of
 from cicadabank.model import CicadabankError, ConflictError, decode, encode
+from cicadabank.web.errors import BadRequestError, ran_of, status_of
 
 
 class ApiCall(NamedTuple):
--- a/packages/entry/src/cicadabank/entry/internal/http/front.py
+++ b/packages/web/src/cicadabank/web/server.py
@@ -5,16 +5,18 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
 from urllib.parse import parse_qsl
 
-from cicadabank.entry.errors import EntryError, OverloadedError, StoppingError
-from cicadabank.entry.internal.http.guard import RequestGuard
-from cicadabank.entry.internal.http.messages import ApiCall, ApiReply, error_reply
 from cicadabank.model import CicadabankError
-from cicadabank.settings import Limits
-from cicadabank.tasks import QuietServer, Task
+from cicadabank.tasks import Task
+from cicadabank.web.errors import AnsweredError, OverloadedError, StoppingError
+from cicadabank.web.guard import RequestGuard
+from cicadabank.web.limits import Limits
+from cicadabank.web.messages import ApiCall, ApiReply, error_reply
+from cicadabank.web.quiet import QuietServer
 from circuits import Event, handler
 from circuits.web.events import response
 from loguru import logger
@@ -30,22 +32,21 @@
 
 
 class HttpTask(Task):
-    """Owns the HTTP sockets of an entry.
+    """Owns the HTTP sockets of an interface.
 
     Parameters
     ----------
-    address : str
-        ``IP:port``.
+    listener : socket.socket
+        Listens already; see `listen`.
     dispatch : callable
         Answers a call; runs in a thread and may block.
     """
 
     channel = "web"
 
-    def __init__(self, address: str, dispatch: Dispatch, limits: Limits):
+    def __init__(self, listener: socket.socket, dispatch: Dispatch, limits: Limits):
         super().__init__(TICK_S)
-        host, _, port = address.rpartition(":")
-        self._server = QuietServer((host, int(port)))
+        self._server = QuietServer(listener)
         self._server.register(self)
         self._guard = RequestGuard(limits)
         self._guard.register(self)
@@ -77,7 +78,7 @@
             lambda f: self.fire(answer(req, res, f, is_watch), self.channel)
         )
 
-    def _refusal(self, call: ApiCall, is_watch: bool) -> EntryError | None:
+    def _refusal(self, call: ApiCall, is_watch: bool) -> AnsweredError | None:
         if self.stopping and not call.path.endswith("z"):
             return StoppingError(
                 "the entry is stopping; nothing was run", "ask another entry"
--- /dev/null
+++ b/tests/cover/test_listeners.py
@@ -0,0 +1,33 @@
+"""Sockets that listen before the process that serves them is imported."""
+
+import socket
+
+from cicadabank.local import Ports
+from cicadabank.tasks import running
+from cicadabank.web.limits import Limits
+from cicadabank.web.listeners import listen
+from cicadabank.web.messages import ApiReply
+from cicadabank.web.server import HttpTask
+
+REQUEST = b"GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+
+
+class TestListen:
+    def test_caller_that_came_before_the_server_is_answered(self):
+        address = Ports().address()
+        host, _, port = address.rpartition(":")
+        listener = listen(address)
+        with socket.create_connection((host, int(port)), timeout=5.0) as caller:
+            caller.sendall(REQUEST)
+            task = HttpTask(listener, lambda call: ApiReply(200, b"{}"), Limits())
+            with running(task):
+                answer = caller.recv(4096)
+            task.close_pools()
+        assert answer.startswith(b"HTTP/1.1 200")
+
+    def test_address_is_free_again_after_the_server_has_ended(self):
+        address = Ports().address()
+        task = HttpTask(listen(address), lambda call: ApiReply(200, b"{}"), Limits())
+        with running(task):
+            pass
+        listen(address).close()
--- a/tests/cover/test_openapi.py
+++ b/tests/cover/test_openapi.py
@@ -7,8 +7,8 @@
 from pathlib import Path
 from unittest import mock
 
-from cicadabank.entry.internal.http.routes import Api, EntryState
 from cicadabank.entry.internal.requests import RequestCall
+from cicadabank.entry.internal.routes import Api, EntryState
 from cicadabank.model import KINDS, JobSpec, ServiceLevel
 
 DOCUMENT = json.loads((Path(__file__).parents[2] / "docs" / "openapi.json").read_text())
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -5,7 +5,6 @@
 import msgspec
 import pytest
 from cicadabank.control.errors import NoRouteError, UnsupportedJobError
-from cicadabank.entry.internal.http.messages import ApiCall, ApiReply
 from cicadabank.local import Ports
 from cicadabank.platform import operator, settings, store
 from cicadabank.platform.front import JobFront
@@ -19,6 +18,7 @@
     StoredRow,
     UnavailableError,
 )
+from cicadabank.web.messages import ApiCall, ApiReply
 
 QUEUE = QueueView("q", "cell", 1, 3, 3.0, 1.0)
 ROUTE = RouteView("h", "/q/", False, QUEUE)
