Reach the store through peers; ask a holder that is late whether it lives

A job that another entry had accepted reached its holder by the feed only, which may be silent for a second.

Calls to the store go through an agent or entry that reaches it while the direct way fails; conditional writes are safe to repeat. A holder renews each 0.45 s, and one that is 1 s late is pinged: where nobody listens the cell is taken at once, a silent one loses it after 1.6 s. Rows that an entry writes are handed to the holder directly.

Ruled out: unready sooner (two misses take 2 s and leave open connections where they are); a stream between entries for liveness, which takes a thread at the holder for each.

--- a/packages/control/src/cicadabank/control/__init__.py
+++ b/packages/control/src/cicadabank/control/__init__.py
@@ -7,6 +7,8 @@
 
 # Each process imports only what it runs: imports cost processor time at each start.
 _HOMES = {
+    "CELLS": "internal.relay",
+    "OPERATOR": "internal.relay",
     "AgentParts": "internal.agent",
     "DeskError": "errors",
     "EntryParts": "internal.entry",
--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -13,6 +13,7 @@
 import grpc
 from cicadabank.control.internal.feed import following
 from cicadabank.control.internal.holding import log_event
+from cicadabank.control.internal.relay import RelayService
 from cicadabank.control.internal.steward import Steward
 from cicadabank.control.internal.target_messages import (
     Call,
@@ -41,7 +42,8 @@
 # While ends are not stored yet, a hold is answered at once.
 UNRECORDED_PAUSE_S = 0.08
 CALL_THREADS = 6
-ORDER_THREADS = 4
+# Orders, and feeds that are relayed for entries.
+ORDER_THREADS = 8
 BEAT_LIMITS = Limits(body_bytes=4_194_304, open_requests=8, connections=64)
 
 
@@ -88,6 +90,8 @@
         Listens for the heartbeats of the target.
     peer : str
         Where entries send orders.
+    tables : dict of str to PartitionedTable
+        That it relays calls to for entries which can't reach the store.
     dispatch_for : callable
         Returns what answers the target's heartbeats from an agent.
     """
@@ -97,6 +101,7 @@
     control: socket.socket
     peer: str
     cells: PartitionedTable
+    tables: dict[str, PartitionedTable]
     calls: TargetCalls
     dispatch_for: Callable[[AgentTask], Callable[[ApiCall], ApiReply]]
 
@@ -303,10 +308,16 @@
     pool = ChannelPool()
     task = AgentTask(parts)
     beats = HttpTask(parts.control, parts.dispatch_for(task), BEAT_LIMITS)
-    service = (fleet_pb2_grpc.add_StewardServicer_to_server, StewardService(task))
+    services = [
+        (fleet_pb2_grpc.add_StewardServicer_to_server, StewardService(task)),
+        (
+            fleet_pb2_grpc.add_StoreRelayServicer_to_server,
+            RelayService(parts.tables),
+        ),
+    ]
     with ExitStack() as stack:
         stack.enter_context(running(task))
-        stack.enter_context(serve(parts.peer, [service], ORDER_THREADS))
+        stack.enter_context(serve(parts.peer, services, ORDER_THREADS))
         stack.enter_context(running(beats))
         stack.enter_context(following("hold", task.hold_step))
         stack.enter_context(following("reports", lambda: task.report_step(pool)))
--- a/packages/control/src/cicadabank/control/internal/desk.py
+++ b/packages/control/src/cicadabank/control/internal/desk.py
@@ -34,6 +34,7 @@
     PartitionedTable,
     PlatformError,
     RowConflictError,
+    StoredRow,
     UnavailableError,
     UnknownOutcomeError,
 )
@@ -68,6 +69,8 @@
     ----------
     operator : callable
         Returns what the operators want at present.
+    written : callable
+        Called with each row that was written, so that nobody has to wait for the feed.
     """
 
     def __init__(
@@ -75,10 +78,12 @@
         table: PartitionedTable,
         replica: Replica,
         operator: Callable[[], OperatorView],
+        written: Callable[[StoredRow], None],
     ):
         self._table = table
         self._replica = replica
         self._operator = operator
+        self._written = written
 
     def route(self, host: str, path: str) -> tuple[RouteView, str]:
         """Return the route of a request, by the longest prefix, and what follows it.
@@ -209,7 +214,9 @@
             try:
                 left_s = max(SHORTEST_TIMEOUT_S, until_s - clock_s())
                 timeout_s = min(CALL_TIMEOUT_S, left_s)
-                self._table.commit(cell, expected, puts, timeout_s=timeout_s)
+                version = self._table.commit(cell, expected, puts, timeout_s=timeout_s)
+                for row, value in puts.items():
+                    self._written(StoredRow(cell, row, value, version))
                 return
             except RowConflictError:
                 raise
--- a/packages/control/src/cicadabank/control/internal/entry.py
+++ b/packages/control/src/cicadabank/control/internal/entry.py
@@ -17,6 +17,19 @@
     following,
 )
 from cicadabank.control.internal.holding import CellTask, log_event
+from cicadabank.control.internal.peers import (
+    Liveness,
+    PeerService,
+    hand_over_row,
+    ping,
+)
+from cicadabank.control.internal.relay import (
+    CELLS,
+    OPERATOR,
+    RelayedTable,
+    RelayService,
+    StorePath,
+)
 from cicadabank.control.internal.replica import CellRows, Replica
 from cicadabank.scheduling import HOLDER, LEASE, HolderRow, LeaseRow, Timings, pack
 from cicadabank.store import PartitionedTable, PlatformError, StoredRow
@@ -31,9 +44,15 @@
 # A cell whose holder has not renewed its lease for this long is taken over; three
 # renewals fit in.
 HOLDER_LEASE_S = 2.6
+# A holder that has missed a renewal is asked whether it lives; one that is silent to
+# that as well loses the cell after two more.
+SUSPECT_S = 1.0
+SILENT_LEASE_S = 1.6
+PING_PAUSE_S = 0.3
 # An entry that has not heard the store for longer turns callers away to others.
 READY_AGE_S = 2.2
-SERVER_THREADS = 8
+# Each feed that is relayed for another entry takes a thread.
+SERVER_THREADS = 16
 FRONT_LIMITS = Limits(body_bytes=1_048_576, open_requests=24, connections=2_000)
 READY_LIMITS = Limits(open_requests=4)
 REPORT_TIMEOUT_S = 2.0
@@ -52,9 +71,9 @@
     peer : str
         Where agents report.
     cells : PartitionedTable
-        The system's own rows.
+        The system's own rows, reached directly.
     operator : PartitionedTable
-        What the operators write.
+        What the operators write, reached directly.
     read_operator : callable
         Decodes the operators' rows.
     dispatch_for : callable
@@ -96,6 +115,9 @@
         super().__init__(TICK_S)
         self.parts = parts
         self.replica = Replica()
+        self.path = StorePath(CELLS, parts.cells, self._relays, pool)
+        self.cells = RelayedTable(parts.cells, CELLS, self.path)
+        self.operator_rows = RelayedTable(parts.operator, OPERATOR, self.path)
         self.operator = OperatorView(None, frozenset())
         self.held: dict[str, CellTask] = {}
         self._stacks: dict[str, ExitStack] = {}
@@ -103,8 +125,30 @@
         self._takers = ThreadPoolExecutor(2, "takeover")
         self._taking: set[str] = set()
         self._loading: dict[str, CellTask] = {}
+        self._pinged_s: dict[str, float] = {}
+        self._silent: dict[str, int] = {}  # cell -> epoch whose holder gave no answer
         self.stopping = False
 
+    def _relays(self) -> list[str]:
+        """Return the processes that may reach the store when this one doesn't."""
+        return [a for cell in list(self.replica.cells.values()) for a in cell.agents]
+
+    def on_written(self, row: StoredRow) -> None:
+        """Hand a row that this entry has written to the holder of its cell at once."""
+        self.replica.apply([row], self.on_change)
+        holder = self.replica.cell(row.partition).holder
+        if row.partition not in self.held and holder and holder.address:
+            hand_over_row(self._pool, holder.address, row)
+
+    def on_rows(self, rows: list[StoredRow]) -> None:
+        """Take in rows that another entry has written."""
+        self.replica.apply(rows, self.on_change)
+
+    def epoch_of(self, cell: str) -> int:
+        """Return the epoch under which this entry holds a cell, or 0."""
+        task = self.held.get(cell)
+        return task.epoch if task else 0
+
     def on_change(self, cell: str, kind: str, name: str) -> None:
         """Take in a row that has changed; called by the feed's thread."""
         task = self.held.get(cell)
@@ -143,10 +187,10 @@
         names = {q.cell for q in self.operator.config.queues().values()}
         for cell in names | set(replica.cells):
             if cell not in self.held and cell not in self._taking:
-                if self._is_free(replica.cell(cell)):
+                if self._is_free(cell, replica.cell(cell)):
                     self._take_over(cell)
 
-    def _is_free(self, rows: CellRows) -> bool:
+    def _is_free(self, cell: str, rows: CellRows) -> bool:
         """Whether a cell's holder has given it up, or has let its lease lapse.
 
         Time in which this process was out of touch with the store doesn't count: the
@@ -155,7 +199,38 @@
         if rows.holder is None or not rows.holder.address:
             return True
         seen_s = max(rows.lease_seen_s, self.replica.contact_since_s)
-        return self.replica.store_now_s() - seen_s > HOLDER_LEASE_S
+        age_s = self.replica.store_now_s() - seen_s
+        if age_s > HOLDER_LEASE_S:
+            return True
+        if age_s < SUSPECT_S:
+            self._silent.pop(cell, None)
+            return False
+        self._ask_holder(cell, rows.holder)
+        silent = self._silent.get(cell) == rows.holder.epoch
+        return silent and age_s > SILENT_LEASE_S
+
+    def _ask_holder(self, cell: str, holder: HolderRow) -> None:
+        now_s = clock_s()
+        if now_s - self._pinged_s.get(cell, float("-inf")) < PING_PAUSE_S:
+            return
+        self._pinged_s[cell] = now_s
+        future = self._takers.submit(
+            ping, self._pool, holder.address, cell, holder.epoch
+        )
+        future.add_done_callback(lambda f: self.post(self._pinged, cell, holder, f))
+
+    def _pinged(self, cell: str, holder: HolderRow, future) -> None:
+        found = future.result()
+        log_event("holder_asked", cell=cell, epoch=holder.epoch, found=found.value)
+        self._pinged_s[cell] = clock_s()
+        if found is Liveness.HOLDS:
+            self._silent.pop(cell, None)
+        else:
+            self._silent[cell] = holder.epoch
+        same = self.replica.cell(cell).holder == holder
+        vacant = cell not in self.held and cell not in self._taking
+        if found is Liveness.GONE and same and vacant and not self.stopping:
+            self._take_over(cell)
 
     def _take_over(self, cell: str) -> None:
         rows = self.replica.cell(cell)
@@ -175,7 +250,7 @@
         rows = self.replica.cell(cell)
         holder = HolderRow(epoch, self.parts.name, address)
         lease = LeaseRow(epoch, self.replica.store_now_s())
-        return self.parts.cells.commit(
+        return self.cells.commit(
             cell,
             {HOLDER: rows.holder_version if rows.holder else 0},
             {HOLDER: pack(holder), LEASE: pack(lease)},
@@ -196,7 +271,7 @@
             epoch,
             version,
             self.parts.peer,
-            self.parts.cells,
+            self.cells,
             self.replica,
             self._pool,
             lambda lost: self.post(self._let_go, lost),
@@ -245,7 +320,7 @@
         for cell, task in list(self.held.items()):
             task.ask(task.stop_placing)
             try:
-                self.parts.cells.commit(
+                self.cells.commit(
                     cell,
                     {HOLDER: task.version},
                     {HOLDER: pack(HolderRow(task.epoch, self.parts.name, ""))},
@@ -273,17 +348,27 @@
     """Run an entry in this process until the block ends; then drain it."""
     pool = ChannelPool()
     task = EntryTask(parts, pool)
-    cells = CellsFeed(parts.cells, task.replica, task.on_change, lambda: None)
-    operator = OperatorFeed(parts.operator, parts.read_operator, task.on_operator)
-    desk = JobDesk(parts.cells, task.replica, lambda: task.operator)
+    cells = CellsFeed(task.cells, task.replica, task.on_change, lambda: None)
+    operator = OperatorFeed(task.operator_rows, parts.read_operator, task.on_operator)
+    desk = JobDesk(task.cells, task.replica, lambda: task.operator, task.on_written)
     front = HttpTask(parts.front, parts.dispatch_for(desk), FRONT_LIMITS)
     ready = HttpTask(parts.ready, _ready_dispatch(task), READY_LIMITS)
-    service = (fleet_pb2_grpc.add_HolderServicer_to_server, HolderService(task))
+    relay = RelayService(
+        {CELLS: parts.cells, OPERATOR: parts.operator}, lambda: task.path.direct
+    )
+    services = [
+        (fleet_pb2_grpc.add_HolderServicer_to_server, HolderService(task)),
+        (
+            fleet_pb2_grpc.add_PeerServicer_to_server,
+            PeerService(task.on_rows, task.epoch_of),
+        ),
+        (fleet_pb2_grpc.add_StoreRelayServicer_to_server, relay),
+    ]
     with ExitStack() as stack:
         stack.enter_context(running(task))
         stack.enter_context(following("cells", cells.step))
         stack.enter_context(following("operator", operator.step))
-        stack.enter_context(serve(parts.peer, [service], SERVER_THREADS))
+        stack.enter_context(serve(parts.peer, services, SERVER_THREADS))
         stack.enter_context(running(ready))
         stack.enter_context(running(front))
         yield task
--- a/packages/control/src/cicadabank/control/internal/holding.py
+++ b/packages/control/src/cicadabank/control/internal/holding.py
@@ -37,8 +37,8 @@
 TICK_S = 0.05
 # Least time between two rounds of planning: a burst of events takes one round.
 PLAN_PAUSE_S = 0.02
-# Several renewals fit into the time after which others take the cell.
-RENEW_S = 0.8
+# Two renewals fit into the time after which others ask whether this entry lives.
+RENEW_S = 0.45
 # Pause before a write that the store turned away is tried again.
 WRITE_PAUSE_S = 0.15
 ORDER_TIMEOUT_S = 0.8
--- a/packages/control/src/cicadabank/control/internal/replica.py
+++ b/packages/control/src/cicadabank/control/internal/replica.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
@@ -57,7 +58,7 @@
 class Replica:
     """All cells' rows as this process last heard of them.
 
-    One thread writes, any may read: each read is one look-up in a dictionary.
+    Any thread may read without the lock: each read is one look-up in a dictionary.
     """
 
     def __init__(self) -> None:
@@ -69,6 +70,7 @@
         self._offset_s = 0.0
         self._store_s = float("-inf")
         self._versions: dict[tuple[str, str], int] = {}
+        self._lock = threading.Lock()
 
     def cell(self, name: str) -> CellRows:
         """Return a cell's rows."""
@@ -109,7 +111,7 @@
     def apply(
         self, rows: Iterable[StoredRow], notify: Callable[[str, str, str], None]
     ) -> None:
-        """Take in rows in the order of their versions.
+        """Take in rows, each unless a newer version of it is known.
 
         Parameters
         ----------
@@ -117,19 +119,25 @@
             Called with cell, kind and name of each row that has changed.
         """
         for row in rows:
-            place = (row.partition, row.key)
+            kind, _, name = row.key.partition("/")
+            if self._take(row, kind, name):
+                notify(row.partition, kind, name)
+
+    def _take(self, row: StoredRow, kind: str, name: str) -> bool:
+        """Take in one row; return whether it was news and could be read."""
+        place = (row.partition, row.key)
+        with self._lock:
             if row.version <= self._versions.get(place, 0):
-                continue
+                return False
             self._versions[place] = row.version
-            kind, _, name = row.key.partition("/")
             try:
                 self._apply_one(row, kind, name)
             except (msgspec.MsgspecError, ValueError) as error:
                 logger.bind(
                     event="row_unreadable", cell=row.partition, key=row.key
                 ).warning("a row can't be read and is passed over: {}", error)
-                continue
-            notify(row.partition, kind, name)
+                return False
+        return True
 
     def _apply_one(self, row: StoredRow, kind: str, name: str) -> None:
         cell = self.cell(row.partition)
--- a/tests/cover/test_job_desk.py
+++ b/tests/cover/test_job_desk.py
@@ -48,8 +48,12 @@
         self.config = CONFIG
         self.feed = CellsFeed(self.table, self.replica, lambda *_: None, lambda: None)
         self.feed.step()
+        self.written = []
         self.desk = JobDesk(
-            self.table, self.replica, lambda: OperatorView(self.config, frozenset())
+            self.table,
+            self.replica,
+            lambda: OperatorView(self.config, frozenset()),
+            self.written.append,
         )
 
     def follow(self):
@@ -202,6 +206,19 @@
         assert world.desk.state(ROUTE, REQUEST.job) == state
 
 
+class TestWritten:
+    def test_an_accepted_job_is_handed_on_with_its_version(self, world):
+        world.submit()
+        row = world.stored()
+        assert world.written == [row]
+
+    def test_what_was_not_written_is_not_handed_on(self, world):
+        world.table.down = True
+        with pytest.raises(errors.StoreAwayError):
+            world.submit()
+        assert not world.written
+
+
 class TestCancel:
     def test_a_cancelled_job_is_shown_so_at_once(self, world):
         world.submit()
