Notice a stop signal that the kernel gave to another thread

Cause: a stopped holder didn't hand over (2 of 9 runs of the process tests' module, the test of a stopped holder). py-spy shows the main thread asleep in Event.wait and no signal pending: a thread other than the main one took both, and Python runs handlers in the main thread only. Ruled out: a blocked signal (mask empty), a log held up (its thread idle), a busy task (agents' reports were answered all the while).

The main thread now sleeps half a second at most. Handlers put into a SimpleQueue: an event's lock may be held by the thread that they interrupt.

--- a/packages/tasks/src/cicadabank/tasks/internal/stop.py
+++ b/packages/tasks/src/cicadabank/tasks/internal/stop.py
@@ -2,33 +2,48 @@
 
 from __future__ import annotations
 
+import queue
 import signal
-import threading
+import time
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 
 from loguru import logger
 
+# Python runs handlers in the main thread, which sleeps on if the kernel has delivered a
+# signal to another one; a short sleep bounds how late a stop begins.
+POLL_S = 0.5
+
 
 class StopSignal:
     """Tells the main thread that the process was asked to stop."""
 
     def __init__(self) -> None:
-        self._event = threading.Event()
+        self._requested = False
+        # An event's lock may be held by the very thread that a handler interrupts.
+        self._woken: queue.SimpleQueue[None] = queue.SimpleQueue()
 
     def request(self, *_: object) -> None:
         """Ask for a stop; asking again changes nothing."""
-        if not self._event.is_set():
+        if not self._requested:
             logger.info("a stop was requested")
-        self._event.set()
+        self._requested = True
+        self._woken.put(None)
 
     def reload(self, *_: object) -> None:
         """Note that the settings may have changed, instead of ending the process."""
         logger.bind(event="reload").info("the settings may have changed")
 
-    def wait(self, timeout_s: float | None = None) -> bool:
+    def wait(self, timeout_s: float = float("inf")) -> bool:
         """Wait for a stop; return whether one was requested."""
-        return self._event.wait(timeout_s)
+        until_s = time.monotonic() + timeout_s
+        while not self._requested:
+            left_s = until_s - time.monotonic()
+            if left_s <= 0:
+                return False
+            with suppress(queue.Empty):
+                self._woken.get(timeout=min(left_s, POLL_S))
+        return True
 
     @contextmanager
     def on_signals(self) -> Iterator[StopSignal]:
