Remove the way without agents; forecast what has run long less pessimistically

Tests that ran with and without agents run with them; those that used targets without agents in the test's process now run agents there, with the same assertions.

--- a/benchmarks/drain_delay.py
+++ b/benchmarks/drain_delay.py
@@ -1,6 +1,6 @@
 """How late the last start in a failure domain comes after it was taken out.
 
-Real processes, with agents and without: a stream of small jobs goes to two failure
+Real processes: a stream of small jobs goes to two failure
 domains of one accelerator for each task, while one of them is taken out and brought
 back again and again, through the cell's holder and through another entry. Counted from
 the accepting answer to the stored start of the last gang placed there.
@@ -30,11 +30,11 @@
         jobs.append(client.submit(spec)["job"])
 
 
-def drains(agents: bool) -> dict:
+def drains() -> dict:
     """Return the delays of the last starts, over all drains."""
     outs: list[tuple[float, float]] = []
     jobs: list[str] = []
-    with deployment(entries=2, workers=6, agents=agents) as (running, client):
+    with deployment(entries=2, workers=6) as (running, client):
         addresses = running.layout.http
         with Client(addresses) as submitter:
             ended = threading.Event()
@@ -73,9 +73,8 @@
 
 
 def main() -> None:
-    """Print the delays with agents and without."""
-    results = {"agents": drains(True), "direct": drains(False)}
-    print_results("drain_delay", SEED, results)
+    """Print the delays."""
+    print_results("drain_delay", SEED, drains())
 
 
 if __name__ == "__main__":
--- a/packages/agent/src/cicadabank/agent/__init__.py
+++ b/packages/agent/src/cicadabank/agent/__init__.py
@@ -3,17 +3,13 @@
 from cicadabank.agent.errors import AgentError, OrderRefusedError
 from cicadabank.agent.internal.app import agent_running, run_agent
 from cicadabank.agent.internal.core import AgentCore
-from cicadabank.agent.internal.driver import RunnerDriver
-from cicadabank.agent.internal.requests import minion_outcome
 from cicadabank.agent.internal.views import View
 
 __all__ = [
     "AgentCore",
     "AgentError",
     "OrderRefusedError",
-    "RunnerDriver",
     "View",
     "agent_running",
-    "minion_outcome",
     "run_agent",
 ]
--- a/packages/agent/src/cicadabank/agent/internal/driver.py
+++ b/packages/agent/src/cicadabank/agent/internal/driver.py
@@ -1,8 +1,4 @@
-"""Carries the agent's decisions out on a worker's own interface.
-
-The same driver runs in an agent beside the worker, and in the entry that holds the
-cell of a worker without an agent.
-"""
+"""Carries the agent's decisions out on a worker's own interface."""
 
 from __future__ import annotations
 
--- a/packages/entry/src/cicadabank/entry/internal/cell.py
+++ b/packages/entry/src/cicadabank/entry/internal/cell.py
@@ -19,7 +19,6 @@
 from cicadabank.entry.internal.config import Seen
 from cicadabank.entry.internal.links import (
     AgentLink,
-    DirectLink,
     OrderContext,
     WorkerView,
     beat_event,
@@ -80,21 +79,18 @@
         self._context = OrderContext(
             held.cell, held.epoch, settings.timings.lease_duration_s, self._view_of
         )
-        self._links: dict[str, AgentLink | DirectLink] = {}
+        self._links: dict[str, AgentLink] = {}
         self._interval_s = 0.0
         self._scan_due_s = 0.0
         self._scanning = False
         self._summary_due_s = clock_s() + SUMMARY_INTERVAL_S
         self._summary: CellSummary | None = None
-        self._direct_due_s = 0.0
-        self._uploads: dict[str, Future] = {}
         if seen.seen_s > float("-inf"):
             self.core.on_config(seen.view, clock_s())
 
     def on_tick(self) -> None:
         """Let the decisions act, and scan the queue when due."""
         now_s = clock_s()
-        self._beat_for_direct(now_s)
         self.core.on_tick(now_s)
         self._carry_out()
         if now_s >= self._scan_due_s and not self._scanning:
@@ -217,8 +213,6 @@
 
     def on_beat(self, beat: control_pb2.Beat) -> control_pb2.BeatReply:
         """Take in a worker's heartbeat."""
-        if beat.HasField("info") and beat.info.direct:
-            return self._announce_direct(beat)
         now_s = clock_s()
         if beat.HasField("info"):
             known = self._links.get(beat.target)
@@ -265,70 +259,6 @@
             self._context.lease_duration_s = self.core.state.timings.lease_duration_s
         return interval_s
 
-    def _announce_direct(self, beat: control_pb2.Beat) -> control_pb2.BeatReply:
-        link = self._links.get(beat.target)
-        incarnation = f"direct-{self.held.epoch}-{beat.incarnation}"
-        if not isinstance(link, DirectLink) or link.core.incarnation != incarnation:
-            link = DirectLink(
-                beat.info,
-                self._pool,
-                self._context,
-                self.post,
-                incarnation,
-                DIRECT_FRESHNESS_S,
-                self._keep_answer,
-            )
-            self._links[beat.target] = link
-        link.core.leaving = beat.leaving
-        link.announced_s = clock_s()
-        return control_pb2.BeatReply(
-            accepted=True,
-            epoch=self.held.epoch,
-            interval_s=self._settings.beat_interval_s,
-        )
-
-    def _beat_for_direct(self, now_s: float) -> None:
-        """Do for workers without an agent what their agents would do."""
-        direct = [link for link in self._links.values() if isinstance(link, DirectLink)]
-        for link in direct:
-            link.driver.poll_usage()
-            link.driver.enforce_leases()
-        if now_s < self._direct_due_s:
-            return
-        self._direct_due_s = now_s + self._settings.beat_interval_s / 4
-        for link in direct:
-            if link.heard_of_late():
-                self._direct_beat(link)
-
-    def _direct_beat(self, link: DirectLink) -> None:
-        sent_s = clock_s()
-        beat = link.next_beat()
-        answer = self.core.on_beat(beat_event(beat), sent_s)
-        reply = self._beat_reply(beat.target, answer)
-        unknown = link.core.beat_answered(beat, reply, sent_s)
-        link.driver.stop_unknown(unknown)
-        for attempt in reply.acknowledged:
-            link.driver.forget(attempt)
-        link.driver.renew_leases()
-        self._carry_out()
-
-    def _keep_answer(self, attempt: str, answer: bytes) -> str:
-        """Store a large answer of a worker without an agent.
-
-        Empty until it is stored.
-        """
-        key = f"answer/{attempt}/{self.held.cell}-{len(answer)}"
-        upload = self._uploads.get(key)
-        if upload is None:
-            self._uploads[key] = self.store.threads.submit(
-                self._objects.store, key, answer
-            )
-            return ""
-        if not upload.done():
-            return ""
-        del self._uploads[key]
-        return "" if upload.exception() else key
-
     def _publish_summary(self) -> None:
         summary = summary_of(self.core)
         if summary == self._summary:
@@ -364,7 +294,6 @@
                     "leaving": known.leaving,
                     "probation": state.health.on_probation(name),
                     "domain_out": state.domain_out(worker.info.domain),
-                    "agent": isinstance(self._links.get(name), AgentLink),
                 }
             )
         return rows
--- a/packages/entry/src/cicadabank/entry/internal/links.py
+++ b/packages/entry/src/cicadabank/entry/internal/links.py
@@ -1,13 +1,12 @@
-"""Ways to a worker: through its agent, or directly to its own interface."""
+"""Orders to workers through their agents."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from functools import partial, singledispatchmethod
+from functools import singledispatchmethod
 from typing import NamedTuple
 
 import grpc
-from cicadabank.agent import AgentCore, RunnerDriver
 from cicadabank.decisions import (
     BeatEvent,
     Order,
@@ -19,14 +18,12 @@
     SendStop,
     WorkerInfo,
 )
-from cicadabank.tasks import clock_s
 from cicadabank.wire import ChannelPool, control_pb2, control_pb2_grpc
 
 ORDER_TIMEOUT_S = 1.4
 START_TIMEOUT_S = 2.4
 STOP_TIMEOUT_S = 3.5
 RESERVATION_S = 6.0
-DIRECT_USAGE_SILENCE_S = 2.0
 
 Reply = Callable[[OrderResult], None]
 NOT_ANSWERED = OrderResult(answered=False, reason="no answer")
@@ -164,70 +161,6 @@
         stub.PushView.future(push, timeout=ORDER_TIMEOUT_S)
 
 
-class DirectLink:
-    """The agent's logic in the holder's own task, for a worker without an agent.
-
-    The check of the view happens here, before the message to the worker, so a start
-    may be late by the message's way; the bound that it carries limits that.
-    """
-
-    def __init__(
-        self,
-        info: control_pb2.TargetInfo,
-        pool: ChannelPool,
-        context: OrderContext,
-        post: Callable,
-        incarnation: str,
-        freshness_s: float,
-        keep_answer: Callable[[str, bytes], str],
-    ):
-        self.address = info.address
-        self._info = info
-        self._context = context
-        self.core = AgentCore(incarnation, info.accelerators, freshness_s)
-        self.core.epoch = context.epoch
-        self.driver = RunnerDriver(self.core, info.address, pool, post, keep_answer)
-        self.announced_s = clock_s()
-
-    @singledispatchmethod
-    def send(self, order: Order, reply: Reply) -> None:
-        """Carry an order out; `reply` is called in the owner's task."""
-        raise NotImplementedError(type(order).__name__)
-
-    @send.register
-    def _(self, order: SendReserve, reply: Reply) -> None:
-        self.driver.reserve(self._context.reserve(order), partial(_forward, reply))
-
-    @send.register
-    def _(self, order: SendStart, reply: Reply) -> None:
-        self.driver.start(self._context.start(order), partial(_forward, reply))
-
-    @send.register
-    def _(self, order: SendBegin, reply: Reply) -> None:
-        self.driver.begin(self._context.begin(order), partial(_forward, reply))
-
-    @send.register
-    def _(self, order: SendStop, reply: Reply) -> None:
-        self.driver.stop(self._context.stop(order), partial(_forward, reply))
-
-    def push_out(self, domain: str) -> None:
-        """Act on the failure domain's being out."""
-        if domain == self._info.domain:
-            self.core.push_out(clock_s())
-
-    def heard_of_late(self) -> bool:
-        """Whether the worker has answered lately."""
-        return clock_s() - self.driver.usage_seen_s < DIRECT_USAGE_SILENCE_S
-
-    def next_beat(self) -> control_pb2.Beat:
-        """Return the heartbeat that an agent would send."""
-        return self.core.beat(self._info)
-
-
-def _forward(reply: Reply, answer: control_pb2.OrderReply) -> None:
-    reply(_result(answer))
-
-
 def worker_info(info: control_pb2.TargetInfo) -> WorkerInfo:
     """Return the size and place that a worker announces."""
     return WorkerInfo(
--- a/packages/entry/src/cicadabank/entry/internal/minions.py
+++ b/packages/entry/src/cicadabank/entry/internal/minions.py
@@ -20,7 +20,6 @@
     name: str
     address: str = ""
     incarnation: str = ""
-    direct: bool = False
     reason: str = ""
 
 
@@ -104,9 +103,7 @@
         if not verdict.minion:
             return Route("", reason=verdict.reason)
         known = self._known[verdict.minion]
-        return Route(
-            verdict.minion, known.info.address, known.incarnation, known.info.direct
-        )
+        return Route(verdict.minion, known.info.address, known.incarnation)
 
     def finished(self, name: str, failed: bool, latency_s: float) -> None:
         """Take in the end of a request."""
@@ -128,7 +125,6 @@
                     "announced": minion.announced,
                     "leaving": minion.leaving,
                     "domain_out": minion.out,
-                    "agent": not known.info.direct,
                 }
             )
         return rows
--- a/packages/entry/src/cicadabank/entry/internal/requests.py
+++ b/packages/entry/src/cicadabank/entry/internal/requests.py
@@ -9,7 +9,6 @@
 from typing import NamedTuple
 
 import grpc
-from cicadabank.agent import minion_outcome
 from cicadabank.decisions import RateLimit, RetryBudget
 from cicadabank.entry.errors import (
     KeyReusedError,
@@ -46,8 +45,6 @@
     ChannelPool,
     control_pb2,
     control_pb2_grpc,
-    targets_pb2,
-    targets_pb2_grpc,
 )
 from loguru import logger
 
@@ -360,14 +357,6 @@
     ) -> control_pb2.MemberAnswer:
         channel = self._pool.get(route.address)
         payload = call.payload.encode()
-        if route.direct:
-            message = targets_pb2.MinionRequest(
-                request=request, workspace=call.workspace, payload=payload
-            )
-            reply = targets_pb2_grpc.MinionStub(channel).Handle(
-                message, timeout=timeout_s
-            )
-            return minion_outcome(message, reply)
         message = control_pb2.MemberRequest(
             request=request,
             workspace=call.workspace,
--- a/packages/local/src/cicadabank/local/layouts.py
+++ b/packages/local/src/cicadabank/local/layouts.py
@@ -53,7 +53,6 @@
     entries: int = 2
     workers: int = 10
     minions: int = 10
-    agents: bool = True
     accelerators: int = 8
     slots: int = 8
 
@@ -126,9 +125,6 @@
         "accelerators": size.accelerators,
         "slots": size.slots,
     }
-    if not size.agents:
-        settings[target.name] = {**stand_in, **place, "entries": grpc}
-        return
     settings[target.name] = stand_in
     worker = target.role == "worker"
     settings[f"agent-{target.name}"] = {
--- a/packages/scheduling/src/cicadabank/scheduling/internal/state.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/state.py
@@ -13,7 +13,7 @@
 
 # A task that has outlived its forecast is expected to go on for this share of the time
 # that it has run, as run times with a long tail do.
-OVERRUN_SHARE = 0.5
+OVERRUN_SHARE = 0.3
 # Urgent jobs whose sizes are remembered; some minutes of the users' traffic.
 SIZES_KEPT = 40
 
--- a/packages/settings/src/cicadabank/settings/internal/kinds.py
+++ b/packages/settings/src/cicadabank/settings/internal/kinds.py
@@ -83,25 +83,13 @@
 
 
 class StandInSettings(NamedTuple):
-    """Settings of a stand-in.
-
-    Attributes
-    ----------
-    entries : tuple of str
-        Where a target without an agent announces itself; none if it has an agent.
-    """
+    """Settings of a stand-in."""
 
     kind: str
     role: str  # store, worker or minion
     name: str
     listen: str
-    cell: str = ""
-    domain: str = ""
-    rack: str = ""
-    entries: tuple[str, ...] = ()
     accelerators: int = 8
-    cores: int = 30
-    memory_mb: int = 130_000
     slots: int = 8
     seed: int = 0
     log_level: str = "INFO"
--- a/packages/settings/src/cicadabank/settings/internal/load.py
+++ b/packages/settings/src/cicadabank/settings/internal/load.py
@@ -150,7 +150,7 @@
     yield from _optional_address("objects", settings.objects)
     yield from _optional_address("advertise", settings.advertise)
     yield from _optional_address("health_listen", settings.health_listen)
-    yield from _entries(settings.entries, required=True)
+    yield from _entries(settings.entries)
     yield from _names(settings, "name", "cell", "domain", "rack")
     yield from _positive(settings, "freshness_s", "usage_interval_s")
     yield from _level(settings.log_level)
@@ -167,12 +167,9 @@
 @_checks.register
 def _(settings: StandInSettings) -> Iterator[str]:
     yield from _address("listen", settings.listen)
-    yield from _entries(settings.entries, required=False)
     yield from _level(settings.log_level)
     if settings.role not in ("store", "worker", "minion"):
         yield "expected store, worker or minion at $.role"
-    if settings.entries:
-        yield from _names(settings, "cell", "domain", "rack")
 
 
 def _address(name: str, value: str) -> Iterator[str]:
@@ -191,8 +188,8 @@
         yield from _address(name, value)
 
 
-def _entries(entries: tuple[str, ...], required: bool) -> Iterator[str]:
-    if required and not entries:
+def _entries(entries: tuple[str, ...]) -> Iterator[str]:
+    if not entries:
         yield "expected at least one entry's address at $.entries"
     for index, entry in enumerate(entries):
         yield from _address(f"entries[{index}]", entry)
--- a/packages/standin/src/cicadabank/standin/internal/app.py
+++ b/packages/standin/src/cicadabank/standin/internal/app.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Iterator
 from contextlib import contextmanager
 
@@ -10,7 +9,6 @@
 from cicadabank.model import InvalidInputError
 from cicadabank.settings import StandInSettings
 from cicadabank.standin.errors import StandInUnreachableError
-from cicadabank.standin.internal.announce import announcing
 from cicadabank.standin.internal.faults import FAULTS, FaultSwitches
 from cicadabank.standin.internal.minion import MinionStandIn
 from cicadabank.standin.internal.runner import RunnerStandIn
@@ -20,7 +18,6 @@
 from loguru import logger
 
 SERVER_THREADS = 72
-LEAVE_NOTICE_S = 1.5
 
 
 @contextmanager
@@ -47,14 +44,8 @@
         target = MinionStandIn(settings.slots, faults, settings.name)
         add = targets_pb2_grpc.add_MinionServicer_to_server
     services = [(add, target), (standin_pb2_grpc.add_FaultsServicer_to_server, faults)]
-    with (
-        serve(settings.listen, services, SERVER_THREADS),
-        announcing(settings) as announcer,
-    ):
+    with serve(settings.listen, services, SERVER_THREADS):
         yield target
-        if announcer is not None:
-            announcer.leaving = True
-            time.sleep(LEAVE_NOTICE_S)
 
 
 def run_stand_in(settings: StandInSettings) -> None:
--- a/scripts/make_examples.py
+++ b/scripts/make_examples.py
@@ -13,7 +13,7 @@
         23000,
     ),
     "arrieta": (
-        Size(("pamplona", "estella", "tafalla"), "navarra", 3, agents=False),
+        Size(("pamplona", "estella", "tafalla"), "navarra", 3),
         23200,
     ),
 }
--- a/tests/processes/test_holder_faults.py
+++ b/tests/processes/test_holder_faults.py
@@ -7,9 +7,9 @@
 from tests.support.deployments import bench_running
 
 
-@pytest.fixture(params=[True, False], ids=["agents", "direct"], scope="class")
-def bench(request, tmp_path_factory):
-    with bench_running(tmp_path_factory.mktemp("bench"), request.param) as bench:
+@pytest.fixture(scope="class")
+def bench(tmp_path_factory):
+    with bench_running(tmp_path_factory.mktemp("bench")) as bench:
         yield bench
 
 
--- a/tests/processes/test_sessions.py
+++ b/tests/processes/test_sessions.py
@@ -13,7 +13,7 @@
 from tests.support.entries import local_entry
 
 ENDED = {"done", "failed", "refused", "cancelled", "outcome-unknown"}
-IDS = re.compile(r"\b(job|attempt|request|key|submit|direct|run)-[0-9a-z-]{8,}")
+IDS = re.compile(r"\b(job|attempt|request|key|submit|run)-[0-9a-z-]{8,}")
 TIMES = re.compile(r"\d{4}-\d\d-\d\d \d\d:\d\d:\d\d")
 
 
--- a/tests/processes/test_silent_connection.py
+++ b/tests/processes/test_silent_connection.py
@@ -7,6 +7,7 @@
 from types import SimpleNamespace
 
 import pytest
+from cicadabank.agent import agent_running
 from cicadabank.decisions import ConfigView
 from cicadabank.entry.errors import OutcomeUnknownError
 from cicadabank.entry.internal.config import Seen
@@ -15,7 +16,7 @@
 from cicadabank.entry.internal.tally import TallyTask
 from cicadabank.local import Ports
 from cicadabank.model import Workspace
-from cicadabank.settings import EntrySettings, StandInSettings
+from cicadabank.settings import AgentSettings, EntrySettings, StandInSettings
 from cicadabank.standin import serve_store, stand_in_running
 from cicadabank.store import TableClient
 from cicadabank.tasks import Metrics, running
@@ -45,20 +46,33 @@
 @pytest.fixture
 def parts():
     ports = Ports()
-    store, listen = ports.address(), ports.address()
+    store, listen, agent_listen = (ports.address() for _ in range(3))
     settings = StandInSettings("stand-in", "minion", "minion-1", listen)
+    agent_settings = AgentSettings(
+        kind="agent",
+        name="minion-1",
+        target="minion",
+        target_address=listen,
+        listen=agent_listen,
+        cell="lakes",
+        domain="erie",
+        rack="rack-1",
+        entries=(ports.address(),),  # nobody listens there: beats are sent by the test
+        slots=8,
+    )
     entry = EntrySettings("entry", "entry-1", "erie", "", "", store, store, ("lakes",))
     with ExitStack() as stack:
         minion = stack.enter_context(stand_in_running(settings))
         stack.enter_context(serve_store(store))
-        relay = stack.enter_context(relay_running(listen))
+        agent = stack.enter_context(agent_running(agent_settings))
+        relay = stack.enter_context(relay_running(agent_listen))
         minions = stack.enter_context(running(MinionTask(1.5, 0, Metrics("", ""))))
         retries = stack.enter_context(running(RetryTask(0.1)))
         beat = control_pb2.Beat(
             target="minion-1",
-            incarnation="run-1",
+            incarnation=agent.incarnation,
             info=control_pb2.TargetInfo(
-                name="minion-1", address=relay.address, slots=8, direct=True
+                name="minion-1", address=relay.address, slots=8
             ),
         )
         minions.ask(minions.on_beat, beat, Seen(ConfigView(), 0.0))
--- a/tests/processes/test_whole_path.py
+++ b/tests/processes/test_whole_path.py
@@ -1,4 +1,4 @@
-"""A job, a request and a refusal through separate processes, both deployments."""
+"""A job, a request and a refusal through separate processes."""
 
 from __future__ import annotations
 
@@ -11,11 +11,9 @@
 ENDED = {"done", "failed", "refused", "cancelled", "outcome-unknown"}
 
 
-@pytest.fixture(params=[True, False], ids=["agents", "direct"], scope="class")
-def client(request, tmp_path_factory):
-    size = Size(
-        ("erie", "huron"), "lakes", 2, workers=3, minions=1, agents=request.param
-    )
+@pytest.fixture(scope="class")
+def client(tmp_path_factory):
+    size = Size(("erie", "huron"), "lakes", 2, workers=3, minions=1)
     layout = make_layout(size, Ports())
     folder = tmp_path_factory.mktemp("deployment")
     with deployment_running(layout, folder) as deployment:
--- a/tests/support/deployments.py
+++ b/tests/support/deployments.py
@@ -83,9 +83,9 @@
 
 
 @contextmanager
-def bench_running(folder, agents=True, workers=4, minions=2) -> Iterator[Bench]:
+def bench_running(folder, workers=4, minions=2) -> Iterator[Bench]:
     """Run a deployment with the workspaces that the tests use."""
-    size = Size(DOMAINS, "lakes", 2, workers, minions, agents, accelerators=4)
+    size = Size(DOMAINS, "lakes", 2, workers, minions, accelerators=4)
     layout = make_layout(size, Ports(), OVERRIDES)
     with layout_running(layout, folder, workers, minions) as bench:
         yield bench
--- a/tests/support/entries.py
+++ b/tests/support/entries.py
@@ -1,4 +1,4 @@
-"""An entry with a table and targets, all in the test's own process."""
+"""An entry with a table, targets and agents, all in the test's own process."""
 
 from __future__ import annotations
 
@@ -6,15 +6,20 @@
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
 
+from cicadabank.agent import agent_running
 from cicadabank.entry import entry_running
 from cicadabank.local import Ports, Size, make_layout, wait_until
 from cicadabank.model import from_builtins
-from cicadabank.settings import EntrySettings, StandInSettings
+from cicadabank.settings import AgentSettings, EntrySettings, StandInSettings
 from cicadabank.standin import stand_in_running
 
 from tests.support.deployments import OVERRIDES
 
-KINDS = {"entry": EntrySettings, "stand-in": StandInSettings}
+KINDS = {
+    "agent": (AgentSettings, agent_running),
+    "entry": (EntrySettings, entry_running),
+    "stand-in": (StandInSettings, stand_in_running),
+}
 
 
 class Local:
@@ -28,17 +33,15 @@
 
 @contextmanager
 def local_entry(workers=2, minions=1, limits=None, entries=1) -> Iterator[Local]:
-    """Run an entry with direct targets."""
-    size = Size(("erie", "huron"), "lakes", entries, workers, minions, agents=False)
+    """Run an entry with its targets and their agents."""
+    size = Size(("erie", "huron"), "lakes", entries, workers, minions)
     overrides = {**OVERRIDES, **({"limits": limits} if limits else {})}
     layout = make_layout(size, Ports(), overrides)
     with ExitStack() as stack:
         parts = {}
         for name, settings in layout.settings.items():
-            kind = KINDS[settings["kind"]]
-            parsed = from_builtins(settings, kind)
-            run = entry_running if kind is EntrySettings else stand_in_running
-            parts[name] = stack.enter_context(run(parsed))
+            kind, run = KINDS[settings["kind"]]
+            parts[name] = stack.enter_context(run(from_builtins(settings, kind)))
         entry = parts["entry-1"]
         wait_until(entry.ready, 20.0, "the entry")
         if workers:
