Tell a started agent at once who holds its cell; gather reports before placing

A started agent is called when its row comes, and a new holder waits 0.5 s at most for nine tenths of the known agents.

--- a/packages/control/src/cicadabank/control/internal/holding.py
+++ b/packages/control/src/cicadabank/control/internal/holding.py
@@ -144,9 +144,11 @@
                 self.scheduler.on_cancel(name, now_s)
         elif kind == "cancel":
             self.scheduler.on_cancel(name, now_s)
+        elif kind == "agent" and name in rows.agents:
+            self.scheduler.on_agent_started(name)
+            self._attach(now_s)
         elif kind == "agent":
-            for agent in list(rows.agents):
-                self.scheduler.on_agent(agent)
+            self.scheduler.on_agent_removed(name)
         self._act()
 
     def on_report(self, message: fleet_pb2.TargetReport) -> fleet_pb2.ReportReply:
@@ -186,8 +188,12 @@
         if now_s >= self._renew_due_s and not self._writing:
             self._write(None)
         if self.scheduler.state.loaded:
-            for agent in self.scheduler.silent_agents(now_s):
-                self._send(Orders(agent, None))
+            self._attach(now_s)
+
+    def _attach(self, now_s: float) -> None:
+        """Tell agents that may not know it who holds the cell."""
+        for agent in self.scheduler.silent_agents(now_s):
+            self._send(Orders(agent, None))
 
     def _act(self) -> None:
         now_s = clock_s()
--- a/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
@@ -87,6 +87,7 @@
             if place not in state.places:
                 state.lapses_s[place] = now_s + lapse_s
         state.loaded = True
+        state.loaded_s = now_s
         for job in cancelled:
             self.on_cancel(job, now_s)
 
@@ -147,6 +148,11 @@
         """Take in the address of an agent, to be attached if it stays silent."""
         self.state.attached_s.setdefault(agent, float("-inf"))
 
+    def on_agent_started(self, agent: str) -> None:
+        """Take in that an agent has started, and knows of no holder."""
+        self.state.attached_s.setdefault(agent, float("-inf"))
+        self.state.started_agents.add(agent)
+
     def on_agent_removed(self, agent: str) -> None:
         """Stop trying to reach an agent that is gone."""
         self.state.attached_s.pop(agent, None)
@@ -165,9 +171,11 @@
         for agent, tried_s in state.attached_s.items():
             target = state.targets.get(agent)
             heard_s = target.heard_s if target else float("-inf")
-            if now_s - max(heard_s, tried_s) >= state.timings.attach_s:
+            silent = now_s - max(heard_s, tried_s) >= state.timings.attach_s
+            if silent or agent in state.started_agents:
                 due.append(agent)
                 state.attached_s[agent] = now_s
+        state.started_agents.clear()
         return due
 
     def take_orders(self) -> list[Orders]:
--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -33,6 +33,8 @@
 WASTE_PRICE = 0.004
 # Work is only thrown away for a gain that is this much larger, as forecasts are off.
 GAIN_FACTOR = 1.5
+# Of the known agents, some may have gone for good.
+REPORTED_SHARE = 0.9
 # A step that is wider than this share of the room may run in waves.
 WAVE_SHARE = 0.25
 # A guaranteed job waits this long for room to become free by itself; the users allow
@@ -51,7 +53,7 @@
 
 def plan(state: CellState) -> None:
     """Place what is waiting, the most urgent first."""
-    if state.fenced or state.stopping or not state.loaded:
+    if state.fenced or state.stopping or not state.loaded or _gathering(state):
         return
     _start_claims(state)
     if state.now_s - state.taken_over_s > state.timings.survey_s:
@@ -86,6 +88,16 @@
             kept.reserve(unit, targets)
 
 
+def _gathering(state: CellState) -> bool:
+    """Whether most agents have still to report after a takeover.
+
+    What is placed before that goes to the first few, and stops work there.
+    """
+    if state.now_s - state.loaded_s >= state.timings.gather_s:
+        return False
+    return len(state.targets) < REPORTED_SHARE * len(state.attached_s)
+
+
 def _may_start(
     state: CellState, unit: Unit, entitled: set[int], headroom: Headroom
 ) -> bool:
--- a/packages/scheduling/src/cicadabank/scheduling/internal/state.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/state.py
@@ -36,6 +36,8 @@
         After which an order without effect is sent again.
     attach_s : float
         Time between attempts to reach a silent agent.
+    gather_s : float
+        For which a new holder waits for most agents before it places anything.
     survey_s : float
         For which a new holder waits for agents before it calls a job hopeless.
     stop_s : float
@@ -48,6 +50,7 @@
     silent_after_s: float = 2.5
     order_retry_s: float = 0.4
     attach_s: float = 1.0
+    gather_s: float = 0.5
     survey_s: float = 6.0
     stop_s: float = 0.9
 
@@ -120,6 +123,7 @@
         self.now_s = now_s
         self.store_offset_s = 0.0  # the store's clock less this process's
         self.loaded = False
+        self.loaded_s = now_s
         self.fenced = False
         self.stopping = False
         self.view = ConfigView()
@@ -133,6 +137,7 @@
         self.members_at: dict[Place, dict[tuple[str, int, int], Unit]] = {}
         self.lapses_s: dict[Place, float] = {}  # of places without a target here
         self.attached_s: dict[str, float] = {}  # agent -> last attempt to reach it
+        self.started_agents: set[str] = set()  # that haven't been told who holds
         self.dirty: dict[str, Job] = {}
         self.in_flight: Commit | None = None
         self.orders: dict[str, Orders] = {}
--- a/tests/cover/test_scheduler.py
+++ b/tests/cover/test_scheduler.py
@@ -202,6 +202,25 @@
         assert sum(len(t.work) for t in cell.targets.values()) == 3
         cell.run_until(lambda: cell.state("j") == "completed")
 
+    def test_nothing_is_placed_before_most_targets_have_reported(self, cell):
+        for target in cell.targets.values():
+            target.silent = True
+        cell.take_over()
+        cell.submit("j", "normal", [tasks(12, 1)])
+        heard = next(iter(cell.targets.values()))
+        heard.silent = False
+        cell.run(0.3)
+        assert not heard.work
+        cell.run(0.5)
+        assert heard.work, "it waits for agents that may be gone"
+
+    def test_an_agent_that_has_started_is_told_at_once_who_holds(self, cell):
+        scheduler, agent = cell.scheduler, next(iter(cell.targets))
+        scheduler.silent_agents(cell.now_s)
+        assert agent not in scheduler.silent_agents(cell.now_s)
+        scheduler.on_agent_started(agent)
+        assert scheduler.silent_agents(cell.now_s) == [agent]
+
     def test_ends_that_the_last_holder_did_not_store_count(self, cell):
         cell.submit("j", "normal", [tasks(1, 8, 3.0)])
         cell.run(1.0)
--- a/tests/support/modelled.py
+++ b/tests/support/modelled.py
@@ -184,6 +184,8 @@
             (record, *self.rows.get(job, (None, 0)))
             for job, record in self.records.items()
         ]
+        for agent in self.targets:
+            self.scheduler.on_agent(agent)
         self.scheduler.load(rows, list(self.cancelled), self.now_s, lapse_s)
         self._reported_s.clear()
         return self.scheduler
