Send callers away soon when no process reaches the store

When both ways are known not to work a call is refused at once; feeds, for which nobody waits, and a probe each 0.3 s find the direct way again. Unknown outcomes are still cleared up for 0.45 of the deadline.

--- a/packages/control/src/cicadabank/control/internal/desk.py
+++ b/packages/control/src/cicadabank/control/internal/desk.py
@@ -41,10 +41,13 @@
 from cicadabank.tasks import clock_s
 from loguru import logger
 
-# Share of a caller's deadline after which an answer would come too late to be of use.
+# For which a caller is held for a store that is away. It may be back at any moment, but
+# who is told to come back in a second uses the rest of its time as well by that.
+HOLD_S = 0.3
+# Share of a caller's deadline for which an unknown outcome is cleared up.
 DEADLINE_SHARE = 0.45
 # The store answers in 4 ms, and within this at its slowest.
-CALL_TIMEOUT_S = 0.6
+CALL_TIMEOUT_S = 0.5
 SHORTEST_TIMEOUT_S = 0.05
 # Between tries at a store that is away: it may be back at any moment.
 RETRY_PAUSE_S = 0.1
@@ -156,7 +159,7 @@
         )
         key = JOB + request.job
         until_s = clock_s() + deadline_s * DEADLINE_SHARE
-        self._await_contact(queue.cell, key, until_s)
+        self._await_contact(queue.cell, key)
         try:
             self._write(queue.cell, {key: 0}, {key: pack(record)}, until_s)
         except RowConflictError as error:
@@ -179,21 +182,20 @@
             ],
         ).info("accepted")
 
-    def _await_contact(self, cell: str, key: str, until_s: float) -> None:
+    def _await_contact(self, cell: str, key: str) -> None:
         """Wait until the store is within reach, before anything is written.
 
         A write that is lost on the way leaves the caller without a true answer, and
         callers don't repeat a job after that; a read that is lost does no harm.
         """
+        hold_until_s = clock_s() + HOLD_S
         while self._replica.age_s() > FRESH_CONTACT_S:
             try:
                 self._read(cell, key)
                 return
             except PlatformError as error:
-                if clock_s() >= until_s:
-                    raise StoreAwayError(
-                        f"the store is away: {error.message}", "come back in a second"
-                    ) from error
+                if clock_s() >= hold_until_s:
+                    raise _away(error) from error
             time.sleep(RETRY_PAUSE_S)
 
     def _known(self, job: str, queue: str) -> bool:
@@ -208,7 +210,14 @@
         puts: dict[str, bytes],
         until_s: float,
     ) -> None:
-        """Write with the same conditions until the outcome is certain."""
+        """Write with the same conditions until the outcome is certain.
+
+        Parameters
+        ----------
+        until_s : float
+            When to give up on an unknown outcome.
+        """
+        hold_until_s = min(until_s, clock_s() + HOLD_S)
         uncertain = False
         while True:
             try:
@@ -221,10 +230,8 @@
             except RowConflictError:
                 raise
             except UnavailableError as error:
-                if not uncertain and clock_s() >= until_s:
-                    raise StoreAwayError(
-                        f"the store is away: {error.message}", "come back in a second"
-                    ) from error
+                if not uncertain and clock_s() >= hold_until_s:
+                    raise _away(error) from error
             except UnknownOutcomeError:
                 uncertain = True
             if uncertain and clock_s() >= until_s:
@@ -294,6 +301,12 @@
         return count
 
 
+def _away(error: PlatformError) -> StoreAwayError:
+    return StoreAwayError(
+        f"the store is away: {error.message}", "come back in a second"
+    )
+
+
 def _shown(run: RunRow | None, cancelled: bool) -> str:
     state = run.state if run else "pending"
     return "cancelled" if cancelled and state not in STATES_OVER_CANCEL else state
--- a/packages/control/src/cicadabank/control/internal/relay.py
+++ b/packages/control/src/cicadabank/control/internal/relay.py
@@ -33,12 +33,12 @@
 RELAY_MARGIN_S = 0.2
 # Peers that are asked at once for one that reaches the store; a third may be cut off.
 PEERS_AT_ONCE = 4
-SEARCH_TIMEOUT_S = 0.6
+SEARCH_TIMEOUT_S = 0.55
 # After a search without success the store is away for all, and a search adds only load.
 SEARCH_PAUSE_S = 0.3
-# Between tries of the direct way while a relay is used.
-PROBE_S = 0.7
-PROBE_TIMEOUT_S = 0.5
+# Between tries of the direct way while it fails.
+PROBE_S = 0.3
+PROBE_TIMEOUT_S = 0.45
 # A range without rows, read to see whether the store answers.
 PROBE_KEY = "probe"
 
@@ -212,9 +212,15 @@
         """Return what has changed since a version, waiting for a change."""
         request = self._request(wait_s + CALL_TIMEOUT_S)
         request.changes.after, request.changes.wait_s = after, wait_s
-        return _page(
-            self._through(lambda: self._direct.changes(after, wait_s), request)
-        )
+        try:
+            return _page(
+                self._through(lambda: self._direct.changes(after, wait_s), request)
+            )
+        except UnavailableError:
+            # Nobody waits for a feed, so the direct way is tried in any case.
+            page = self._direct.changes(after, wait_s)
+            self._path.found()
+            return page
 
     def commit(
         self,
@@ -242,7 +248,13 @@
     def _through(
         self, direct: Callable[[], Any], request: fleet_pb2.RelayRequest
     ) -> Any:
-        """Return what the direct call returns, or a peer's reply."""
+        """Return what the direct call returns, or a peer's reply.
+
+        Raises
+        ------
+        UnavailableError
+            If neither way works; at once, if both are known not to.
+        """
         if self._path.direct:
             try:
                 return direct()
@@ -252,13 +264,7 @@
                 # The caller decides whether to repeat it, then through a peer.
                 self._path.lost(error)
                 raise
-        try:
-            return _checked(self._path.relay(request))
-        except UnavailableError:
-            # No relay: the direct way may be back, and nothing is lost by trying it.
-            answer = direct()
-            self._path.found()
-            return answer
+        return _checked(self._path.relay(request))
 
 
 def _page(found: Page | fleet_pb2.RelayReply) -> Page:
--- a/tests/cover/test_job_desk.py
+++ b/tests/cover/test_job_desk.py
@@ -165,6 +165,21 @@
             world.submit(deadline_s=1.0)
         assert time.monotonic() - began_s < 0.5
 
+    def test_a_caller_is_sent_away_soon_when_the_store_is_away(self, world):
+        world.table.down = True
+        began_s = time.monotonic()
+        with pytest.raises(errors.StoreAwayError) as caught:
+            world.submit(deadline_s=3.0)
+        assert time.monotonic() - began_s < 0.5
+        assert caught.value.retry_after_s == 1
+
+    def test_a_caller_is_held_for_a_short_outage(self, world):
+        world.table.down = True
+        back = threading.Timer(0.15, setattr, (world.table, "down", False))
+        back.start()
+        world.submit(deadline_s=3.0)
+        assert world.stored() is not None
+
     def test_no_call_outlasts_what_is_left(self, world):
         timeouts_s = []
         commit = world.table.commit
--- a/tests/cover/test_store_relay.py
+++ b/tests/cover/test_store_relay.py
@@ -153,8 +153,21 @@
         with pytest.raises(UnavailableError):
             world.table.read("p")
         world.own.error = None
-        assert world.table.commit("p", {}, {"k": b"1"}) == 1
+        world.table.changes(0, 0.1)  # a feed tries the direct way in any case
         assert world.path.direct
+        assert world.table.commit("p", {}, {"k": b"1"}) == 1
+
+    def test_callers_are_told_at_once_when_neither_way_works(self, world, monkeypatch):
+        monkeypatch.setattr(relay_module, "PROBE_S", 10.0)
+        monkeypatch.setattr(relay_module, "SEARCH_PAUSE_S", 10.0)
+        world.turn_away()
+        for way in world.peers.values():
+            way.error = UnavailableError("away")
+        for _ in range(3):
+            with pytest.raises(UnavailableError):
+                world.table.read("p")
+        assert world.own.calls == 1
+        assert sum(way.calls for way in world.peers.values()) == 3
 
     def test_direct_way_is_taken_again_once_it_works(self, world):
         world.turn_away()
