Model a fleet of targets for stand-ins; one proxy with all faults of a link

The stand-in of a target gains gangs, checkpoints, capacity, lives, and faults, in a model without the platform's names; the adapter keeps only its face. The tests' relay becomes the stand-ins' proxy: delays, cuts one way, resets beside silence and holds. An entry or agent may listen elsewhere than where others reach it, so that proxies fit between.

--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -88,8 +88,8 @@
     ----------
     control : socket.socket
         Listens for the heartbeats of the target.
-    peer : str
-        Where entries send orders.
+    peer, peer_listen : str
+        Where entries send orders, and where this process listens for that.
     tables : dict of str to PartitionedTable
         That it relays calls to for entries which can't reach the store.
     dispatch_for : callable
@@ -100,6 +100,7 @@
     cell: str
     control: socket.socket
     peer: str
+    peer_listen: str
     cells: PartitionedTable
     tables: dict[str, PartitionedTable]
     calls: TargetCalls
@@ -317,7 +318,7 @@
     ]
     with ExitStack() as stack:
         stack.enter_context(running(task))
-        stack.enter_context(serve(parts.peer, services, ORDER_THREADS))
+        stack.enter_context(serve(parts.peer_listen, services, ORDER_THREADS))
         stack.enter_context(running(beats))
         stack.enter_context(following("hold", task.hold_step))
         stack.enter_context(following("reports", lambda: task.report_step(pool)))
--- a/packages/control/src/cicadabank/control/internal/entry.py
+++ b/packages/control/src/cicadabank/control/internal/entry.py
@@ -68,8 +68,8 @@
     ----------
     front, ready : socket.socket
         Listen for callers, and for the balancer that asks for readiness.
-    peer : str
-        Where agents report.
+    peer, peer_listen : str
+        Where agents report, and where this process listens for that.
     cells : PartitionedTable
         The system's own rows, reached directly.
     operator : PartitionedTable
@@ -84,6 +84,7 @@
     front: socket.socket
     ready: socket.socket
     peer: str
+    peer_listen: str
     stop_grace_s: float
     cells: PartitionedTable
     operator: PartitionedTable
@@ -391,7 +392,7 @@
         stack.enter_context(running(task))
         stack.enter_context(following("cells", cells.step))
         stack.enter_context(following("operator", operator.step))
-        stack.enter_context(serve(parts.peer, services, SERVER_THREADS))
+        stack.enter_context(serve(parts.peer_listen, services, SERVER_THREADS))
         stack.enter_context(running(ready))
         stack.enter_context(running(front))
         yield task
--- a/packages/standin/src/cicadabank/standin/__init__.py
+++ b/packages/standin/src/cicadabank/standin/__init__.py
@@ -3,17 +3,32 @@
 from cicadabank.standin.errors import StandInUnreachableError
 from cicadabank.standin.internal.app import run_stand_in, stand_in_running, switch_fault
 from cicadabank.standin.internal.faults import FaultSwitches
+from cicadabank.standin.internal.fleet import (
+    FleetTarget,
+    TargetEvent,
+    TargetFleet,
+    TaskFacts,
+)
 from cicadabank.standin.internal.minion import MinionStandIn
+from cicadabank.standin.internal.partitions import MemoryTable
+from cicadabank.standin.internal.proxy import Proxy, proxy_running
 from cicadabank.standin.internal.runner import RunnerStandIn
 from cicadabank.standin.internal.store import ObjectStandIn, TableStandIn, serve_store
 
 __all__ = [
     "FaultSwitches",
+    "FleetTarget",
+    "MemoryTable",
     "MinionStandIn",
     "ObjectStandIn",
+    "Proxy",
     "RunnerStandIn",
     "StandInUnreachableError",
     "TableStandIn",
+    "TargetEvent",
+    "TargetFleet",
+    "TaskFacts",
+    "proxy_running",
     "run_stand_in",
     "serve_store",
     "stand_in_running",
--- a/tests/cover/test_job_desk.py
+++ b/tests/cover/test_job_desk.py
@@ -22,7 +22,7 @@
     WorkspaceView,
     pack,
 )
-from cicadabank.standin.internal.partitions import MemoryTable
+from cicadabank.standin import MemoryTable
 
 QUEUE = QueueView("q", "cell", 1, 3, 3.0, 1.0)
 OTHER = QueueView("other", "cell", 1, 3, 3.0, 1.0)
--- a/tests/cover/test_store_relay.py
+++ b/tests/cover/test_store_relay.py
@@ -12,7 +12,7 @@
     StorePath,
 )
 from cicadabank.local import Ports
-from cicadabank.standin.internal.partitions import MemoryTable
+from cicadabank.standin import MemoryTable
 from cicadabank.store import (
     HistoryLostError,
     RowConflictError,
--- a/tests/processes/test_agent_paths.py
+++ b/tests/processes/test_agent_paths.py
@@ -7,10 +7,10 @@
 
 import pytest
 from cicadabank.local import Ports, Size, make_layout
+from cicadabank.standin import proxy_running
 from cicadabank.wire import ChannelPool, targets_pb2, targets_pb2_grpc
 
 from tests.support.deployments import DOMAINS, OVERRIDES, layout_running
-from tests.support.relay import relay_running
 
 
 @pytest.fixture(scope="class")
@@ -20,7 +20,7 @@
     layout = make_layout(size, Ports(), OVERRIDES)
     agent = layout.settings["agent-worker-4"]
     with ExitStack() as stack:
-        relay = stack.enter_context(relay_running(agent["listen"]))
+        relay = stack.enter_context(proxy_running(agent["listen"]))
         agent["advertise"] = relay.address
         folder = tmp_path_factory.mktemp("bench")
         bench = stack.enter_context(layout_running(layout, folder, 4, 0))
@@ -61,7 +61,7 @@
         relays = {}
         for worker in ("worker-1", "worker-4"):
             agent = layout.settings[f"agent-{worker}"]
-            relay = stack.enter_context(relay_running(agent["target_address"]))
+            relay = stack.enter_context(proxy_running(agent["target_address"]))
             agent["target_address"] = relay.address
             relays[worker] = relay
         folder = tmp_path_factory.mktemp("bench")
--- a/tests/processes/test_cut_off_entry.py
+++ b/tests/processes/test_cut_off_entry.py
@@ -6,9 +6,9 @@
 
 import pytest
 from cicadabank.local import Ports, Size, make_layout
+from cicadabank.standin import proxy_running
 
 from tests.support.deployments import DOMAINS, OVERRIDES, layout_running
-from tests.support.relay import relay_running
 
 
 @pytest.fixture
@@ -19,7 +19,7 @@
     with ExitStack() as stack:
         relays = {}
         for name in ("entry-1", "entry-2"):
-            relays[name] = stack.enter_context(relay_running(layout.store))
+            relays[name] = stack.enter_context(proxy_running(layout.store))
             layout.settings[name]["table"] = relays[name].address
         bench = stack.enter_context(layout_running(layout, tmp_path, 4, 0))
         yield bench, relays
--- a/tests/processes/test_region_cut.py
+++ b/tests/processes/test_region_cut.py
@@ -17,7 +17,7 @@
     in_force,
     layout_running,
 )
-from tests.support.relay import Relay, relay_running
+from tests.support.relay import Proxy
 
 CUT_S = 2.0 * TIMINGS["lease_duration_s"]
 
@@ -28,7 +28,7 @@
     bench: object
     west: Client
     east: Client
-    relays: list[Relay]
+    relays: list[Proxy]
 
     def cut(self):
         for relay in self.relays:
@@ -46,9 +46,9 @@
     layout = make_layout(size, Ports(), OVERRIDES)
     entries = [layout.settings[f"entry-{number}"] for number in (1, 2)]
     with ExitStack() as stack:
-        table = stack.enter_context(relay_running(layout.store))
+        table = stack.enter_context(proxy_running(layout.store))
         between = [
-            stack.enter_context(relay_running(entry["grpc_listen"]))
+            stack.enter_context(proxy_running(entry["grpc_listen"]))
             for entry in entries
         ]
         entries[0].update(table=table.address, objects=table.address)
--- a/tests/processes/test_silent_connection.py
+++ b/tests/processes/test_silent_connection.py
@@ -17,13 +17,11 @@
 from cicadabank.local import Ports
 from cicadabank.model import Workspace
 from cicadabank.settings import AgentSettings, EntrySettings, StandInSettings
-from cicadabank.standin import serve_store, stand_in_running
+from cicadabank.standin import proxy_running, serve_store, stand_in_running
 from cicadabank.store import TableClient
 from cicadabank.tasks import Metrics, running
 from cicadabank.wire import ChannelPool, control_pb2
 
-from tests.support.relay import relay_running
-
 WORKSPACE = Workspace("glaze", 8)
 
 
@@ -65,7 +63,7 @@
         minion = stack.enter_context(stand_in_running(settings))
         stack.enter_context(serve_store(store))
         agent = stack.enter_context(agent_running(agent_settings))
-        relay = stack.enter_context(relay_running(agent_listen))
+        relay = stack.enter_context(proxy_running(agent_listen))
         minions = stack.enter_context(running(MinionTask(1.5, 0, Metrics("", ""))))
         retries = stack.enter_context(running(RetryTask(0.1)))
         beat = control_pb2.Beat(
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -16,12 +16,15 @@
 from cicadabank.local import Ports
 from cicadabank.platform.standin import (
     StoreStandIn,
-    TargetStandIn,
+    TargetFace,
+    fleet_working,
     serving,
     target_running,
 )
+from cicadabank.standin import FleetTarget, TargetFleet, TaskFacts
 
 KEY = "key-1"
+CAPACITY = (32_000, 131_072, 8)
 HEADERS = {"Host": "h.example", "Authorization": f"Bearer {KEY}"}
 CONFIG = {
     "version": 3,
@@ -62,6 +65,11 @@
 """
 
 
+def facts_of(task: str, spec: str) -> TaskFacts:
+    """Return what a payload of seconds says of its task."""
+    return TaskFacts(task, float(spec), (0, 0, 0))
+
+
 class SmallPlatform:
     """A store, entries, and targets with their agents."""
 
@@ -70,7 +78,8 @@
         self.ports = ports
         self.store = StoreStandIn()
         self.store_address = ports.address()
-        self.targets: list[TargetStandIn] = []
+        self.fleet = TargetFleet(facts_of)
+        self.targets: list[FleetTarget] = []
         self.fronts: dict[str, str] = {}
         self.processes: dict[str, subprocess.Popen] = {}
         self._roles: dict[str, str] = {}
@@ -160,12 +169,14 @@
     platform.store.put("op", "config", CONFIG)
     with ExitStack() as stack:
         stack.enter_context(serving(platform.store_address, platform.store.dispatch))
+        stack.enter_context(fleet_working(platform.fleet))
         for number in range(targets):
             address, control = ports.address(), ports.address()
             name = f"agent-{number}"
             platform.settings(name, "agent", number, control=control, target=address)
-            target = target_running(f"t{number}", address, control, f"d{number}")
-            platform.targets.append(stack.enter_context(target))
+            target = platform.fleet.add(f"t{number}", CAPACITY)
+            face = TargetFace(target, address, control, f"d{number}", f"r-d{number}")
+            platform.targets.append(stack.enter_context(target_running(face)))
             platform.start(name)
         for number in range(entries):
             name = f"entry-{number}"
