--- a/tests/processes/test_region_cut.py
+++ b/tests/processes/test_region_cut.py
@@ -9,6 +9,7 @@
 import pytest
 from cicadabank.client import ApiError, Client
 from cicadabank.local import Ports, Size, make_layout
+from cicadabank.standin import Proxy, proxy_running
 
 from tests.support.deployments import (
     DOMAINS,
@@ -17,7 +18,6 @@
     in_force,
     layout_running,
 )
-from tests.support.relay import Proxy
 
 CUT_S = 2.0 * TIMINGS["lease_duration_s"]
 
