Don't count a stored failure again after a takeover

Ruled out: a double end of the target (both reports have sequence 2).

The row of a unit says that its present run is among the failed ones. The new test failed before.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/rows.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/rows.py
@@ -18,13 +18,22 @@
 
 
 class UnitRow(NamedTuple):
-    """How a unit stands; `places` is empty unless a target may be running it."""
+    """How a unit stands.
+
+    Attributes
+    ----------
+    places : tuple of Place
+        Empty unless a target may be running it.
+    failed : bool
+        Whether the present run has failed, and is among the failed runs already.
+    """
 
     run: int
     failed_runs: int
     phase: str
     checkpoint: str = ""
     places: tuple[Place, ...] = ()
+    failed: bool = False
 
 
 class RunRow(NamedTuple):
@@ -94,7 +103,10 @@
     if not unit.active:
         return UnitRow(unit.run, unit.failed_runs, "waiting", unit.checkpoint)
     places = tuple(member.place for member in unit.members)
-    return UnitRow(unit.run, unit.failed_runs, "running", unit.checkpoint, places)
+    failed = unit.stop_reason == "failed"
+    return UnitRow(
+        unit.run, unit.failed_runs, "running", unit.checkpoint, places, failed
+    )
 
 
 def restore(record: JobRecord, row: RunRow | None, version: int, now_s: float) -> Job:
@@ -117,4 +129,6 @@
             unit.phase = Phase.RUNNING
             unit.started_s = unit.saved_s = now_s
             unit.members = [Member(place) for place in stored.places]
+            if stored.failed:
+                unit.phase, unit.stop_reason = Phase.STOPPING, "failed"
     return job
--- a/packages/standin/src/cicadabank/standin/internal/fleet.py
+++ b/packages/standin/src/cicadabank/standin/internal/fleet.py
@@ -167,8 +167,6 @@
         """Let the runs work; called with the fleet's lock held."""
         lapsed = self._until_s < self.clock_s()
         for work in list(self.work.values()):
-            if (work.task, work.run) not in self.work:
-                continue  # it has ended with its gang
             if lapsed:
                 self.end(work, "lapsed")
             elif now_s >= work.stops_s:
@@ -193,6 +191,8 @@
 
     def end(self, work: Work, how: str) -> None:
         """End a run, and its gang with it."""
+        if (work.task, work.run) not in self.work:
+            return  # it has ended with another member of its gang
         del self.work[(work.task, work.run)]
         self._closed[work.task] = max(self._closed.get(work.task, 0), work.run)
         sequence = next(self._sequences)
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized fault soak: real processes, faults from outside, promises checked."""
--- a/tests/cover/test_scheduler.py
+++ b/tests/cover/test_scheduler.py
@@ -1,7 +1,7 @@
 from __future__ import annotations
 
 import pytest
-from cicadabank.scheduling import Need, QueueView, StepSpec, WorkspaceView
+from cicadabank.scheduling import Need, QueueView, RunId, StepSpec, WorkspaceView
 
 from tests.support.modelled import ModelCell, ModelTarget
 
@@ -221,6 +221,35 @@
         scheduler.on_agent_started(agent)
         assert scheduler.silent_agents(cell.now_s) == [agent]
 
+    def test_a_failure_that_was_stored_is_not_counted_again(self):
+        """The failed end is listed until it is acknowledged, to the next holder too."""
+        queue = QueueView("twice", "cell", 1, 2, 3.0, 1.0)
+        failing = RunId("j", 0, 0, 1)
+        cell = ModelCell(
+            fleet(), [queue], fails_at=lambda run: 0.2 if run == failing else 9.0
+        )
+        cell.run(1.0)
+        cell.submit("j", "twice", [gang(3, 8)])
+        cell.run_until(lambda: cell.state("j") == "running")
+        others = [
+            target
+            for target in cell.targets.values()
+            if failing not in target.work and target.work
+        ]
+        for target in others:
+            target.silent = True
+        deliver, cell._deliver = cell._deliver, cell.scheduler.take_orders
+        cell.run_until(
+            lambda: any(e == "run_ended" and f["how"] == "failed" for e, f in cell.log)
+        )
+        cell._deliver = deliver
+        for target in others:
+            target.silent = False
+        cell.take_over()
+        cell.run_until(lambda: cell.scheduler.state.jobs["j"].ended)
+        assert cell.state("j") == "completed"
+        cell.check()
+
     def test_ends_that_the_last_holder_did_not_store_count(self, cell):
         cell.submit("j", "normal", [tasks(1, 8, 3.0)])
         cell.run(1.0)
