Fence calls by the target's life within an epoch; take no answer about an earlier one

A hold that was under way when the target lost power arrived in its next life, which had the same name, and forgot ends up to the number that the first life had reached. The order of epochs doesn't help within one, and the name that calls carry is the same.

The number that targets compare is now made of the epoch and of the second in which the target's life began. An answer to a report about an earlier life is ignored too: its acknowledged number and its lease are of that life.

--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -174,21 +174,21 @@
             until_s = self.steward.until_target_s(now_s)
             beat = self.steward.beat
             self._threads.submit(
-                self._call, call, until_s, self.steward.epoch, beat.target
+                self._call, call, until_s, self.steward.fence, beat.target
             )
 
-    def _call(self, call: Call, until_s: float, epoch: int, target: str) -> None:
+    def _call(self, call: Call, until_s: float, fence: int, target: str) -> None:
         """Make one call in a thread."""
         calls = self.parts.calls
         try:
             if call.kind == "stop":
-                known = calls.stop(call.run, epoch, target)
+                known = calls.stop(call.run, fence, target)
                 self.post(self._stopped, call, known)
                 if known:
                     self.hold(0.0)
             else:
                 outcome = calls.start(
-                    call.run, call.payload, call.checkpoint, until_s, epoch, target
+                    call.run, call.payload, call.checkpoint, until_s, fence, target
                 )
                 self.post(self._started, call, outcome)
         except PlatformError as error:
@@ -219,7 +219,7 @@
         if steward.beat is None or steward.left:
             return None
         until_s = steward.until_target_s(clock_s())
-        return steward.epoch, steward.recorded, until_s, steward.beat.target
+        return steward.fence, steward.recorded, until_s, steward.beat.target
 
     def hold(self, wait_s: float) -> None:
         """Prolong the target's lease and take in its lists."""
@@ -227,11 +227,11 @@
         if arguments is None:
             self.known.clear()
             return
-        epoch, recorded, until_s, target = arguments
+        fence, recorded, until_s, target = arguments
         asked_s = clock_s()
         # Without a lease to prolong, the first answer is needed for the target's clock.
         wait_s = wait_s if until_s is not None else min(wait_s, 0.2)
-        listing = self.parts.calls.hold(epoch, recorded, until_s, wait_s, target)
+        listing = self.parts.calls.hold(fence, recorded, until_s, wait_s, target)
         self.post(self._listed, listing, asked_s)
 
     def hold_step(self) -> None:
@@ -269,10 +269,12 @@
             time.sleep(REPORT_RETRY_S)
             self.news.set()
             return
-        self.post(self._replied, reply, sent_s)
+        self.post(self._replied, reply, sent_s, message.incarnation)
 
-    def _replied(self, reply: fleet_pb2.ReportReply, sent_s: float) -> None:
-        self.steward.on_reply(reply, sent_s)
+    def _replied(
+        self, reply: fleet_pb2.ReportReply, sent_s: float, incarnation: str
+    ) -> None:
+        self.steward.on_reply(reply, sent_s, incarnation)
         self._make_calls()
 
     def announce(self) -> bool:
--- a/packages/control/src/cicadabank/control/internal/steward.py
+++ b/packages/control/src/cicadabank/control/internal/steward.py
@@ -27,6 +27,9 @@
 # Targets allow no longer lease.
 LONGEST_LEASE_S = 10.0
 CLOSED_REMEMBERED = 4000
+# More than the seconds since 1970; with some hundred thousand epochs the fence stays
+# below 2 ** 53, which JSON numbers hold exactly.
+LIVES_IN_EPOCH = 10**10
 # A target that turned a start away as unhealthy gets no others for this time.
 UNHEALTHY_S = 2.0
 
@@ -69,6 +72,17 @@
         """The life of the target that orders must name."""
         return f"{self.beat.target}/{self.beat.born_ms}" if self.beat else ""
 
+    @property
+    def fence(self) -> int:
+        """The number that the target compares; it does nothing for a lower one.
+
+        It rises with the holder's epoch, and within one with each life of the target: a
+        call that was meant for an earlier life may arrive in the next one, which may
+        have the same name, and would forget ends there that were never stored.
+        """
+        born_s = self.beat.born_ms // 1000 if self.beat else 0
+        return self.epoch * LIVES_IN_EPOCH + min(born_s, LIVES_IN_EPOCH - 1)
+
     def on_beat(self, beat: TargetBeat, now_s: float) -> bool:
         """Take in a heartbeat; return whether the holder should hear at once."""
         before = self.beat
@@ -338,8 +352,16 @@
             message.refused.add(id=message_of(run), reason=reason)
         message.gone.extend(message_of(run) for run in self._gone)
 
-    def on_reply(self, reply: fleet_pb2.ReportReply, sent_s: float) -> None:
-        """Take in the holder's answer; its lease counts from when it was asked."""
+    def on_reply(
+        self, reply: fleet_pb2.ReportReply, sent_s: float, incarnation: str
+    ) -> None:
+        """Take in the holder's answer; its lease counts from when it was asked.
+
+        Parameters
+        ----------
+        incarnation : str
+            The life of the target that the report was about.
+        """
         if not reply.accepted:
             if reply.holder:
                 self.holder = reply.holder
@@ -347,6 +369,8 @@
         if reply.epoch < self.epoch:
             return
         self.epoch, self.holder = reply.epoch, reply.holder
+        if incarnation != self.incarnation:
+            return
         if reply.lease_s:
             self._lease_until_s = max(self._lease_until_s, sent_s + reply.lease_s)
         self.recorded = max(self.recorded, reply.recorded)
--- a/packages/standin/src/cicadabank/standin/internal/fleet.py
+++ b/packages/standin/src/cicadabank/standin/internal/fleet.py
@@ -155,7 +155,7 @@
             self._fence = fence
             self.noted = max(self.noted, seen)
             self.fleet.note(self)
-            self.ended = [end for end in self.ended if end[0] > self.noted]
+            self.ended = [end for end in self.ended if end[0] > seen]
             self._until_s = max(self._until_s, until_s or 0.0)
             life = self.life
             self.fleet.changed.wait_for(
--- a/soak/book.py
+++ b/soak/book.py
@@ -13,6 +13,8 @@
 CANCEL_S = 3.0
 EVACUATE_S = 5.0
 VISIBLE_S = 3.0
+# Failed runs of a task after which its job fails.
+ATTEMPTS = 4
 # A fault's traces: a lease of 8 s, its drift, and a report.
 CALM_AFTER_S = 10.0
 
@@ -78,8 +80,12 @@
         self._lock = threading.RLock()
         self._running: dict[str, Run] = {}
         self._at: dict[str, dict[str, tuple[int, int, int]]] = defaultdict(dict)
-        self._done: dict[str, tuple[str, int, int]] = {}  # target, life, sequence
+        # Tasks and gangs that have ended done, and the ends that still count: one that
+        # was not noted is void once its target has lost power.
+        self._worked: set[str] = set()
+        self._done: dict[str, set[tuple[str, int, int]]] = defaultdict(set)
         self._noted: dict[tuple[str, int], int] = defaultdict(int)
+        self._failed: dict[str, set[int]] = defaultdict(set)  # runs, by task or gang
         self._doubtful: list[tuple[str, tuple[str, int, int]]] = []
 
     def disturb(self) -> None:
@@ -130,8 +136,10 @@
             self.breaks(
                 "no two runs of a task at once", f"{event.task}: {before}, then {event}"
             )
-        if event.task in self._done:
-            self._doubtful.append((event.task, self._done[event.task]))
+        for end in self._done[self._unit(event.task)]:
+            self._doubtful.append((event.task, end))
+            if end[2] <= self._noted[end[:2]]:
+                self.noted(*end)
         if job.refused:
             self.breaks("a refused job never runs", event.task)
         self._check_order(job, int(step), event)
@@ -145,7 +153,7 @@
 
     def _check_order(self, job: Job, step: int, event: TargetEvent) -> None:
         for before in job.steps[step].document.get("after", ()):
-            if any(task not in self._done for task in job.tasks(before)):
+            if not self._worked.issuperset(self._units(job, before)):
                 self.breaks("steps run in order", event.task)
 
     def _check_times(self, job: Job, event: TargetEvent) -> None:
@@ -165,10 +173,24 @@
         if self._running.get(event.task) == run:
             del self._running[event.task]
         if event.kind == "done":
-            self._done[event.task] = (event.target, event.life, event.sequence)
+            end = (event.target, event.life, event.sequence)
+            self._done[self._unit(event.task)].add(end)
+            self._worked.add(self._unit(event.task))
+        elif event.kind == "failed":
+            self._failed[self._unit(event.task)].add(event.run)
         elif event.kind == "alone" and self.calm():
             self.breaks("gangs run whole", str(event))
 
+    def _unit(self, task: str) -> str:
+        """Return what fails together: a gang's step, or a single task."""
+        name, _, step, _ = task.split(".")
+        facts = self.jobs[name].steps[int(step)].facts
+        return facts.step if facts.gang_size > 1 else task
+
+    def _units(self, job: Job, step: int) -> list[str]:
+        """Return the units of a step."""
+        return sorted({self._unit(task) for task in job.tasks(step)})
+
     def noted(self, target: str, life: int, sequence: int) -> None:
         """Take in up to which sequence a target's ends are noted."""
         with self._lock:
@@ -183,9 +205,9 @@
         """Take in that a target has begun a new life: ends not noted are void."""
         with self._lock:
             noted = self._noted[(target, life)]
-            for task, end in list(self._done.items()):
-                if end[:2] == (target, life) and end[2] > noted:
-                    del self._done[task]
+            for ends in self._done.values():
+                void = {e for e in ends if e[:2] == (target, life) and e[2] > noted}
+                ends -= void
 
     def shown(self, job: Job, status: int, state: str) -> None:
         """Take in what a caller was told of a job."""
@@ -196,12 +218,11 @@
             if status != 200:
                 return
             job.state = state
-            undone = [
-                task
-                for step in range(len(job.steps))
-                for task in job.tasks(step)
-                if task not in self._done
-            ]
+            units = [u for n in range(len(job.steps)) for u in self._units(job, n)]
+            undone = [unit for unit in units if unit not in self._worked]
+            worst = max(len(self._failed[unit]) for unit in units)
+            if state == "failed" and worst < ATTEMPTS:
+                self.breaks("a job fails after its attempts only", job.job)
             if state == "completed" and undone:
                 self.breaks("completed means that all is done", f"{undone}")
 
--- a/soak/load.py
+++ b/soak/load.py
@@ -11,7 +11,7 @@
 import httpx
 from cicadabank.standin import TaskFacts
 
-from soak.book import Book, Job, Step
+from soak.book import ATTEMPTS, Book, Job, Step
 from soak.deployment import DOMAINS, Deployment
 
 HOST = "h.example"
@@ -38,7 +38,7 @@
                 "pathPrefix": f"/{name}/",
                 "priority": QUEUES.get(name, (2, 3.0))[0],
                 "service": "cell",
-                "attempts": 50,
+                "attempts": ATTEMPTS,
                 "stretch": QUEUES.get(name, (2, 3.0))[1],
                 "targetLatencyMs": 1000,
             }
--- a/tests/cover/test_steward.py
+++ b/tests/cover/test_steward.py
@@ -62,7 +62,7 @@
     made.on_orders(batch(made, incarnation=""), 10.0)
     made.on_listing(listing(), 10.0, 10.0)
     reply = fleet_pb2.ReportReply(accepted=True, epoch=1, holder="h:1", lease_s=8.0)
-    made.on_reply(reply, 10.0)
+    made.on_reply(reply, 10.0, made.incarnation)
     return made
 
 
@@ -136,7 +136,7 @@
         settled = fleet_pb2.ReportReply(
             accepted=True, epoch=1, holder="h", settled=[message_of(RUN)]
         )
-        steward.on_reply(settled, 11.2)
+        steward.on_reply(settled, 11.2, steward.incarnation)
         steward.on_orders(batch(steward, starts=[start()]), 11.3)
         assert steward.calls(12.0) == []
         assert refused(steward) == {("j", 0): "old"}
@@ -165,6 +165,33 @@
         assert [c.kind for c in steward.calls(11.1)] == ["stop"]
 
 
+class TestLives:
+    """A target may come again under the same name."""
+
+    def test_calls_to_an_earlier_life_have_a_lower_fence(self, steward):
+        before = steward.fence
+        steward.on_beat(beat(born_ms=1_800_000_000_000), 11.0)
+        assert steward.fence > before
+
+    def test_an_epoch_counts_more_than_any_life(self, steward):
+        steward.on_beat(beat(born_ms=1_800_000_000_000), 11.0)
+        before = steward.fence
+        steward.on_orders(batch(steward, epoch=2, incarnation=""), 11.0)
+        steward.on_beat(beat(born_ms=1_800_000_009_000), 11.0)
+        assert steward.fence > before
+        assert steward.fence < 2**53
+
+    def test_an_answer_about_an_earlier_life_says_nothing_of_this_one(self, steward):
+        earlier = steward.incarnation
+        steward.on_beat(beat(born_ms=2), 11.0)
+        reply = fleet_pb2.ReportReply(
+            accepted=True, epoch=1, holder="h:1", lease_s=8.0, recorded=6
+        )
+        steward.on_reply(reply, 11.0, earlier)
+        assert steward.recorded == 0
+        assert steward.until_target_s(18.5) is None
+
+
 class TestLeases:
     def test_a_lease_ends_no_later_on_the_target_s_clock(self, steward):
         # The clock showed 50 s at 10.0 s at the latest, and the lease ends at 18.0 s.
