Let no worker rest long where most are on probation

Cause of both known red tests: two jobs that always fail put all four workers of the machine on probation. Failures there don't count against jobs, rests doubled to 960 s, and the jobs ended 400 to 800 s after healing. Ruled out: counting failures on probation against the job (bad workers would lose good jobs).

The kept test expects hypothesis to say that the sequence passes; it raised that as an error.

--- a/packages/decisions/src/cicadabank/decisions/internal/health.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/health.py
@@ -15,18 +15,18 @@
 class Probation:
     """What a worker on probation has done since."""
 
-    __slots__ = ("rest_s", "rest_until_s", "successes")
+    __slots__ = ("failed_s", "rest_s", "successes")
 
     def __init__(self) -> None:
         self.successes = 0
         self.rest_s = 0.0
-        self.rest_until_s = 0.0
+        self.failed_s = 0.0
 
     def failed(self, now_s: float) -> None:
         """Let the worker rest, longer each time."""
         self.rest_s = min(LONGEST_REST_S, max(FIRST_REST_S, 2.0 * self.rest_s))
         self.successes = 0
-        self.rest_until_s = now_s + self.rest_s
+        self.failed_s = now_s
 
 
 class WorkerHealth:
@@ -102,10 +102,23 @@
         """Whether any worker is on probation."""
         return bool(self._probation)
 
-    def resting(self, worker: str, now_s: float) -> bool:
-        """Whether a worker on probation gets nothing for now."""
+    def resting(self, worker: str, now_s: float, workers: int) -> bool:
+        """Whether a worker on probation gets nothing for now.
+
+        Parameters
+        ----------
+        workers : int
+            Workers that may get new work, those on probation included. Where half of
+            them or more are on probation, the jobs are more likely to be bad than the
+            workers, and nobody rests for longer than the first time.
+        """
         probation = self._probation.get(worker)
-        return probation is not None and now_s < probation.rest_until_s
+        if probation is None:
+            return False
+        rest_s = probation.rest_s
+        if 2 * len(self._probation) >= workers:
+            rest_s = min(rest_s, FIRST_REST_S)
+        return now_s < probation.failed_s + rest_s
 
     def failed_on(self, job: str) -> frozenset[str]:
         """Return the workers on which a job has failed."""
--- a/packages/decisions/src/cicadabank/decisions/internal/state.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/state.py
@@ -183,7 +183,8 @@
         indexed = self.fleet.workers[name].indexed
         usable = self.worker_usable(name)
         if usable and self.health.on_probation(name):
-            resting = self.health.resting(name, self.now_s)
+            count = sum(self.worker_usable(other) for other in self.workers)
+            resting = self.health.resting(name, self.now_s, count)
             usable = not resting and not self.fleet.workers[name].bookings
         if usable == indexed:
             return
--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -33,8 +33,8 @@
 # sites of the users it is 1.33 to 1.54 times that, while the worth itself differs by
 # three times.
 WASTE_RATIO = 1.45
-# Worth of a core-second of the users' present jobs, and how much of it counts beside what
-# is seen: some minutes of their traffic.
+# Worth of a core-second of the users' present jobs, and how much of it counts beside
+# what is seen: some minutes of their traffic.
 USUAL_WORTH = 0.0025
 USUAL_WORTH_SEEN = 40.0
 # Work is only thrown away for a gain that is this much larger, as forecasts are off.
--- a/tests/nocover/test_cell_machine_kept.py
+++ b/tests/nocover/test_cell_machine_kept.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import reproduce_failure, settings
+from hypothesis.errors import DidNotReproduce
 from hypothesis.stateful import run_state_machine_as_test
 
 from tests.nocover.test_cell_machine import CellMachine
 
-# Two jobs that fail everywhere put workers on probation; failures there don't count
-# against the jobs, so they end only after more than 400 s.
+# Two jobs that fail everywhere put all workers on probation, whose rests doubled: they
+# ended only after more than 400 s.
 TWO_BAD_JOBS = (
     b"AXicZVCJEYMwDJMSaAslQ4kJuv809ccB7R0EIcuyHOx9QIA+ArVRwz6dgqag"
     b"7e+FQPPfabUETDXVftTD3m7IawY3L/Nm0HgzM6e3nU48qdWzBFqKnKhHyN2H"
@@ -20,4 +22,6 @@
 class TestKeptSequences:
     def test_two_bad_jobs_end_in_time(self):
         machine = reproduce_failure("6.170.27", TWO_BAD_JOBS)(CellMachine)
-        run_state_machine_as_test(machine, settings=settings(deadline=None))
+        # Raised when the sequence passes; a sequence that fails again raises its error.
+        with pytest.raises(DidNotReproduce):
+            run_state_machine_as_test(machine, settings=settings(deadline=None))
