--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,6 +13,7 @@
 from soak.book import Book, Broken
 from soak.deployment import CAPACITY, DOMAINS, deployment_running, wait_for
 from soak.faults import Schedule, plan
+from soak.kept import KEPT
 from soak.load import KEY, configuration, load_running
 
 READY_S = 30.0
@@ -99,6 +100,7 @@
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--folder", type=Path, default=None)
+    parser.add_argument("--kept", action="store_true", help="play the kept seeds")
     for name, default in Options()._asdict().items():
         flag = "--" + name.replace("_", "-")
         parser.add_argument(flag, type=type(default), default=default)
@@ -106,14 +108,16 @@
     options = Options(**{name: getattr(parsed, name) for name in Options._fields})
     base = parsed.folder or Path(tempfile.mkdtemp(prefix="soak-"))
     failed = []
-    for seed in range(parsed.first, parsed.first + parsed.seeds):
+    drawn = range(parsed.first, parsed.first + parsed.seeds)
+    seeds = list(KEPT) if parsed.kept else list(drawn)
+    for seed in seeds:
         folder = base / str(seed)
         folder.mkdir(parents=True, exist_ok=True)
         result = soak(seed, options, folder)
         report(result, folder)
         if result.broken or result.traces:
             failed.append(seed)
-    print(f"{parsed.seeds} seeds, {len(failed)} broken: {failed}")
+    print(f"{len(seeds)} seeds, {len(failed)} broken: {failed}")
     sys.exit(1 if failed else 0)
 
 
