Log how long a refused request was held, and what its client was told

A refusal showed neither the time for which the entry had held the request, nor the client's deadline, nor the Retry-After that was sent, so that a refusal of a request that could still have been served looked like any other. Refusals by the HTTP server itself (overload, stop) were not logged at all.

--- a/packages/control/src/cicadabank/control/__init__.py
+++ b/packages/control/src/cicadabank/control/__init__.py
@@ -21,6 +21,7 @@
     "JobRequest": "internal.job_service",
     "Listing": "internal.target_messages",
     "OperatorView": "internal.feed",
+    "RequestTiming": "internal.job_service",
     "StartOutcome": "internal.target_messages",
     "TargetHeartbeat": "internal.target_messages",
     "UnsupportedJobError": "errors",
--- a/packages/control/src/cicadabank/control/internal/job_service.py
+++ b/packages/control/src/cicadabank/control/internal/job_service.py
@@ -65,6 +65,25 @@
     steps: tuple[StepSpec, ...]
 
 
+class RequestTiming(NamedTuple):
+    """When a request was received, and how long its client waits for the response.
+
+    Attributes
+    ----------
+    received_s : float
+        On this process's clock.
+    deadline_s : float
+        From the receipt.
+    """
+
+    received_s: float
+    deadline_s: float
+
+    def held_s(self) -> float:
+        """Return the time since the receipt of the request."""
+        return clock_s() - self.received_s
+
+
 class JobService:
     """Accepts, shows and cancels jobs.
 
@@ -129,7 +148,9 @@
             return ""
         raise UnknownKeyError("the key belongs to no workspace of the configuration")
 
-    def log_refusal(self, method: str, path: str, error: JobServiceError) -> None:
+    def log_refusal(
+        self, method: str, path: str, error: JobServiceError, timing: RequestTiming
+    ) -> None:
         """Log why a request was refused, and the state that the decision used."""
         config = self._operator_view().config
         logger.bind(
@@ -137,12 +158,15 @@
             method=method,
             job=path.rpartition("/")[2],
             code=error.code,
+            held_s=round(timing.held_s(), 3),
+            deadline_s=timing.deadline_s,
+            retry_after_s=error.retry_after_s,
             store_age_s=round(min(1e6, self._replica.contact_age_s()), 3),
             config_version=config.version if config else None,
         ).info("{}", error.message)
 
     def submit(
-        self, route: RouteConfig, request: JobRequest, deadline_s: float
+        self, route: RouteConfig, request: JobRequest, timing: RequestTiming
     ) -> None:
         """Accept a job; it is stored when this returns.
 
@@ -168,7 +192,7 @@
             request.steps,
         )
         key = JOB_PREFIX + request.job
-        until_s = clock_s() + deadline_s * OUTCOME_DEADLINE_SHARE
+        until_s = timing.received_s + timing.deadline_s * OUTCOME_DEADLINE_SHARE
         self._wait_for_store(queue.cell, key)
         try:
             self._write(queue.cell, {key: 0}, {key: pack(record)}, until_s)
@@ -185,6 +209,7 @@
             job=request.job,
             queue=queue.name,
             workspace=request.workspace,
+            held_s=round(timing.held_s(), 3),
             config_version=self._operator_view().config.version,
             steps=[
                 [s.count, *s.need, s.estimate_s, s.gang, s.same_rack]
@@ -287,7 +312,7 @@
         rows = page.rows
         return rows[0].value if rows else None
 
-    def cancel(self, route: RouteConfig, job: str, deadline_s: float) -> None:
+    def cancel(self, route: RouteConfig, job: str, timing: RequestTiming) -> None:
         """Cancel a job; the cell's holder then stops its running tasks.
 
         A job that has ended stays as it is.
@@ -303,7 +328,7 @@
             return
         cell = self._replica.cell_by_job.get(job, route.queue.cell)
         row = pack(CancelRow(self._replica.store_now_s()))
-        until_s = clock_s() + deadline_s * OUTCOME_DEADLINE_SHARE
+        until_s = timing.received_s + timing.deadline_s * OUTCOME_DEADLINE_SHARE
         self._write(cell, {}, {CANCEL_PREFIX + job: row}, until_s)
         logger.bind(event="cancel_accepted", job=job).info("cancellation accepted")
 
--- a/packages/web/src/cicadabank/web/server.py
+++ b/packages/web/src/cicadabank/web/server.py
@@ -68,6 +68,13 @@
         is_watch = "wait_s" in call.query
         refusal = self._refusal(call, is_watch)
         if refusal is not None:
+            logger.bind(
+                event="request_refused",
+                method=call.method,
+                job=call.path.rpartition("/")[2],
+                code=refusal.code,
+                open_requests=self.open_requests,
+            ).info("{}", refusal.message)
             self._send(res, error_reply(refusal))
             return
         pool = self._watch_pool if is_watch else self._call_pool
--- a/tests/cover/test_job_service.py
+++ b/tests/cover/test_job_service.py
@@ -9,7 +9,11 @@
 from cicadabank.control import errors
 from cicadabank.control.internal import job_service as job_service_module
 from cicadabank.control.internal.feed import CellsFeed, OperatorView
-from cicadabank.control.internal.job_service import JobRequest, JobService
+from cicadabank.control.internal.job_service import (
+    JobRequest,
+    JobService,
+    RequestTiming,
+)
 from cicadabank.control.internal.replica import Replica
 from cicadabank.scheduling import (
     CANCEL_PREFIX,
@@ -25,6 +29,8 @@
     pack,
 )
 from cicadabank.standin import MemoryTable
+from cicadabank.tasks import clock_s
+from loguru import logger
 
 QUEUE = QueueConfig("q", "cell", 1, 3, 3.0, 1.0)
 OTHER_QUEUE = QueueConfig("other", "cell", 1, 3, 3.0, 1.0)
@@ -41,6 +47,11 @@
 REQUEST = JobRequest("a" * 16, "w", "spec", (StepSpec(1, Resources(1, 1, 1), 1.0),))
 
 
+def timing(deadline_s: float) -> RequestTiming:
+    """Return the timing of a request that is received now."""
+    return RequestTiming(clock_s(), deadline_s)
+
+
 class Harness:
     """A job service with a table in memory and a replica that the test updates."""
 
@@ -62,7 +73,7 @@
         self.feed.step()
 
     def submit(self, deadline_s=0.6):
-        self.service.submit(ROUTE, REQUEST, deadline_s)
+        self.service.submit(ROUTE, REQUEST, timing(deadline_s))
 
     def stored_row(self, prefix=JOB_PREFIX):
         return self.table.rows.get(("cell", prefix + REQUEST.job))
@@ -156,7 +167,7 @@
     def test_a_step_must_depend_on_earlier_steps_only(self, harness):
         step = REQUEST.steps[0]._replace(after=(0,))
         with pytest.raises(errors.InvalidJobError):
-            harness.service.submit(ROUTE, REQUEST._replace(steps=(step,)), 1.0)
+            harness.service.submit(ROUTE, REQUEST._replace(steps=(step,)), timing(1.0))
 
 
 class TestDeadlines:
@@ -239,7 +250,7 @@
 class TestCancel:
     def test_a_cancelled_job_is_shown_as_cancelled_at_once(self, harness):
         harness.submit()
-        harness.service.cancel(ROUTE, REQUEST.job, 1.0)
+        harness.service.cancel(ROUTE, REQUEST.job, timing(1.0))
         assert harness.stored_row(CANCEL_PREFIX) is not None
         harness.update_replica()
         assert harness.service.state(ROUTE, REQUEST.job) == "cancelled"
@@ -249,7 +260,7 @@
         row = pack(JobProgressRow("completed", started=True))
         harness.table.commit("cell", {}, {RUN_PREFIX + REQUEST.job: row})
         harness.update_replica()
-        harness.service.cancel(ROUTE, REQUEST.job, 1.0)
+        harness.service.cancel(ROUTE, REQUEST.job, timing(1.0))
         assert harness.service.state(ROUTE, REQUEST.job) == "completed"
 
 
@@ -265,6 +276,21 @@
         assert harness.service.pending_count(ROUTE) == 0
 
 
+class TestLogs:
+    def test_a_refusal_shows_the_time_held_and_the_time_left(self, harness):
+        lines = []
+        sink = logger.add(lambda message: lines.append(message.record["extra"]))
+        harness.table.down = True
+        timing_of_request = timing(2.0)
+        with pytest.raises(errors.StoreUnavailableError) as caught:
+            harness.service.submit(ROUTE, REQUEST, timing_of_request)
+        harness.service.log_refusal("POST", "/x", caught.value, timing_of_request)
+        logger.remove(sink)
+        (line,) = [line for line in lines if line.get("event") == "request_refused"]
+        assert (line["deadline_s"], line["retry_after_s"]) == (2.0, 1)
+        assert 0.2 < line["held_s"] < 2.0
+
+
 class TestReplica:
     def test_all_rows_are_read_again_after_lost_history(self, harness):
         harness.submit()
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -43,11 +43,11 @@
         self.key = key
         return "w"
 
-    def log_refusal(self, method, path, error):
+    def log_refusal(self, method, path, error, timing):
         self.refused.append(error)
 
-    def submit(self, route, request, deadline_s):
-        self.submitted.append((request, deadline_s))
+    def submit(self, route, request, timing):
+        self.submitted.append((request, timing.deadline_s))
 
     def state(self, route, job):
         return "running"
