Let a request wait for the store for up to 45 % of its deadline

The client's next tries then met stopped processes and were used up, and the job was never handed in.

Cause: an entry waited 0.3 s for the store, whatever time the client had.

The job reached edge-estella-1 at 33.44 s with 3.0 s left, was refused at 33.745 s, the store was back at 34.40 s, all processes were killed at 34.61 s, and the last try met no listener at 35.12 s.

Change: a request waits while the store is away, until 45 % of its deadline is used. At most 12 requests wait in an entry, so that others are still answered; more are refused at once. A read's timeout ends with the wait.

--- a/packages/control/src/cicadabank/control/internal/job_service.py
+++ b/packages/control/src/cicadabank/control/internal/job_service.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import NamedTuple
 
 from cicadabank.control.errors import (
@@ -41,11 +43,12 @@
 from cicadabank.tasks import clock_s
 from loguru import logger
 
-# How long a request waits for a store that is unavailable. Bridges short outages, and
-# leaves the client time for a retry of its own.
-STORE_WAIT_S = 0.3
-# Share of a client's deadline that may be spent on resolving an unknown outcome.
-OUTCOME_DEADLINE_SHARE = 0.45
+# Share of a client's deadline after which it gets a reply, also if the store is still
+# unavailable or an outcome unknown. Leaves it time for a retry at another entry.
+REPLY_DEADLINE_SHARE = 0.45
+# Requests that may wait for the store at a time: half of those that an entry handles,
+# so that requests that need no store are still answered.
+MAX_WAITING_REQUESTS = 12
 # The store typically answers in 4 ms; its slowest replies take 0.3 s.
 STORE_CALL_TIMEOUT_S = 0.5
 MIN_TIMEOUT_S = 0.05
@@ -83,6 +86,48 @@
         """Return the time since the receipt of the request."""
         return clock_s() - self.received_s
 
+    def reply_by_s(self) -> float:
+        """Return the time, on this process's clock, at which waiting ends."""
+        return self.received_s + self.deadline_s * REPLY_DEADLINE_SHARE
+
+
+class StoreWait:
+    """The wait of one request for a store that is unavailable.
+
+    Parameters
+    ----------
+    slots : threading.Semaphore
+        Limits how many requests wait at a time.
+    until_s : float
+        When the wait ends, on this process's clock.
+    """
+
+    def __init__(self, slots: threading.Semaphore, until_s: float):
+        self._slots = slots
+        self.until_s = until_s
+        self.holds_slot = False
+
+    def call_timeout_s(self) -> float:
+        """Return the timeout of a call to the store that begins now."""
+        remaining_s = max(MIN_TIMEOUT_S, self.until_s - clock_s())
+        return min(STORE_CALL_TIMEOUT_S, remaining_s)
+
+    def pause(self, error: PlatformError) -> None:
+        """Wait before the next attempt at the store.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the wait has ended, or too many requests wait already.
+        """
+        if not self.holds_slot:
+            self.holds_slot = self._slots.acquire(blocking=False)
+        if not self.holds_slot or clock_s() >= self.until_s:
+            raise StoreUnavailableError(
+                f"the store is unavailable: {error.message}", "retry in a second"
+            ) from error
+        time.sleep(RETRY_PAUSE_S)
+
 
 class JobService:
     """Accepts, shows and cancels jobs.
@@ -107,6 +152,17 @@
         self._replica = replica
         self._operator_view = operator_view
         self._on_written = on_written
+        self._wait_slots = threading.Semaphore(MAX_WAITING_REQUESTS)
+
+    @contextmanager
+    def _store_wait(self, timing: RequestTiming) -> Iterator[StoreWait]:
+        """Let a request wait for the store; its slot is free again at the end."""
+        wait = StoreWait(self._wait_slots, timing.reply_by_s())
+        try:
+            yield wait
+        finally:
+            if wait.holds_slot:
+                self._wait_slots.release()
 
     def route(self, host: str, path: str) -> tuple[RouteConfig, str]:
         """Return the route with the longest matching prefix, and the rest of the path.
@@ -192,10 +248,10 @@
             request.steps,
         )
         key = JOB_PREFIX + request.job
-        until_s = timing.received_s + timing.deadline_s * OUTCOME_DEADLINE_SHARE
-        self._wait_for_store(queue.cell, key)
         try:
-            self._write(queue.cell, {key: 0}, {key: pack(record)}, until_s)
+            with self._store_wait(timing) as wait:
+                self._wait_for_store(queue.cell, key, wait)
+                self._write(queue.cell, {key: 0}, {key: pack(record)}, wait)
         except RowConflictError as error:
             stored = error.rows.get(key)
             if stored is not None and stored.value is not None:
@@ -217,21 +273,18 @@
             ],
         ).info("job accepted")
 
-    def _wait_for_store(self, cell: str, key: str) -> None:
+    def _wait_for_store(self, cell: str, key: str, wait: StoreWait) -> None:
         """Wait until the store replies to a read, unless it was in contact recently.
 
         A lost write leaves the outcome unknown. Clients are then asked to retry, but
         may not resubmit the job. A lost read is harmless.
         """
-        wait_until_s = clock_s() + STORE_WAIT_S
         while self._replica.contact_age_s() > CONTACT_MAX_AGE_S:
             try:
-                self._read(cell, key)
+                self._read(cell, key, wait.call_timeout_s())
                 return
             except PlatformError as error:
-                if clock_s() >= wait_until_s:
-                    raise _store_unavailable(error) from error
-            time.sleep(RETRY_PAUSE_S)
+                wait.pause(error)
 
     def _is_in_replica(self, job: str, queue: str) -> bool:
         cell = self._replica.cell_by_job.get(job)
@@ -243,21 +296,13 @@
         cell: str,
         expected: dict[str, int],
         puts: dict[str, bytes],
-        until_s: float,
+        wait: StoreWait,
     ) -> None:
-        """Retry a write with the same conditions until its outcome is certain.
-
-        Parameters
-        ----------
-        until_s : float
-            When to stop resolving an unknown outcome.
-        """
-        wait_until_s = min(until_s, clock_s() + STORE_WAIT_S)
+        """Retry a write with the same conditions until its outcome is certain."""
         uncertain = False
         while True:
             try:
-                remaining_s = max(MIN_TIMEOUT_S, until_s - clock_s())
-                timeout_s = min(STORE_CALL_TIMEOUT_S, remaining_s)
+                timeout_s = wait.call_timeout_s()
                 version = self._table.commit(cell, expected, puts, timeout_s=timeout_s)
                 for row, value in puts.items():
                     self._on_written(StoredRow(cell, row, value, version))
@@ -265,11 +310,12 @@
             except RowConflictError:
                 raise
             except UnavailableError as error:
-                if not uncertain and clock_s() >= wait_until_s:
-                    raise _store_unavailable(error) from error
+                if not uncertain:
+                    wait.pause(error)
+                    continue
             except UnknownOutcomeError:
                 uncertain = True
-            if uncertain and clock_s() >= until_s:
+            if clock_s() >= wait.until_s:
                 raise OutcomeUnknownError(
                     "the store did not confirm the write", "retry the request"
                 )
@@ -307,8 +353,10 @@
             None if run is None else unpack(run, JobProgressRow), cancelled
         )
 
-    def _read(self, cell: str, key: str) -> bytes | None:
-        page = self._table.read(cell, key, key + "\x00", STORE_CALL_TIMEOUT_S)
+    def _read(
+        self, cell: str, key: str, timeout_s: float = STORE_CALL_TIMEOUT_S
+    ) -> bytes | None:
+        page = self._table.read(cell, key, key + "\x00", timeout_s)
         rows = page.rows
         return rows[0].value if rows else None
 
@@ -328,8 +376,8 @@
             return
         cell = self._replica.cell_by_job.get(job, route.queue.cell)
         row = pack(CancelRow(self._replica.store_now_s()))
-        until_s = timing.received_s + timing.deadline_s * OUTCOME_DEADLINE_SHARE
-        self._write(cell, {}, {CANCEL_PREFIX + job: row}, until_s)
+        with self._store_wait(timing) as wait:
+            self._write(cell, {}, {CANCEL_PREFIX + job: row}, wait)
         logger.bind(event="cancel_accepted", job=job).info("cancellation accepted")
 
     def pending_count(self, route: RouteConfig) -> int:
@@ -346,12 +394,6 @@
         return count
 
 
-def _store_unavailable(error: PlatformError) -> StoreUnavailableError:
-    return StoreUnavailableError(
-        f"the store is unavailable: {error.message}", "retry in a second"
-    )
-
-
 def _visible_state(run: JobProgressRow | None, cancelled: bool) -> str:
     state = run.state if run else "pending"
     return "cancelled" if cancelled and state not in ENDED_JOB_STATES else state
