Let requests wait for the first read of the configuration after a start

What callers saw: requests that reached an entry within milliseconds of its start were refused with 503 no-config, and to come back after a second. After a loss of all processes these are the requests that waited in the accept queue during the start, often on their client's last try.

Cause: the entry serves clients before its operator feed has read the configuration, which takes 5 to 40 ms, and "no configuration" was also the state before that read.

Change: the state before the first read is a view of its own. Until then a request waits as it does for the store, with the same limits. Where the read shows that no configuration is stored, it is refused at once, as before.

The new test failed before (NoConfigError at once). The test of an entry without a configuration now also bounds the time of the refusal.

--- a/packages/control/src/cicadabank/control/internal/entry.py
+++ b/packages/control/src/cicadabank/control/internal/entry.py
@@ -11,6 +11,7 @@
 
 from cicadabank.control.internal.cell_holder import CellActor, log_event
 from cicadabank.control.internal.feed import (
+    UNREAD_VIEW,
     CellsFeed,
     OperatorFeed,
     OperatorView,
@@ -137,7 +138,7 @@
         self.store_path = StorePath(CELLS, parts.cells, self._relay_addresses, pool)
         self.cells_table = RelayedTable(parts.cells, CELLS, self.store_path)
         self.operator_table = RelayedTable(parts.operator, OPERATOR, self.store_path)
-        self.operator_view = OperatorView(None, frozenset())
+        self.operator_view = UNREAD_VIEW
         self.held_cells: dict[str, CellActor] = {}
         self._cell_stacks: dict[str, ExitStack] = {}
         self._pool = pool
--- a/packages/control/src/cicadabank/control/internal/feed.py
+++ b/packages/control/src/cicadabank/control/internal/feed.py
@@ -43,6 +43,10 @@
     domains_out: frozenset[str]
 
 
+# The view of a process that has just started; a stored configuration may exist.
+UNREAD_VIEW = OperatorView(None, frozenset())
+
+
 @contextmanager
 def repeating_thread(name: str, step: Callable[[], None]) -> Iterator[None]:
     """Call `step` repeatedly in a thread until the ``with`` block ends.
--- a/packages/control/src/cicadabank/control/internal/job_service.py
+++ b/packages/control/src/cicadabank/control/internal/job_service.py
@@ -18,7 +18,7 @@
     StoreUnavailableError,
     UnknownKeyError,
 )
-from cicadabank.control.internal.feed import OperatorView
+from cicadabank.control.internal.feed import UNREAD_VIEW, OperatorView
 from cicadabank.control.internal.replica import Replica
 from cicadabank.scheduling import (
     CANCEL_PREFIX,
@@ -46,14 +46,16 @@
 # Share of a client's deadline after which it gets a reply, also if the store is still
 # unavailable or an outcome unknown. Leaves it time for a retry at another entry.
 REPLY_DEADLINE_SHARE = 0.45
-# Requests that may wait for the store at a time: half of those that an entry handles,
-# so that requests that need no store are still answered.
+# Requests that may wait at a time: half of those that an entry handles, so that
+# requests that need no store are still answered.
 MAX_WAITING_REQUESTS = 12
 # The store typically answers in 4 ms; its slowest replies take 0.3 s.
 STORE_CALL_TIMEOUT_S = 0.5
 MIN_TIMEOUT_S = 0.05
 # Pause between attempts at a store that is unavailable; outages may be short.
 RETRY_PAUSE_S = 0.1
+# Pause between looks for the first read of the configuration, which takes milliseconds.
+CONFIG_PAUSE_S = 0.01
 # If the store replied more recently than this, it is assumed to be reachable.
 CONTACT_MAX_AGE_S = 0.25
 ENDED_JOB_STATES = ("completed", "failed", "cancelled")
@@ -91,8 +93,8 @@
         return self.received_s + self.deadline_s * REPLY_DEADLINE_SHARE
 
 
-class StoreWait:
-    """The wait of one request for a store that is unavailable.
+class RequestWait:
+    """The wait of one request for the store or for a first read of it.
 
     Parameters
     ----------
@@ -112,21 +114,21 @@
         remaining_s = max(MIN_TIMEOUT_S, self.until_s - clock_s())
         return min(STORE_CALL_TIMEOUT_S, remaining_s)
 
-    def pause(self, error: PlatformError) -> None:
-        """Wait before the next attempt at the store.
+    def pause(self, pause_s: float) -> bool:
+        """Wait before the next attempt.
 
-        Raises
-        ------
-        StoreUnavailableError
-            If the wait has ended, or too many requests wait already.
+        Returns
+        -------
+        bool
+            False, without a wait, if the time for it is over or too many requests wait
+            already.
         """
         if not self.holds_slot:
             self.holds_slot = self._slots.acquire(blocking=False)
         if not self.holds_slot or clock_s() >= self.until_s:
-            raise StoreUnavailableError(
-                f"the store is unavailable: {error.message}", "retry in a second"
-            ) from error
-        time.sleep(RETRY_PAUSE_S)
+            return False
+        time.sleep(pause_s)
+        return True
 
 
 class JobService:
@@ -155,18 +157,23 @@
         self._wait_slots = threading.Semaphore(MAX_WAITING_REQUESTS)
 
     @contextmanager
-    def _store_wait(self, timing: RequestTiming) -> Iterator[StoreWait]:
-        """Let a request wait for the store; its slot is free again at the end."""
-        wait = StoreWait(self._wait_slots, timing.reply_by_s())
+    def _waiting(self, timing: RequestTiming) -> Iterator[RequestWait]:
+        """Let a request wait; its slot is free again at the end."""
+        wait = RequestWait(self._wait_slots, timing.reply_by_s())
         try:
             yield wait
         finally:
             if wait.holds_slot:
                 self._wait_slots.release()
 
-    def route(self, host: str, path: str) -> tuple[RouteConfig, str]:
+    def route(
+        self, host: str, path: str, timing: RequestTiming
+    ) -> tuple[RouteConfig, str]:
         """Return the route with the longest matching prefix, and the rest of the path.
 
+        A request to an entry that has just started waits for the entry's first read of
+        the configuration.
+
         Raises
         ------
         NoConfigError
@@ -174,6 +181,9 @@
         NoRouteError
             If no route matches.
         """
+        with self._waiting(timing) as wait:
+            while self._operator_view() is UNREAD_VIEW and wait.pause(CONFIG_PAUSE_S):
+                pass
         config = self._operator_view().config
         if config is None:
             raise NoConfigError(
@@ -249,7 +259,7 @@
         )
         key = JOB_PREFIX + request.job
         try:
-            with self._store_wait(timing) as wait:
+            with self._waiting(timing) as wait:
                 self._wait_for_store(queue.cell, key, wait)
                 self._write(queue.cell, {key: 0}, {key: pack(record)}, wait)
         except RowConflictError as error:
@@ -273,7 +283,7 @@
             ],
         ).info("job accepted")
 
-    def _wait_for_store(self, cell: str, key: str, wait: StoreWait) -> None:
+    def _wait_for_store(self, cell: str, key: str, wait: RequestWait) -> None:
         """Wait until the store replies to a read, unless it was in contact recently.
 
         A lost write leaves the outcome unknown. Clients are then asked to retry, but
@@ -284,7 +294,8 @@
                 self._read(cell, key, wait.call_timeout_s())
                 return
             except PlatformError as error:
-                wait.pause(error)
+                if not wait.pause(RETRY_PAUSE_S):
+                    raise _store_unavailable(error) from error
 
     def _is_in_replica(self, job: str, queue: str) -> bool:
         cell = self._replica.cell_by_job.get(job)
@@ -296,7 +307,7 @@
         cell: str,
         expected: dict[str, int],
         puts: dict[str, bytes],
-        wait: StoreWait,
+        wait: RequestWait,
     ) -> None:
         """Retry a write with the same conditions until its outcome is certain."""
         uncertain = False
@@ -311,7 +322,8 @@
                 raise
             except UnavailableError as error:
                 if not uncertain:
-                    wait.pause(error)
+                    if not wait.pause(RETRY_PAUSE_S):
+                        raise _store_unavailable(error) from error
                     continue
             except UnknownOutcomeError:
                 uncertain = True
@@ -376,7 +388,7 @@
             return
         cell = self._replica.cell_by_job.get(job, route.queue.cell)
         row = pack(CancelRow(self._replica.store_now_s()))
-        with self._store_wait(timing) as wait:
+        with self._waiting(timing) as wait:
             self._write(cell, {}, {CANCEL_PREFIX + job: row}, wait)
         logger.bind(event="cancel_accepted", job=job).info("cancellation accepted")
 
@@ -394,6 +406,12 @@
         return count
 
 
+def _store_unavailable(error: PlatformError) -> StoreUnavailableError:
+    return StoreUnavailableError(
+        f"the store is unavailable: {error.message}", "retry in a second"
+    )
+
+
 def _visible_state(run: JobProgressRow | None, cancelled: bool) -> str:
     state = run.state if run else "pending"
     return "cancelled" if cancelled and state not in ENDED_JOB_STATES else state
--- a/tests/cover/test_job_service.py
+++ b/tests/cover/test_job_service.py
@@ -9,7 +9,7 @@
 import pytest
 from cicadabank.control import errors
 from cicadabank.control.internal import job_service as job_service_module
-from cicadabank.control.internal.feed import CellsFeed, OperatorView
+from cicadabank.control.internal.feed import UNREAD_VIEW, CellsFeed, OperatorView
 from cicadabank.control.internal.job_service import (
     JobRequest,
     JobService,
@@ -60,14 +60,14 @@
     def __init__(self):
         self.table = MemoryTable()
         self.replica = Replica()
-        self.config = CONFIG
+        self.operator_view = OperatorView(CONFIG, frozenset())
         self.feed = CellsFeed(self.table, self.replica, lambda *_: None, lambda: None)
         self.feed.step()
         self.written = []
         self.service = JobService(
             self.table,
             self.replica,
-            lambda: OperatorView(self.config, frozenset()),
+            lambda: self.operator_view,
             self.written.append,
         )
 
@@ -93,18 +93,37 @@
 
 class TestRoutes:
     def test_the_longest_prefix_wins(self, harness):
-        route, rest = harness.service.route("h", "/jobs/deep/abc")
+        route, rest = harness.service.route("h", "/jobs/deep/abc", timing(1.0))
         assert (route.queue.name, rest) == ("other", "abc")
 
     @pytest.mark.parametrize("where", [("h", "/none/x"), ("g", "/jobs/x")])
     def test_other_hosts_and_paths_have_no_queue(self, harness, where):
         with pytest.raises(errors.NoRouteError):
-            harness.service.route(*where)
+            harness.service.route(*where, timing(1.0))
 
     def test_without_a_configuration_nothing_is_accepted(self, harness):
-        harness.config = None
+        harness.operator_view = OperatorView(None, frozenset())
+        start_s = time.monotonic()
         with pytest.raises(errors.NoConfigError):
-            harness.service.route("h", "/jobs/x")
+            harness.service.route("h", "/jobs/x", timing(3.0))
+        assert time.monotonic() - start_s < 0.1
+
+    # Guards against the refusal of requests that wait in the accept queue while an
+    # entry starts, and are received milliseconds before its configuration.
+    def test_a_request_waits_for_the_first_read_of_the_configuration(self, harness):
+        view = harness.operator_view
+        harness.operator_view = UNREAD_VIEW
+        threading.Timer(0.3, setattr, (harness, "operator_view", view)).start()
+        route, _ = harness.service.route("h", "/jobs/x", timing(3.0))
+        assert route == ROUTE
+
+    def test_a_client_has_time_left_when_no_configuration_is_read(self, harness):
+        harness.operator_view = UNREAD_VIEW
+        start_s = time.monotonic()
+        with pytest.raises(errors.NoConfigError) as caught:
+            harness.service.route("h", "/jobs/x", timing(1.0))
+        assert time.monotonic() - start_s < 0.5
+        assert caught.value.retry_after_s == 1
 
 
 class TestKeys:
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -34,7 +34,7 @@
         self.submitted = []
         self.refused = []
 
-    def route(self, host, path):
+    def route(self, host, path, timing):
         if not path.startswith("/q/"):
             raise NoRouteError("no queue")
         return ROUTE, path[3:]
