Share one search for a relay among the requests that wait for it

What callers may see: while the store is silent to all, requests at one entry were answered after their deadline.

Cause: a search holds the lock for up to 0.55 s. Each caller that had waited for the lock found that the last search had begun over 0.3 s before, and searched again, so the sixth of six callers was answered after six searches.

Change: a search that ended while a caller waited for the lock counts as its own.

The new test failed before: six concurrent callers took more than twice the time of one search.

--- a/packages/control/src/cicadabank/control/internal/relay.py
+++ b/packages/control/src/cicadabank/control/internal/relay.py
@@ -78,7 +78,8 @@
         self._pool = pool
         self._lock = threading.Lock()
         self._relay_peer = ""
-        self._last_search_s = float("-inf")
+        self._search_start_s = float("-inf")
+        self._search_end_s = float("-inf")
         self.is_direct = True
 
     def on_direct_failure(self, error: PlatformError) -> None:
@@ -149,18 +150,24 @@
         UnavailableError
             If none can, or the last search began less than `SEARCH_PAUSE_S` ago.
         """
+        called_s = clock_s()
         with self._lock:
             if self._relay_peer:
                 return self._relay_peer
-            if clock_s() - self._last_search_s < SEARCH_PAUSE_S:
+            # A search that ended while this caller waited for the lock is its search
+            # as well.
+            searched_meanwhile = self._search_end_s >= called_s
+            since_search_s = clock_s() - self._search_start_s
+            if searched_meanwhile or since_search_s < SEARCH_PAUSE_S:
                 raise UnavailableError(
                     "no peer is known to reach the store; the last search was "
                     "too recent for another"
                 )
-            self._last_search_s = clock_s()
+            self._search_start_s = clock_s()
             peers = self._peers()
             asked = random.sample(peers, min(PEERS_PER_SEARCH, len(peers)))
             self._relay_peer = self._first_peer_with_access(asked)
+            self._search_end_s = clock_s()
         if not self._relay_peer:
             raise UnavailableError(f"none of {len(asked)} peers can reach the store")
         logger.bind(event="relay_found", relay=self._relay_peer).info(
--- a/tests/cover/test_store_relay.py
+++ b/tests/cover/test_store_relay.py
@@ -1,6 +1,7 @@
 """Calls to the store through peers, for a process that can't reach it directly."""
 
 import time
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack
 
 import pytest
@@ -23,16 +24,21 @@
 
 
 class StoreAccess:
-    """One process's access to a shared store; fails with `error` if that is set."""
+    """One process's access to a shared store; fails with `error` if that is set.
+
+    Each call takes `delay_s` seconds.
+    """
 
     def __init__(self, store: MemoryTable):
         self.store = store
         self.error: Exception | None = None
+        self.delay_s = 0.0
         self.calls = 0
 
     def __getattr__(self, name):
         def call(*arguments, **keywords):
             self.calls += 1
+            time.sleep(self.delay_s)
             if self.error is not None:
                 raise self.error
             return getattr(self.store, name)(*arguments, **keywords)
@@ -174,6 +180,23 @@
         assert harness.entry_access.calls == 1
         assert sum(access.calls for access in harness.peers.values()) == 3
 
+    # Guards against requests that are answered after their deadline because each one
+    # searched for a relay in turn while the store was silent.
+    def test_concurrent_callers_share_one_search(self, harness, monkeypatch):
+        monkeypatch.setattr(relay_module, "SEARCH_PAUSE_S", 0.3)
+        harness.block_direct_access()
+        for access in harness.peers.values():
+            access.delay_s = 2.0
+        with pytest.raises(UnavailableError):
+            harness.table.read("p")
+        time.sleep(0.3)
+        with ThreadPoolExecutor(6) as pool:
+            start_s = time.monotonic()
+            calls = [pool.submit(harness.table.read, "p") for _ in range(6)]
+            for call in calls:
+                assert isinstance(call.exception(), UnavailableError)
+            assert time.monotonic() - start_s < 2 * relay_module.SEARCH_TIMEOUT_S
+
     def test_direct_path_is_used_again_once_it_works(self, harness):
         harness.block_direct_access()
         harness.table.read("p")
