Wake waiting requests as soon as the store can be reached again

Cause: a waiting request sleeps 0.1 s between its attempts, also when another thread of the entry has found the store reachable meanwhile.

Change: a waiting request wakes up when calls go to the store directly again. While they do, it sleeps for the whole pause, so that an error that comes at once is not repeated without a pause.

--- a/packages/control/src/cicadabank/control/internal/entry.py
+++ b/packages/control/src/cicadabank/control/internal/entry.py
@@ -440,7 +440,11 @@
         actor.operator_table, parts.read_operator, actor.on_operator_view
     )
     job_service = JobService(
-        actor.cells_table, actor.replica, lambda: actor.operator_view, actor.on_written
+        actor.cells_table,
+        actor.replica,
+        lambda: actor.operator_view,
+        actor.on_written,
+        actor.store_path.sleep_until_reachable,
     )
     client_server = HttpActor(
         parts.front_socket, parts.dispatch_for(job_service), CLIENT_LIMITS
--- a/packages/control/src/cicadabank/control/internal/job_service.py
+++ b/packages/control/src/cicadabank/control/internal/job_service.py
@@ -114,9 +114,17 @@
         remaining_s = max(MIN_TIMEOUT_S, self.until_s - clock_s())
         return min(STORE_CALL_TIMEOUT_S, remaining_s)
 
-    def pause(self, pause_s: float) -> bool:
+    def pause(
+        self, pause_s: float, sleep: Callable[[float], object] = time.sleep
+    ) -> bool:
         """Wait before the next attempt.
 
+        Parameters
+        ----------
+        pause_s : float
+        sleep : callable, default=time.sleep
+            Waits for up to some seconds.
+
         Returns
         -------
         bool
@@ -127,7 +135,7 @@
             self.holds_slot = self._slots.acquire(blocking=False)
         if not self.holds_slot or clock_s() >= self.until_s:
             return False
-        time.sleep(pause_s)
+        sleep(pause_s)
         return True
 
 
@@ -141,6 +149,8 @@
     on_written : callable
         Called with each row that was written, so that it can be applied before the feed
         delivers it.
+    sleep_until_reachable : callable, default=time.sleep
+        Waits for up to some seconds; returns early if the store can be reached again.
     """
 
     def __init__(
@@ -149,11 +159,13 @@
         replica: Replica,
         operator_view: Callable[[], OperatorView],
         on_written: Callable[[StoredRow], None],
+        sleep_until_reachable: Callable[[float], object] = time.sleep,
     ):
         self._table = table
         self._replica = replica
         self._operator_view = operator_view
         self._on_written = on_written
+        self._sleep_until_reachable = sleep_until_reachable
         self._wait_slots = threading.Semaphore(MAX_WAITING_REQUESTS)
 
     @contextmanager
@@ -294,7 +306,7 @@
                 self._read(cell, key, wait.call_timeout_s())
                 return
             except PlatformError as error:
-                if not wait.pause(RETRY_PAUSE_S):
+                if not wait.pause(RETRY_PAUSE_S, self._sleep_until_reachable):
                     raise _store_unavailable(error) from error
 
     def _is_in_replica(self, job: str, queue: str) -> bool:
@@ -322,7 +334,7 @@
                 raise
             except UnavailableError as error:
                 if not uncertain:
-                    if not wait.pause(RETRY_PAUSE_S):
+                    if not wait.pause(RETRY_PAUSE_S, self._sleep_until_reachable):
                         raise _store_unavailable(error) from error
                     continue
             except UnknownOutcomeError:
@@ -331,7 +343,7 @@
                 raise OutcomeUnknownError(
                     "the store did not confirm the write", "retry the request"
                 )
-            time.sleep(RETRY_PAUSE_S)
+            self._sleep_until_reachable(RETRY_PAUSE_S)
 
     def state(self, route: RouteConfig, job: str) -> str:
         """Return the state of a job.
--- a/packages/control/src/cicadabank/control/internal/relay.py
+++ b/packages/control/src/cicadabank/control/internal/relay.py
@@ -10,6 +10,7 @@
 import queue
 import random
 import threading
+import time
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -80,21 +81,34 @@
         self._relay_peer = ""
         self._search_start_s = float("-inf")
         self._search_end_s = float("-inf")
-        self.is_direct = True
+        self._direct = threading.Event()
+        self._direct.set()
+
+    @property
+    def is_direct(self) -> bool:
+        """Whether calls go to the store directly."""
+        return self._direct.is_set()
+
+    def sleep_until_reachable(self, timeout_s: float) -> None:
+        """Sleep; wake up early if the store can be reached directly again."""
+        if self.is_direct:
+            time.sleep(timeout_s)
+        else:
+            self._direct.wait(timeout_s)
 
     def on_direct_failure(self, error: PlatformError) -> None:
         """Switch to relaying after a direct call failed, and start to probe."""
         with self._lock:
             if not self.is_direct:
                 return
-            self.is_direct = False
+            self._direct.clear()
         logger.bind(event="store_path_lost", code=error.code).warning("{}", error)
         threading.Thread(target=self._probe_until_reachable, daemon=True).start()
 
     def on_direct_success(self) -> None:
         """Switch back to direct calls after one succeeded."""
         if not self.is_direct:
-            self.is_direct = True
+            self._direct.set()
             logger.bind(event="store_path_back", relay=self._relay_peer).info(
                 "store reachable directly again"
             )
--- a/tests/cover/test_store_relay.py
+++ b/tests/cover/test_store_relay.py
@@ -1,18 +1,34 @@
 """Calls to the store through peers, for a process that can't reach it directly."""
 
+import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack
 
 import pytest
+from cicadabank.control.internal import job_service as job_service_module
 from cicadabank.control.internal import relay as relay_module
+from cicadabank.control.internal.feed import OperatorView
+from cicadabank.control.internal.job_service import (
+    JobRequest,
+    JobService,
+    RequestTiming,
+)
 from cicadabank.control.internal.relay import (
     CELLS,
     RelayedTable,
     RelayService,
     StorePath,
 )
+from cicadabank.control.internal.replica import Replica
 from cicadabank.local import Ports
+from cicadabank.scheduling import (
+    Configuration,
+    QueueConfig,
+    Resources,
+    RouteConfig,
+    StepSpec,
+)
 from cicadabank.standin import MemoryTable
 from cicadabank.store import (
     HistoryLostError,
@@ -20,6 +36,7 @@
     UnavailableError,
     UnknownOutcomeError,
 )
+from cicadabank.tasks import clock_s
 from cicadabank.wire import ChannelPool, fleet_pb2_grpc, serve
 
 
@@ -209,6 +226,39 @@
         assert harness.path.is_direct
 
 
+# Guards against the loss of a job that was not stored in the short time between the
+# return of the store and the loss of all processes, because its request slept.
+class TestWaitingRequests:
+    QUEUE = QueueConfig("q", "cell", 1, 3, 3.0, 1.0)
+    ROUTE = RouteConfig("h", "/q/", True, QUEUE)
+    REQUEST = JobRequest("a" * 16, "", "", (StepSpec(1, Resources(1, 1, 1), 1.0),))
+
+    def test_a_job_is_stored_as_soon_as_the_store_is_back(self, harness, monkeypatch):
+        monkeypatch.setattr(job_service_module, "RETRY_PAUSE_S", 2.0)
+        config = Configuration(1, (self.ROUTE,), ())
+        service = JobService(
+            harness.table,
+            Replica(),
+            lambda: OperatorView(config, frozenset()),
+            lambda row: None,
+            harness.path.sleep_until_reachable,
+        )
+        accesses = [harness.entry_access, *harness.peers.values()]
+        for access in accesses:
+            access.error = UnavailableError("store unavailable")
+        back_s = []
+
+        def return_store():
+            back_s.append(clock_s())
+            for access in accesses:
+                access.error = None
+
+        threading.Timer(0.3, return_store).start()
+        service.submit(self.ROUTE, self.REQUEST, RequestTiming(clock_s(), 6.0))
+        assert clock_s() - back_s[0] < 0.5
+        assert len(harness.store.rows) == 1
+
+
 class TestService:
     def test_process_without_access_to_the_store_relays_nothing(self):
         access = StoreAccess(MemoryTable())
