Tell a client whose request has waited for the store to retry at once

What callers saw: a job was refused after its request had waited for the store, and its client came back after 0.6 to 1.0 s, as it was told (Retry-After: 1). The store returned in that pause, and the processes were killed before the next try.

Cause: one Retry-After for all refusals of a store that is away. A request that has waited needs no further pause: its next try waits as well, at another entry, which may reach the store where this one doesn't.

Change: Retry-After is 0 after a wait. It stays 1 where the request did not wait since too many others do, so that they don't come back all at once.

--- a/packages/control/src/cicadabank/control/errors.py
+++ b/packages/control/src/cicadabank/control/errors.py
@@ -12,13 +12,13 @@
     ----------
     status : int
         HTTP status of the response.
-    retry_after_s : int
-        After how many seconds the client should retry; 0 if a retry is of no use.
+    retry_after_s : int or None
+        After how many seconds the client should retry; None if a retry is of no use.
     """
 
     code = "desk"
     status = 500
-    retry_after_s = 0
+    retry_after_s: int | None = None
 
 
 class NoConfigError(JobServiceError):
@@ -65,12 +65,25 @@
 
 
 class StoreUnavailableError(JobServiceError):
-    """The store was not reached; no write took effect, and none still can."""
+    """The store was not reached; no write took effect, and none still can.
+
+    Parameters
+    ----------
+    waited : bool, default=False
+        Whether the request has waited for the store. The client should then retry at
+        once, since another entry may reach the store.
+    """
 
     code = "store-away"
     status = 503
     retry_after_s = 1
 
+    def __init__(self, message: str, waited: bool = False):
+        action = "retry at another entry" if waited else "retry in a second"
+        super().__init__(message, action)
+        if waited:
+            self.retry_after_s = 0
+
 
 class OutcomeUnknownError(JobServiceError):
     """The store did not confirm a write; the client should retry the request."""
--- a/packages/control/src/cicadabank/control/internal/job_service.py
+++ b/packages/control/src/cicadabank/control/internal/job_service.py
@@ -307,7 +307,7 @@
                 return
             except PlatformError as error:
                 if not wait.pause(RETRY_PAUSE_S, self._sleep_until_reachable):
-                    raise _store_unavailable(error) from error
+                    raise _store_unavailable(error, wait) from error
 
     def _is_in_replica(self, job: str, queue: str) -> bool:
         cell = self._replica.cell_by_job.get(job)
@@ -335,7 +335,7 @@
             except UnavailableError as error:
                 if not uncertain:
                     if not wait.pause(RETRY_PAUSE_S, self._sleep_until_reachable):
-                        raise _store_unavailable(error) from error
+                        raise _store_unavailable(error, wait) from error
                     continue
             except UnknownOutcomeError:
                 uncertain = True
@@ -418,9 +418,11 @@
         return count
 
 
-def _store_unavailable(error: PlatformError) -> StoreUnavailableError:
+def _store_unavailable(
+    error: PlatformError, wait: RequestWait
+) -> StoreUnavailableError:
     return StoreUnavailableError(
-        f"the store is unavailable: {error.message}", "retry in a second"
+        f"the store is unavailable: {error.message}", waited=wait.holds_slot
     )
 
 
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -6,7 +6,11 @@
 
 import msgspec
 import pytest
-from cicadabank.control.errors import NoRouteError, UnsupportedJobError
+from cicadabank.control.errors import (
+    NoRouteError,
+    StoreUnavailableError,
+    UnsupportedJobError,
+)
 from cicadabank.local import Ports
 from cicadabank.platform import operator, settings, store
 from cicadabank.platform.http import MalformedDataError
@@ -32,6 +36,7 @@
 
     def __init__(self):
         self.submitted = []
+        self.error = None
         self.refused = []
 
     def route(self, host, path, timing):
@@ -50,6 +55,8 @@
         self.submitted.append((request, timing.deadline_s))
 
     def state(self, route, job):
+        if self.error is not None:
+            raise self.error
         return "running"
 
     def pending_count(self, route):
@@ -107,6 +114,14 @@
         assert reply.status == 501
         assert isinstance(service.refused[0], UnsupportedJobError)
 
+    @pytest.mark.parametrize(("waited", "retry_after"), [(False, "1"), (True, "0")])
+    def test_a_refusal_tells_when_to_come_back(self, waited, retry_after):
+        service = FakeJobService()
+        service.error = StoreUnavailableError("the store is unavailable", waited)
+        reply = JobApi(service).dispatch(call("GET", "/q/" + "a" * 16))
+        assert reply.status == 503
+        assert dict(reply.headers)["Retry-After"] == retry_after
+
     def test_returns_states_and_queue_lengths(self):
         api = JobApi(FakeJobService())
         reply = api.dispatch(call("GET", "/q/" + "a" * 16))
