Count waiting jobs only after an entry's first read of the jobs

What callers may see: an entry that has just started answered the number of waiting jobs with 0, or with a part of them, until it had read all rows.

Cause: the same as of the refusals with no-config: clients are served before the first read, and an empty local copy looked like a queue without jobs.

Change: such a request waits for the first read, and is refused (503 store-away) if the rows can't be read in time.

The new tests failed before: the count was 0 with one job stored.

--- a/packages/control/src/cicadabank/control/internal/job_service.py
+++ b/packages/control/src/cicadabank/control/internal/job_service.py
@@ -54,8 +54,8 @@
 MIN_TIMEOUT_S = 0.05
 # Pause between attempts at a store that is unavailable; outages may be short.
 RETRY_PAUSE_S = 0.1
-# Pause between looks for the first read of the configuration, which takes milliseconds.
-CONFIG_PAUSE_S = 0.01
+# Pause between checks for an entry's first read of the store, which takes milliseconds.
+FIRST_READ_PAUSE_S = 0.01
 # If the store replied more recently than this, it is assumed to be reachable.
 CONTACT_MAX_AGE_S = 0.25
 ENDED_JOB_STATES = ("completed", "failed", "cancelled")
@@ -194,8 +194,9 @@
             If no route matches.
         """
         with self._waiting(timing) as wait:
-            while self._operator_view() is UNREAD_VIEW and wait.pause(CONFIG_PAUSE_S):
-                pass
+            while self._operator_view() is UNREAD_VIEW:
+                if not wait.pause(FIRST_READ_PAUSE_S):
+                    break
         config = self._operator_view().config
         if config is None:
             raise NoConfigError(
@@ -404,8 +405,21 @@
             self._write(cell, {}, {CANCEL_PREFIX + job: row}, wait)
         logger.bind(event="cancel_accepted", job=job).info("cancellation accepted")
 
-    def pending_count(self, route: RouteConfig) -> int:
-        """Return how many jobs of a queue wait for their first task to start."""
+    def pending_count(self, route: RouteConfig, timing: RequestTiming) -> int:
+        """Return how many jobs of a queue wait for their first task to start.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If this entry has just started and can't read the jobs.
+        """
+        with self._waiting(timing) as wait:
+            while not self._replica.loaded:
+                if not wait.pause(FIRST_READ_PAUSE_S):
+                    raise StoreUnavailableError(
+                        "the jobs have not been read from the store yet",
+                        waited=wait.holds_slot,
+                    )
         rows = self._replica.cells.get(route.queue.cell)
         if rows is None:
             return 0
--- a/tests/cover/test_job_service.py
+++ b/tests/cover/test_job_service.py
@@ -64,7 +64,10 @@
         self.feed = CellsFeed(self.table, self.replica, lambda *_: None, lambda: None)
         self.feed.step()
         self.written = []
-        self.service = JobService(
+        self.service = self.new_service()
+
+    def new_service(self):
+        return JobService(
             self.table,
             self.replica,
             lambda: self.operator_view,
@@ -354,12 +357,26 @@
     def test_jobs_without_a_started_task_are_counted(self, harness):
         harness.submit()
         harness.update_replica()
-        assert harness.service.pending_count(ROUTE) == 1
-        assert harness.service.pending_count(CONFIG.routes[1]) == 0
+        assert harness.service.pending_count(ROUTE, timing(1.0)) == 1
+        assert harness.service.pending_count(CONFIG.routes[1], timing(1.0)) == 0
         row = pack(JobProgressRow("running", started=True))
         harness.table.commit("cell", {}, {RUN_PREFIX + REQUEST.job: row})
         harness.update_replica()
-        assert harness.service.pending_count(ROUTE) == 0
+        assert harness.service.pending_count(ROUTE, timing(1.0)) == 0
+
+    # Guards against a count that leaves out all jobs that an entry has not read yet.
+    def test_an_entry_counts_only_after_its_first_read(self, harness):
+        harness.submit()
+        harness.replica = Replica()
+        feed = CellsFeed(harness.table, harness.replica, lambda *_: None, lambda: None)
+        service = harness.new_service()
+        threading.Timer(0.2, feed.step).start()
+        assert service.pending_count(ROUTE, timing(2.0)) == 1
+
+    def test_an_entry_that_has_read_nothing_counts_nothing(self, harness):
+        harness.replica = Replica()
+        with pytest.raises(errors.StoreUnavailableError):
+            harness.new_service().pending_count(ROUTE, timing(0.4))
 
 
 class TestLogs:
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -59,7 +59,7 @@
             raise self.error
         return "running"
 
-    def pending_count(self, route):
+    def pending_count(self, route, timing):
         return 12
 
 
