End a request's wait for the store on time

What callers see: a job whose client had given up was accepted, 0.04 s after its deadline.

Cause: the last pause of a wait lasted its full 0.1 s, whatever time was left.

The new test failed before: a wait of 0.18 s took 1.0 s with a pause of 1 s.

--- a/packages/control/src/cicadabank/control/internal/job_service.py
+++ b/packages/control/src/cicadabank/control/internal/job_service.py
@@ -133,9 +133,10 @@
         """
         if not self.holds_slot:
             self.holds_slot = self._slots.acquire(blocking=False)
-        if not self.holds_slot or clock_s() >= self.until_s:
+        remaining_s = self.until_s - clock_s()
+        if not self.holds_slot or remaining_s <= 0:
             return False
-        sleep(pause_s)
+        sleep(min(pause_s, remaining_s))
         return True
 
 
--- a/tests/cover/test_job_service.py
+++ b/tests/cover/test_job_service.py
@@ -259,6 +259,15 @@
             for future in waiting:
                 future.result()
 
+    # Guards against a refusal or an acceptance after the client's deadline.
+    def test_no_pause_outlasts_the_remaining_time(self, harness, monkeypatch):
+        monkeypatch.setattr(job_service_module, "RETRY_PAUSE_S", 1.0)
+        harness.table.down = True
+        start_s = time.monotonic()
+        with pytest.raises(errors.StoreUnavailableError):
+            harness.submit(deadline_s=0.4)
+        assert time.monotonic() - start_s < 0.3
+
     def test_no_read_outlasts_the_remaining_time(self, harness):
         timeouts_s = []
 
