Bound a request's wait, whatever deadline its client names

What callers may see: while the store is away, requests with X-Deadline-Ms: nan or inf wait without end, and twelve of them take all places for waiting requests. Found by reading.

--- a/packages/control/src/cicadabank/control/internal/job_service.py
+++ b/packages/control/src/cicadabank/control/internal/job_service.py
@@ -46,6 +46,8 @@
 # Share of a client's deadline after which it gets a reply, also if the store is still
 # unavailable or an outcome unknown. Leaves it time for a retry at another entry.
 REPLY_DEADLINE_SHARE = 0.45
+# Longest wait of a request, whatever its deadline.
+MAX_WAIT_S = 10.0
 # Requests that may wait at a time: half of those that an entry handles, so that
 # requests that need no store are still answered.
 MAX_WAITING_REQUESTS = 12
@@ -90,7 +92,8 @@
 
     def reply_by_s(self) -> float:
         """Return the time, on this process's clock, at which waiting ends."""
-        return self.received_s + self.deadline_s * REPLY_DEADLINE_SHARE
+        wait_s = min(MAX_WAIT_S, self.deadline_s * REPLY_DEADLINE_SHARE)
+        return self.received_s + wait_s
 
 
 class RequestWait:
--- a/tests/cover/test_job_service.py
+++ b/tests/cover/test_job_service.py
@@ -259,6 +259,15 @@
             for future in waiting:
                 future.result()
 
+    # Guards against slots that one client's requests take for hours.
+    def test_a_wait_is_bounded_whatever_the_deadline(self, harness, monkeypatch):
+        monkeypatch.setattr(job_service_module, "MAX_WAIT_S", 0.2)
+        harness.table.down = True
+        start_s = time.monotonic()
+        with pytest.raises(errors.StoreUnavailableError):
+            harness.submit(deadline_s=10.0)
+        assert time.monotonic() - start_s < 0.4
+
     # Guards against a refusal or an acceptance after the client's deadline.
     def test_no_pause_outlasts_the_remaining_time(self, harness, monkeypatch):
         monkeypatch.setattr(job_service_module, "RETRY_PAUSE_S", 1.0)
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -14,7 +14,7 @@
 from cicadabank.local import Ports
 from cicadabank.platform import operator, settings, store
 from cicadabank.platform.http import MalformedDataError
-from cicadabank.platform.job_api import JobApi
+from cicadabank.platform.job_api import DEFAULT_DEADLINE_S, JobApi
 from cicadabank.platform.standin import StoreStandIn, serving
 from cicadabank.platform.target import HttpTarget, decode_heartbeat
 from cicadabank.scheduling import QueueConfig, Resources, RouteConfig, RunId
@@ -114,6 +114,16 @@
         assert reply.status == 501
         assert isinstance(service.refused[0], UnsupportedJobError)
 
+    # Guards against requests that wait without end because of such a header.
+    @pytest.mark.parametrize("deadline_ms", ["nan", "inf", "-inf", "-1", "soon", ""])
+    def test_an_unusable_deadline_is_replaced_by_the_default(self, deadline_ms):
+        service = FakeJobService()
+        headers = {"x-deadline-ms": deadline_ms}
+        body = {"spec": "s", "steps": [STEP]}
+        JobApi(service).dispatch(call("POST", "/q/" + "a" * 16, body, **headers))
+        ((_, deadline_s),) = service.submitted
+        assert deadline_s == DEFAULT_DEADLINE_S
+
     @pytest.mark.parametrize(("waited", "retry_after"), [(False, "1"), (True, "0")])
     def test_a_refusal_tells_when_to_come_back(self, waited, retry_after):
         service = FakeJobService()
