--- a/tests/processes/test_platform_path.py
+++ b/tests/processes/test_platform_path.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+import threading
 
 import pytest
 
@@ -120,6 +121,33 @@
         assert len(runs) == 1
         assert platform.call("GET", f"/q/{JOB_FORMAT.format(7)}").status_code == 410
 
+    # Guards against the loss of a job that is refused shortly before the store returns.
+    def test_a_job_waits_for_the_return_of_the_store(self, platform):
+        platform.store.unavailable = True
+        timer = threading.Timer(0.8, setattr, (platform.store, "unavailable", False))
+        timer.start()
+        assert platform.submit(JOB_FORMAT.format(9), 0.2) == 200
+        timer.join()
+
+    # Guards against the refusal of requests that an entry receives before it has read
+    # the configuration; the outage makes that time longer.
+    def test_a_job_waits_for_the_start_of_an_entry(self, platform):
+        name = next(name for name in platform.fronts if name != platform.holder())
+        platform.kill(name)
+        platform.store.unavailable = True
+        timer = threading.Timer(1.2, setattr, (platform.store, "unavailable", False))
+        platform.start(name)
+        timer.start()
+        statuses = []
+
+        def submitted() -> bool:
+            statuses.append(platform.submit(f"{0xB0:016x}", 0.2, name))
+            return True
+
+        wait_for(submitted)
+        timer.join()
+        assert statuses == [200]
+
     def test_a_stopped_holder_hands_over_at_once(self, platform):
         holder = platform.holder()
         other = next(name for name in platform.fronts if name != holder)
