Wake the feeds as soon as the store can be reached again

What callers saw: after a start during an outage of the store, requests were answered up to 0.25 s later than the entry could reach the store.

Change: the pause of the entry's feeds ends when calls go to the store directly again.

The new test failed before, with a pause of 2 s: read 1.7 s after the return.

--- a/packages/control/src/cicadabank/control/internal/entry.py
+++ b/packages/control/src/cicadabank/control/internal/entry.py
@@ -466,8 +466,9 @@
     ]
     with ExitStack() as stack:
         stack.enter_context(running(actor))
-        stack.enter_context(repeating_thread("cells", cells_feed.step))
-        stack.enter_context(repeating_thread("operator", operator_feed.step))
+        pause = actor.store_path.sleep_until_reachable
+        stack.enter_context(repeating_thread("cells", cells_feed.step, pause))
+        stack.enter_context(repeating_thread("operator", operator_feed.step, pause))
         stack.enter_context(serve(parts.peer_listen, services, SERVER_THREADS))
         stack.enter_context(running(readiness_server))
         stack.enter_context(running(client_server))
--- a/packages/control/src/cicadabank/control/internal/feed.py
+++ b/packages/control/src/cicadabank/control/internal/feed.py
@@ -48,13 +48,26 @@
 
 
 @contextmanager
-def repeating_thread(name: str, step: Callable[[], None]) -> Iterator[None]:
+def repeating_thread(
+    name: str,
+    step: Callable[[], None],
+    pause: Callable[[float], object] | None = None,
+) -> Iterator[None]:
     """Call `step` repeatedly in a thread until the ``with`` block ends.
 
     A failed step is logged, and `step` is called again after a pause. The log events
     are named after the store, but also logged for steps that call a target.
+
+    Parameters
+    ----------
+    name : str
+    step : callable
+    pause : callable, optional
+        Waits for up to some seconds after a failed step. By default the pause ends
+        early only with the ``with`` block.
     """
     stop = threading.Event()
+    pause = pause or stop.wait
     failures = 0
 
     def run() -> None:
@@ -66,7 +79,7 @@
                 failures += 1
                 if failures == 1:
                     logger.bind(event="store_lost", feed=name).warning("{}", error)
-                stop.wait(RETRY_PAUSE_S)
+                pause(RETRY_PAUSE_S)
             except Exception:
                 logger.exception("unexpected error in the {} thread", name)
                 stop.wait(RETRY_PAUSE_S)
--- a/tests/cover/test_store_relay.py
+++ b/tests/cover/test_store_relay.py
@@ -6,6 +6,7 @@
 from contextlib import ExitStack
 
 import pytest
+from cicadabank.control.internal import feed as feed_module
 from cicadabank.control.internal import job_service as job_service_module
 from cicadabank.control.internal import relay as relay_module
 from cicadabank.control.internal.feed import OperatorView
@@ -259,6 +260,35 @@
         assert len(harness.store.rows) == 1
 
 
+# Guards against a local copy that stays behind for a pause after the store's return,
+# and with it the requests that wait for the copy.
+class TestFeeds:
+    def test_a_failed_step_is_repeated_as_soon_as_the_store_is_back(
+        self, harness, monkeypatch
+    ):
+        monkeypatch.setattr(feed_module, "RETRY_PAUSE_S", 2.0)
+        accesses = [harness.entry_access, *harness.peers.values()]
+        for access in accesses:
+            access.error = UnavailableError("store unavailable")
+        read_s = []
+
+        def step():
+            harness.table.read("p")
+            read_s.append(clock_s())
+            time.sleep(0.1)
+
+        pause = harness.path.sleep_until_reachable
+        with feed_module.repeating_thread("feed", step, pause):
+            time.sleep(0.3)
+            back_s = clock_s()
+            for access in accesses:
+                access.error = None
+            while not read_s and clock_s() - back_s < 2.0:
+                time.sleep(0.02)
+        assert read_s
+        assert read_s[0] - back_s < 0.5
+
+
 class TestService:
     def test_process_without_access_to_the_store_relays_nothing(self):
         access = StoreAccess(MemoryTable())
