Bound the search for a relay by the time of the request that waits for it

What callers saw: while the store was silent, requests were answered after their deadline, or long after the entry's limit for a wait.

Cause: an attempt at the store is a direct call, a search for a peer and a call through it, one after the other, and only the direct call was bound by the time that its request had left. A search takes up to 0.55 s, and so did the wait for another caller's search.

Change: searches run in a thread of their own; a caller waits for the present one no longer than its own time. The timeout of a read or write limits the direct call, the search and the call through the peer together. This replaces the check by which callers shared a search before.

--- a/packages/control/src/cicadabank/control/internal/relay.py
+++ b/packages/control/src/cicadabank/control/internal/relay.py
@@ -7,11 +7,14 @@
 
 from __future__ import annotations
 
+import math
 import queue
 import random
 import threading
 import time
 from collections.abc import Callable, Mapping
+from concurrent.futures import Future, ThreadPoolExecutor
+from concurrent.futures import TimeoutError as FutureTimeoutError
 from typing import Any
 
 import grpc
@@ -32,6 +35,7 @@
 # The store's slowest replies take 0.3 s, and a relay adds one more network hop.
 RELAYED_CALL_TIMEOUT_S = 0.8
 RELAY_MARGIN_S = 0.2
+MIN_CALL_TIMEOUT_S = 0.05
 # Peers that one search asks in parallel. If a third of all peers can't reach the store,
 # all four fail in about 1 of 81 searches.
 PEERS_PER_SEARCH = 4
@@ -79,8 +83,9 @@
         self._pool = pool
         self._lock = threading.Lock()
         self._relay_peer = ""
+        self._search_thread = ThreadPoolExecutor(1, "relay-search")
+        self._search: Future[str] | None = None
         self._search_start_s = float("-inf")
-        self._search_end_s = float("-inf")
         self._direct = threading.Event()
         self._direct.set()
 
@@ -124,9 +129,17 @@
                 continue  # the loss is logged already; probe again
             self.on_direct_success()
 
-    def relay(self, request: fleet_pb2.RelayRequest) -> fleet_pb2.RelayReply:
+    def relay(
+        self, request: fleet_pb2.RelayRequest, end_s: float = math.inf
+    ) -> fleet_pb2.RelayReply:
         """Make a call through a peer and return its reply.
 
+        Parameters
+        ----------
+        request : RelayRequest
+        end_s : float, default=inf
+            When the search and the call have to end, on this process's clock.
+
         Raises
         ------
         UnavailableError
@@ -134,7 +147,9 @@
         UnknownOutcomeError
             If the call to the peer failed; the peer may have carried it out.
         """
-        peer = self._relay_peer or self._find_relay()
+        peer = self._relay_peer or self._find_relay(end_s)
+        remaining_s = max(MIN_CALL_TIMEOUT_S, end_s - clock_s())
+        request.timeout_s = min(request.timeout_s, remaining_s)
         timeout_s = request.timeout_s + RELAY_MARGIN_S
         try:
             reply = self._relay_stub(peer).Relay(request, timeout=timeout_s)
@@ -156,38 +171,55 @@
             if self._relay_peer == peer:
                 self._relay_peer = ""
 
-    def _find_relay(self) -> str:
-        """Return the first of some random peers that can read from the store.
+    def _find_relay(self, end_s: float) -> str:
+        """Return a peer that can read from the store; callers share a search.
 
         Raises
         ------
         UnavailableError
-            If none can, or the last search began less than `SEARCH_PAUSE_S` ago.
+            If none can, the search doesn't end before `end_s`, or the last search began
+            less than `SEARCH_PAUSE_S` ago.
         """
-        called_s = clock_s()
         with self._lock:
             if self._relay_peer:
                 return self._relay_peer
-            # A search that ended while this caller waited for the lock is its search
-            # as well.
-            searched_meanwhile = self._search_end_s >= called_s
-            since_search_s = clock_s() - self._search_start_s
-            if searched_meanwhile or since_search_s < SEARCH_PAUSE_S:
-                raise UnavailableError(
-                    "no peer is known to reach the store; the last search was "
-                    "too recent for another"
-                )
-            self._search_start_s = clock_s()
-            peers = self._peers()
-            asked = random.sample(peers, min(PEERS_PER_SEARCH, len(peers)))
-            self._relay_peer = self._first_peer_with_access(asked)
-            self._search_end_s = clock_s()
-        if not self._relay_peer:
+            if self._search is None or self._search.done():
+                if clock_s() - self._search_start_s < SEARCH_PAUSE_S:
+                    raise UnavailableError(
+                        "no peer is known to reach the store; the last search was "
+                        "too recent for another"
+                    )
+                self._search_start_s = clock_s()
+                self._search = self._search_thread.submit(self._search_relay)
+            search = self._search
+        # A search ends by itself, so callers without a limit need none here.
+        wait_s = None if math.isinf(end_s) else max(0.0, end_s - clock_s())
+        try:
+            return search.result(timeout=wait_s)
+        except FutureTimeoutError as error:
+            raise UnavailableError(
+                "the search for a peer that reaches the store has not ended yet"
+            ) from error
+
+    def _search_relay(self) -> str:
+        """Ask some random peers whether they can read from the store.
+
+        Raises
+        ------
+        UnavailableError
+            If none of them can.
+        """
+        peers = self._peers()
+        asked = random.sample(peers, min(PEERS_PER_SEARCH, len(peers)))
+        found = self._first_peer_with_access(asked)
+        if not found:
             raise UnavailableError(f"none of {len(asked)} peers can reach the store")
-        logger.bind(event="relay_found", relay=self._relay_peer).info(
+        with self._lock:
+            self._relay_peer = found
+        logger.bind(event="relay_found", relay=found).info(
             "found a peer that relays to the store"
         )
-        return self._relay_peer
+        return found
 
     def _first_peer_with_access(self, peers: list[str]) -> str:
         """Return the first peer that relays a read; empty if none does."""
@@ -242,7 +274,9 @@
         request.read.first, request.read.end = first, end
         return _page(
             self._call_direct_or_relayed(
-                lambda: self._direct.read(partition, first, end, timeout_s), request
+                lambda: self._direct.read(partition, first, end, timeout_s),
+                request,
+                timeout_s,
             )
         )
 
@@ -281,6 +315,7 @@
         found = self._call_direct_or_relayed(
             lambda: self._direct.commit(partition, expected, puts, removes, timeout_s),
             request,
+            timeout_s,
         )
         return found if isinstance(found, int) else found.version
 
@@ -288,10 +323,21 @@
         return fleet_pb2.RelayRequest(table=self._name, timeout_s=timeout_s)
 
     def _call_direct_or_relayed(
-        self, direct: Callable[[], Any], request: fleet_pb2.RelayRequest
+        self,
+        direct: Callable[[], Any],
+        request: fleet_pb2.RelayRequest,
+        timeout_s: float | None = None,
     ) -> Any:
         """Return the result of the direct call, or a peer's reply.
 
+        Parameters
+        ----------
+        direct : callable
+        request : RelayRequest
+        timeout_s : float, optional
+            Limits both calls and the search for a peer together. By default each has a
+            limit of its own.
+
         Raises
         ------
         UnavailableError
@@ -299,6 +345,7 @@
         UnknownOutcomeError
             If the call may have taken effect.
         """
+        end_s = math.inf if timeout_s is None else clock_s() + timeout_s
         if self._path.is_direct:
             try:
                 return direct()
@@ -308,7 +355,7 @@
                 # The caller decides whether to retry; a retry goes through a peer.
                 self._path.on_direct_failure(error)
                 raise
-        return _raise_for_outcome(self._path.relay(request))
+        return _raise_for_outcome(self._path.relay(request, end_s))
 
 
 def _page(found: Page | fleet_pb2.RelayReply) -> Page:
--- a/tests/cover/test_store_relay.py
+++ b/tests/cover/test_store_relay.py
@@ -6,6 +6,7 @@
 from contextlib import ExitStack
 
 import pytest
+from cicadabank.control.errors import StoreUnavailableError
 from cicadabank.control.internal import feed as feed_module
 from cicadabank.control.internal import job_service as job_service_module
 from cicadabank.control.internal import relay as relay_module
@@ -44,19 +45,24 @@
 class StoreAccess:
     """One process's access to a shared store; fails with `error` if that is set.
 
-    Each call takes `delay_s` seconds.
+    Each call takes `delay_s` seconds. While `silent` is set, reads fail after their
+    timeout.
     """
 
     def __init__(self, store: MemoryTable):
         self.store = store
         self.error: Exception | None = None
         self.delay_s = 0.0
+        self.silent = False
         self.calls = 0
 
     def __getattr__(self, name):
         def call(*arguments, **keywords):
             self.calls += 1
             time.sleep(self.delay_s)
+            if self.silent:
+                time.sleep(keywords.get("timeout_s") or arguments[3])
+                raise UnavailableError("no reply")
             if self.error is not None:
                 raise self.error
             return getattr(self.store, name)(*arguments, **keywords)
@@ -234,16 +240,19 @@
     ROUTE = RouteConfig("h", "/q/", True, QUEUE)
     REQUEST = JobRequest("a" * 16, "", "", (StepSpec(1, Resources(1, 1, 1), 1.0),))
 
-    def test_a_job_is_stored_as_soon_as_the_store_is_back(self, harness, monkeypatch):
-        monkeypatch.setattr(job_service_module, "RETRY_PAUSE_S", 2.0)
+    def new_service(self, harness):
         config = Configuration(1, (self.ROUTE,), ())
-        service = JobService(
+        return JobService(
             harness.table,
             Replica(),
             lambda: OperatorView(config, frozenset()),
             lambda row: None,
             harness.path.sleep_until_reachable,
         )
+
+    def test_a_job_is_stored_as_soon_as_the_store_is_back(self, harness, monkeypatch):
+        monkeypatch.setattr(job_service_module, "RETRY_PAUSE_S", 2.0)
+        service = self.new_service(harness)
         accesses = [harness.entry_access, *harness.peers.values()]
         for access in accesses:
             access.error = UnavailableError("store unavailable")
@@ -259,6 +268,24 @@
         assert clock_s() - back_s[0] < 0.5
         assert len(harness.store.rows) == 1
 
+    # Guards against a refusal that comes after the client's deadline.
+    def test_a_silent_store_is_not_waited_for_beyond_the_limit(self, harness):
+        service = self.new_service(harness)
+        for access in [harness.entry_access, *harness.peers.values()]:
+            access.silent = True
+        with ThreadPoolExecutor(4) as pool:
+            start_s = clock_s()
+            timing = RequestTiming(start_s, 1.0)
+            requests = [
+                self.REQUEST._replace(job=f"{number:016x}") for number in range(4)
+            ]
+            calls = [
+                pool.submit(service.submit, self.ROUTE, r, timing) for r in requests
+            ]
+            for call in calls:
+                assert isinstance(call.exception(), StoreUnavailableError)
+            assert clock_s() - start_s < 0.8
+
 
 # Guards against a local copy that stays behind for a pause after the store's return,
 # and with it the requests that wait for the copy.
