Let a cancellation wait for the read of its job

What callers may see: an entry that has not read a job yet, since it has just started, refuses the job's cancellation at once while the store is away, though the store returns within the client's deadline.

Cause: only the write of a cancellation waited for the store, not the read of the job that comes first. Requests for a job's state still don't wait: clients ask again, and such requests would take the slots of those that hand in jobs.

Change: the read waits as the write does, within the same limits, and its timeout ends with the wait.

Two of the new tests failed before: the cancellation was refused at once, and with Retry-After: 1.

--- a/packages/control/src/cicadabank/control/internal/job_service.py
+++ b/packages/control/src/cicadabank/control/internal/job_service.py
@@ -360,31 +360,30 @@
         StoreUnavailableError
             If the store was needed and did not reply.
         """
-        queue = route.queue
-        if not self._is_in_replica(job, queue.name):
-            return self._stored_state(queue.cell, queue.name, job)
-        rows = self._replica.cells[self._replica.cell_by_job[job]]
-        stored = rows.runs.get(job)
-        return _visible_state(stored.row if stored else None, job in rows.cancelled)
-
-    def _stored_state(self, cell: str, queue: str, job: str) -> str:
         try:
-            found = self._read(cell, JOB_PREFIX + job)
-            if found is None or unpack(found, JobRecord).queue != queue:
-                raise NoJobError("the job does not exist in this queue")
-            run = self._read(cell, RUN_PREFIX + job)
-            cancelled = self._read(cell, CANCEL_PREFIX + job) is not None
+            return self._find_state(route, job, STORE_CALL_TIMEOUT_S)
         except PlatformError as error:
             raise StoreUnavailableError(
                 f"the store is unavailable: {error.message}"
             ) from error
+
+    def _find_state(self, route: RouteConfig, job: str, timeout_s: float) -> str:
+        """Return the state of a job from the replica, or else from the store."""
+        queue = route.queue
+        if self._is_in_replica(job, queue.name):
+            rows = self._replica.cells[self._replica.cell_by_job[job]]
+            stored = rows.runs.get(job)
+            return _visible_state(stored.row if stored else None, job in rows.cancelled)
+        found = self._read(queue.cell, JOB_PREFIX + job, timeout_s)
+        if found is None or unpack(found, JobRecord).queue != queue.name:
+            raise NoJobError("the job does not exist in this queue")
+        run = self._read(queue.cell, RUN_PREFIX + job, timeout_s)
+        cancelled = self._read(queue.cell, CANCEL_PREFIX + job, timeout_s) is not None
         return _visible_state(
             None if run is None else unpack(run, JobProgressRow), cancelled
         )
 
-    def _read(
-        self, cell: str, key: str, timeout_s: float = STORE_CALL_TIMEOUT_S
-    ) -> bytes | None:
+    def _read(self, cell: str, key: str, timeout_s: float) -> bytes | None:
         page = self._table.read(cell, key, key + "\x00", timeout_s)
         rows = page.rows
         return rows[0].value if rows else None
@@ -401,14 +400,23 @@
         StoreUnavailableError
             If the store was needed and did not reply.
         """
-        if self.state(route, job) in ENDED_JOB_STATES:
-            return
-        cell = self._replica.cell_by_job.get(job, route.queue.cell)
-        row = pack(CancelRow(self._replica.store_now_s()))
         with self._waiting(timing) as wait:
+            if self._wait_for_state(route, job, wait) in ENDED_JOB_STATES:
+                return
+            cell = self._replica.cell_by_job.get(job, route.queue.cell)
+            row = pack(CancelRow(self._replica.store_now_s()))
             self._write(cell, {}, {CANCEL_PREFIX + job: row}, wait)
         logger.bind(event="cancel_accepted", job=job).info("cancellation accepted")
 
+    def _wait_for_state(self, route: RouteConfig, job: str, wait: RequestWait) -> str:
+        """Return the state of a job; wait for the store if it has to be asked."""
+        while True:
+            try:
+                return self._find_state(route, job, wait.call_timeout_s())
+            except PlatformError as error:
+                if not wait.pause(RETRY_PAUSE_S, self._sleep_until_reachable):
+                    raise _store_unavailable(error, wait) from error
+
     def pending_count(self, route: RouteConfig, timing: RequestTiming) -> int:
         """Return how many jobs of a queue wait for their first task to start.
 
--- a/tests/cover/test_job_service.py
+++ b/tests/cover/test_job_service.py
@@ -370,6 +370,30 @@
         harness.service.cancel(ROUTE, REQUEST.job, timing(1.0))
         assert harness.service.state(ROUTE, REQUEST.job) == "completed"
 
+    # Guards against a cancellation that is refused, although the store returns within
+    # its client's deadline, by an entry that has not read the job yet.
+    def test_a_cancellation_waits_for_the_read_of_its_job(self, harness):
+        harness.submit()
+        harness.table.down = True
+        threading.Timer(0.3, setattr, (harness.table, "down", False)).start()
+        harness.service.cancel(ROUTE, REQUEST.job, timing(2.0))
+        assert harness.stored_row(CANCEL_PREFIX) is not None
+
+    def test_a_client_has_time_left_when_its_job_can_not_be_read(self, harness):
+        harness.submit()
+        harness.table.down = True
+        start_s = time.monotonic()
+        with pytest.raises(errors.StoreUnavailableError) as caught:
+            harness.service.cancel(ROUTE, REQUEST.job, timing(1.0))
+        assert time.monotonic() - start_s < 0.5
+        assert caught.value.retry_after_s == 0
+
+    def test_a_job_that_does_not_exist_is_not_waited_for(self, harness):
+        start_s = time.monotonic()
+        with pytest.raises(errors.NoJobError):
+            harness.service.cancel(ROUTE, REQUEST.job, timing(1.0))
+        assert time.monotonic() - start_s < 0.1
+
 
 class TestWaitingJobs:
     def test_jobs_without_a_started_task_are_counted(self, harness):
