Log a job that a repeated submission finds stored

A job whose first submission had an unknown outcome is stored, and runs, although no line says that it was accepted: its client's next try finds it stored and is answered 200 without a line.

The new test failed before: no job_known line in either case.

--- a/packages/control/src/cicadabank/control/internal/job_service.py
+++ b/packages/control/src/cicadabank/control/internal/job_service.py
@@ -265,6 +265,7 @@
         _check_step_order(request.steps)
         queue = route.queue
         if self._is_in_replica(request.job, queue.name):
+            self._log_known(request.job, queue.name, timing)
             return
         record = JobRecord(
             request.job,
@@ -286,6 +287,7 @@
                     raise InvalidJobError(
                         "another queue already has a job of this id"
                     ) from error
+            self._log_known(request.job, queue.name, timing)
             return
         logger.bind(
             event="job_accepted",
@@ -300,6 +302,16 @@
             ],
         ).info("job accepted")
 
+    def _log_known(self, job: str, queue: str, timing: RequestTiming) -> None:
+        """Log that a submitted job is stored already, as after a lost response."""
+        logger.bind(
+            event="job_known",
+            job=job,
+            queue=queue,
+            held_s=round(timing.held_s(), 3),
+            store_age_s=round(min(1e6, self._replica.contact_age_s()), 3),
+        ).info("job is stored already")
+
     def _wait_for_store(self, cell: str, key: str, wait: RequestWait) -> None:
         """Wait until the store replies to a read, unless it was in contact recently.
 
--- a/tests/cover/test_job_service.py
+++ b/tests/cover/test_job_service.py
@@ -421,20 +421,40 @@
             harness.new_service().pending_count(ROUTE, timing(0.4))
 
 
+@pytest.fixture
+def log_lines():
+    """Collect the fields of all logged events."""
+    lines: list[dict] = []
+    sink = logger.add(lambda message: lines.append(message.record["extra"]))
+    yield lines
+    logger.remove(sink)
+
+
 class TestLogs:
-    def test_a_refusal_shows_the_time_held_and_the_time_left(self, harness):
-        lines = []
-        sink = logger.add(lambda message: lines.append(message.record["extra"]))
+    def test_a_refusal_shows_the_time_held_and_the_time_left(self, harness, log_lines):
         harness.table.down = True
         timing_of_request = timing(2.0)
         with pytest.raises(errors.StoreUnavailableError) as caught:
             harness.service.submit(ROUTE, REQUEST, timing_of_request)
         harness.service.log_refusal("POST", "/x", caught.value, timing_of_request)
-        logger.remove(sink)
-        (line,) = [line for line in lines if line.get("event") == "request_refused"]
+        (line,) = [line for line in log_lines if line.get("event") == "request_refused"]
         assert (line["deadline_s"], line["retry_after_s"]) == (2.0, 0)
         assert 0.2 < line["held_s"] < 2.0
 
+    # Guards against a job that runs although no line says that it was accepted.
+    @pytest.mark.parametrize("read_by_entry", [True, False])
+    def test_a_job_that_is_already_stored_is_logged(
+        self, harness, log_lines, read_by_entry
+    ):
+        harness.submit()
+        if read_by_entry:
+            harness.update_replica()
+        log_lines.clear()
+        harness.submit()
+        (line,) = [line for line in log_lines if line.get("event") == "job_known"]
+        assert line["job"] == REQUEST.job
+        assert line["held_s"] < 0.5
+
 
 class TestReplica:
     def test_all_rows_are_read_again_after_lost_history(self, harness):
