Notice the store's return within 0.1 s while requests wait for it

What callers saw: a job was accepted 14 ms after its client's deadline, though the store had been back for 77 ms before it.

Cause: while the store is away, requests wait for a probe of the direct path, and there was one each 0.3 s, or 0.75 s if the store was silent, as a probe without a reply delayed the next one.

Change: a probe each 0.1 s, at most five without a reply at a time.

Two of the new tests failed before: the return was noticed after 0.30 s (a store that refuses) and 0.75 s (a silent one), bound 0.2 s. The third bounds the rate of probes and passes on both.

--- a/packages/control/src/cicadabank/control/internal/relay.py
+++ b/packages/control/src/cicadabank/control/internal/relay.py
@@ -43,9 +43,12 @@
 # After a failed search the store is probably unavailable to all peers, and another
 # search would only add load.
 SEARCH_PAUSE_S = 0.3
-# Time between probes of the direct path while it fails.
-PROBE_INTERVAL_S = 0.3
+# Time between probes of the direct path while it fails. Clients of waiting requests may
+# leave shortly after the store's return.
+PROBE_INTERVAL_S = 0.1
 PROBE_TIMEOUT_S = 0.45
+# Probes without a reply yet, so that the next one need not wait for their timeouts.
+MAX_OPEN_PROBES = 5
 # Key of an empty range that is read to check whether the store answers.
 PROBE_KEY = "probe"
 
@@ -112,22 +115,31 @@
 
     def on_direct_success(self) -> None:
         """Switch back to direct calls after one succeeded."""
-        if not self.is_direct:
+        with self._lock:
+            if self.is_direct:
+                return
             self._direct.set()
-            logger.bind(event="store_path_back", relay=self._relay_peer).info(
-                "store reachable directly again"
-            )
+        logger.bind(event="store_path_back", relay=self._relay_peer).info(
+            "store reachable directly again"
+        )
 
     def _probe_until_reachable(self) -> None:
-        pause = threading.Event()
-        while not self.is_direct:
-            pause.wait(PROBE_INTERVAL_S)
-            try:
-                end = PROBE_KEY + "\x00"
-                self._probe_table.read("", PROBE_KEY, end, timeout_s=PROBE_TIMEOUT_S)
-            except PlatformError:
-                continue  # the loss is logged already; probe again
-            self.on_direct_success()
+        open_probes = threading.Semaphore(MAX_OPEN_PROBES)
+        while not self._direct.wait(PROBE_INTERVAL_S):
+            if open_probes.acquire(blocking=False):
+                threading.Thread(
+                    target=self._probe, args=(open_probes,), daemon=True
+                ).start()
+
+    def _probe(self, open_probes: threading.Semaphore) -> None:
+        try:
+            end = PROBE_KEY + "\x00"
+            self._probe_table.read("", PROBE_KEY, end, timeout_s=PROBE_TIMEOUT_S)
+        except PlatformError:
+            return  # the loss is logged already; probed again
+        finally:
+            open_probes.release()
+        self.on_direct_success()
 
     def relay(
         self, request: fleet_pb2.RelayRequest, end_s: float = math.inf
--- a/tests/cover/test_store_relay.py
+++ b/tests/cover/test_store_relay.py
@@ -102,6 +102,21 @@
         yield Harness(stack)
 
 
+@pytest.fixture
+def deployed_harness():
+    """Return a harness with the intervals of a deployment."""
+    with ExitStack() as stack:
+        yield Harness(stack)
+
+
+def wait_for_call(access: StoreAccess) -> None:
+    """Wait until a call has been made since now."""
+    calls, end_s = access.calls, clock_s() + 2.0
+    while access.calls == calls and clock_s() < end_s:
+        time.sleep(0.002)
+    assert access.calls > calls
+
+
 class TestCommit:
     def test_reaches_the_store_directly_while_that_works(self, harness):
         assert harness.table.commit("p", {"k": 0}, {"k": b"1"}) == 1
@@ -233,6 +248,42 @@
         assert harness.path.is_direct
 
 
+# Guards against the loss of a job whose client left, or whose entry was killed, between
+# the store's return and the next probe.
+class TestReturnOfTheStore:
+    # All processes were killed this long after the store was back.
+    NOTICED_WITHIN_S = 0.2
+
+    def time_until_direct_s(self, harness) -> float:
+        start_s = clock_s()
+        while not harness.path.is_direct and clock_s() - start_s < 2.0:
+            time.sleep(0.002)
+        return clock_s() - start_s
+
+    def test_a_store_that_refused_calls_is_noticed(self, deployed_harness):
+        harness = deployed_harness
+        harness.block_direct_access()
+        harness.path.on_direct_failure(UnavailableError("store unavailable"))
+        wait_for_call(harness.entry_access)
+        harness.entry_access.error = None
+        assert self.time_until_direct_s(harness) < self.NOTICED_WITHIN_S
+
+    def test_a_store_that_was_silent_is_noticed(self, deployed_harness):
+        harness = deployed_harness
+        harness.entry_access.silent = True
+        harness.path.on_direct_failure(UnavailableError("no reply"))
+        wait_for_call(harness.entry_access)
+        harness.entry_access.silent = False
+        assert self.time_until_direct_s(harness) < self.NOTICED_WITHIN_S
+
+    def test_a_silent_store_is_called_at_a_bounded_rate(self, deployed_harness):
+        harness = deployed_harness
+        harness.entry_access.silent = True
+        harness.path.on_direct_failure(UnavailableError("no reply"))
+        time.sleep(1.0)
+        assert harness.entry_access.calls <= 10
+
+
 # Guards against the loss of a job that was not stored in the short time between the
 # return of the store and the loss of all processes, because its request slept.
 class TestWaitingRequests:
