End the search for a relay when the store can be reached directly again

What callers may see: a request that is searching for a relay when a silent store returns is stored up to 0.55 s later than the entry can reach the store.

Cause: a waiting request woke up with the store's return only between its attempts. An attempt while the store is silent is mostly a search, whose callers waited for its end.

Change: a caller of a search waits for its end or for the store's return, whichever comes first, and then calls the store directly, within what is left of its time.

--- a/packages/control/src/cicadabank/control/internal/relay.py
+++ b/packages/control/src/cicadabank/control/internal/relay.py
@@ -13,8 +13,8 @@
 import threading
 import time
 from collections.abc import Callable, Mapping
-from concurrent.futures import Future, ThreadPoolExecutor
-from concurrent.futures import TimeoutError as FutureTimeoutError
+from concurrent.futures import FIRST_COMPLETED, Future, ThreadPoolExecutor
+from concurrent.futures import wait as wait_for_futures
 from typing import Any
 
 import grpc
@@ -89,27 +89,28 @@
         self._search_thread = ThreadPoolExecutor(1, "relay-search")
         self._search: Future[str] | None = None
         self._search_start_s = float("-inf")
-        self._direct = threading.Event()
-        self._direct.set()
+        # Done while calls go directly; a future, since a search may be awaited with it.
+        self._reachable: Future[None] = Future()
+        self._reachable.set_result(None)
 
     @property
     def is_direct(self) -> bool:
         """Whether calls go to the store directly."""
-        return self._direct.is_set()
+        return self._reachable.done()
 
     def sleep_until_reachable(self, timeout_s: float) -> None:
         """Sleep; wake up early if the store can be reached directly again."""
         if self.is_direct:
             time.sleep(timeout_s)
         else:
-            self._direct.wait(timeout_s)
+            wait_for_futures([self._reachable], timeout_s)
 
     def on_direct_failure(self, error: PlatformError) -> None:
         """Switch to relaying after a direct call failed, and start to probe."""
         with self._lock:
             if not self.is_direct:
                 return
-            self._direct.clear()
+            self._reachable = Future()
         logger.bind(event="store_path_lost", code=error.code).warning("{}", error)
         threading.Thread(target=self._probe_until_reachable, daemon=True).start()
 
@@ -118,14 +119,15 @@
         with self._lock:
             if self.is_direct:
                 return
-            self._direct.set()
+            self._reachable.set_result(None)
         logger.bind(event="store_path_back", relay=self._relay_peer).info(
             "store reachable directly again"
         )
 
     def _probe_until_reachable(self) -> None:
         open_probes = threading.Semaphore(MAX_OPEN_PROBES)
-        while not self._direct.wait(PROBE_INTERVAL_S):
+        reachable = self._reachable
+        while not wait_for_futures([reachable], PROBE_INTERVAL_S).done:
             if open_probes.acquire(blocking=False):
                 threading.Thread(
                     target=self._probe, args=(open_probes,), daemon=True
@@ -189,8 +191,9 @@
         Raises
         ------
         UnavailableError
-            If none can, the search doesn't end before `end_s`, or the last search began
-            less than `SEARCH_PAUSE_S` ago.
+            If none can, the search doesn't end before `end_s` or before the store can
+            be reached directly again, or the last search began less than
+            `SEARCH_PAUSE_S` ago.
         """
         with self._lock:
             if self._relay_peer:
@@ -206,12 +209,13 @@
             search = self._search
         # A search ends by itself, so callers without a limit need none here.
         wait_s = None if math.isinf(end_s) else max(0.0, end_s - clock_s())
-        try:
-            return search.result(timeout=wait_s)
-        except FutureTimeoutError as error:
+        futures = [search, self._reachable]
+        wait_for_futures(futures, wait_s, return_when=FIRST_COMPLETED)
+        if not search.done():
             raise UnavailableError(
                 "the search for a peer that reaches the store has not ended yet"
-            ) from error
+            )
+        return search.result()
 
     def _search_relay(self) -> str:
         """Ask some random peers whether they can read from the store.
@@ -271,7 +275,9 @@
         """Return the names of all partitions, as rows without a value."""
         request = self._request(RELAYED_CALL_TIMEOUT_S)
         request.partitions.SetInParent()
-        return _page(self._call_direct_or_relayed(self._direct.partitions, request))
+        return _page(
+            self._call_direct_or_relayed(lambda _: self._direct.partitions(), request)
+        )
 
     def read(
         self,
@@ -286,7 +292,7 @@
         request.read.first, request.read.end = first, end
         return _page(
             self._call_direct_or_relayed(
-                lambda: self._direct.read(partition, first, end, timeout_s),
+                lambda limit_s: self._direct.read(partition, first, end, limit_s),
                 request,
                 timeout_s,
             )
@@ -299,7 +305,7 @@
         try:
             return _page(
                 self._call_direct_or_relayed(
-                    lambda: self._direct.changes(after, wait_s), request
+                    lambda _: self._direct.changes(after, wait_s), request
                 )
             )
         except UnavailableError:
@@ -325,7 +331,9 @@
         request.commit.puts.update(puts)
         request.commit.removes.extend(removes)
         found = self._call_direct_or_relayed(
-            lambda: self._direct.commit(partition, expected, puts, removes, timeout_s),
+            lambda limit_s: self._direct.commit(
+                partition, expected, puts, removes, limit_s
+            ),
             request,
             timeout_s,
         )
@@ -336,7 +344,7 @@
 
     def _call_direct_or_relayed(
         self,
-        direct: Callable[[], Any],
+        direct: Callable[[float | None], Any],
         request: fleet_pb2.RelayRequest,
         timeout_s: float | None = None,
     ) -> Any:
@@ -345,6 +353,7 @@
         Parameters
         ----------
         direct : callable
+            Makes the direct call, given its timeout in seconds or None.
         request : RelayRequest
         timeout_s : float, optional
             Limits both calls and the search for a peer together. By default each has a
@@ -360,14 +369,28 @@
         end_s = math.inf if timeout_s is None else clock_s() + timeout_s
         if self._path.is_direct:
             try:
-                return direct()
-            except UnavailableError as error:
-                self._path.on_direct_failure(error)
-            except UnknownOutcomeError as error:
-                # The caller decides whether to retry; a retry goes through a peer.
-                self._path.on_direct_failure(error)
+                return self._call_directly(direct, timeout_s)
+            except UnavailableError:
+                pass  # logged by the path; a peer may still reach the store
+        try:
+            return _raise_for_outcome(self._path.relay(request, end_s))
+        except UnavailableError:
+            if not self._path.is_direct:
                 raise
-        return _raise_for_outcome(self._path.relay(request, end_s))
+        # The store can be reached directly again since the relayed call began.
+        if timeout_s is not None:
+            timeout_s = max(MIN_CALL_TIMEOUT_S, end_s - clock_s())
+        return self._call_directly(direct, timeout_s)
+
+    def _call_directly(
+        self, direct: Callable[[float | None], Any], timeout_s: float | None
+    ) -> Any:
+        """Make a direct call; switch to relaying if it fails."""
+        try:
+            return direct(timeout_s)
+        except (UnavailableError, UnknownOutcomeError) as error:
+            self._path.on_direct_failure(error)
+            raise
 
 
 def _page(found: Page | fleet_pb2.RelayReply) -> Page:
--- a/tests/cover/test_store_relay.py
+++ b/tests/cover/test_store_relay.py
@@ -319,6 +319,23 @@
         assert clock_s() - back_s[0] < 0.5
         assert len(harness.store.rows) == 1
 
+    # Guards against a request that is still in a search for a relay when the store can
+    # be reached directly again.
+    def test_a_search_for_a_relay_ends_with_the_return_of_the_store(self, harness):
+        service = self.new_service(harness)
+        for access in [harness.entry_access, *harness.peers.values()]:
+            access.silent = True
+        harness.path.on_direct_failure(UnavailableError("no reply"))
+        with ThreadPoolExecutor(1) as pool:
+            timing = RequestTiming(clock_s(), 6.0)
+            call = pool.submit(service.submit, self.ROUTE, self.REQUEST, timing)
+            wait_for_call(next(iter(harness.peers.values())))
+            back_s = clock_s()
+            harness.entry_access.silent = False
+            call.result()
+            assert clock_s() - back_s < 0.3
+        assert len(harness.store.rows) == 1
+
     # Guards against a refusal that comes after the client's deadline.
     def test_a_silent_store_is_not_waited_for_beyond_the_limit(self, harness):
         service = self.new_service(harness)
