Stop extending the lease of a target that does not reply

Callers saw tasks of accepted jobs that never ran again after their target had crashed for good, although most of the capacity was free; the jobs stayed `running` and earned nothing.

Cause: the agent reports a target as lost once the last lease end that it may have passed on has expired. It computed that end anew for each attempt of a hold call, also for those that got no reply, so that it moved on with the leases that the holder granted. The end never came, and the holder waited for a target that was gone.

A target that does not reply is now passed at most the lease end it was passed before. It therefore expires at the latest 1.2 s and one lease after the last reply. The check of is_target_lost is unchanged, so nothing is declared lost earlier than its lease allows.

--- a/packages/control/src/cicadabank/control/internal/target_controller.py
+++ b/packages/control/src/cicadabank/control/internal/target_controller.py
@@ -24,7 +24,8 @@
 
 # Least time between two attempts of a call to which the target did not reply.
 CALL_RETRY_INTERVAL_S = 0.3
-# A target that has replied to no hold call for this long is reported as unhealthy.
+# A target that has replied to no hold call for this long is reported as unhealthy, and
+# its lease is not extended.
 UNRESPONSIVE_AFTER_S = 1.2
 # Largest fraction by which the target's clock may run slow.
 MAX_CLOCK_DRIFT = 0.02
@@ -244,12 +245,16 @@
 
         Records that the target may have been passed this end. The target read its clock
         before its reply arrived, so the returned time is never later than the true end.
+        The lease of a target that does not reply is not extended, so that it expires.
         """
-        if self._clock_sample is None or self._granted_until_s <= now_s:
+        until_s = self._granted_until_s
+        if self._is_unresponsive(now_s):
+            until_s = min(until_s, self._passed_on_until_s)
+        if self._clock_sample is None or until_s <= now_s:
             return None
         target_s, received_s = self._clock_sample
-        self._passed_on_until_s = max(self._passed_on_until_s, self._granted_until_s)
-        return target_s + (self._granted_until_s - received_s)
+        self._passed_on_until_s = max(self._passed_on_until_s, until_s)
+        return target_s + (until_s - received_s)
 
     def on_started(self, run: RunId, outcome: StartOutcome, now_s: float) -> None:
         """Process the target's reply to a start."""
@@ -331,9 +336,12 @@
         """
         silent_s = now_s - self._last_reply_s
         lease_left_s = max(0.0, self._passed_on_until_s - self._last_reply_s)
-        return silent_s > UNRESPONSIVE_AFTER_S and silent_s > lease_left_s * (
-            1 + MAX_CLOCK_DRIFT
-        )
+        lease_expired = silent_s > lease_left_s * (1 + MAX_CLOCK_DRIFT)
+        return self._is_unresponsive(now_s) and lease_expired
+
+    def _is_unresponsive(self, now_s: float) -> bool:
+        """Return whether the target has not replied for some time."""
+        return now_s - self._last_reply_s > UNRESPONSIVE_AFTER_S
 
     def report(self, now_s: float) -> fleet_pb2.TargetReport | None:
         """Return the next report to the holder; None before the first heartbeat."""
@@ -366,8 +374,9 @@
         message.rack = heartbeat.rack
         message.draining = heartbeat.draining
         message.remaining_s = heartbeat.remaining_s
-        silent = now_s - self._last_reply_s > UNRESPONSIVE_AFTER_S
-        message.unhealthy = silent or now_s < self._unhealthy_until_s
+        message.unhealthy = (
+            self._is_unresponsive(now_s) or now_s < self._unhealthy_until_s
+        )
         if self._listing is not None:
             message.observed = True
             self._add_runs(message, self._listing)
--- a/tests/cover/test_target_controller.py
+++ b/tests/cover/test_target_controller.py
@@ -2,7 +2,11 @@
 
 import pytest
 from cicadabank.control.internal.conversion import run_id_to_message
-from cicadabank.control.internal.target_controller import TargetController
+from cicadabank.control.internal.target_controller import (
+    MAX_CLOCK_DRIFT,
+    UNRESPONSIVE_AFTER_S,
+    TargetController,
+)
 from cicadabank.control.internal.target_messages import (
     Listing,
     StartOutcome,
@@ -211,6 +215,30 @@
         assert controller.is_target_lost(18.5)
         assert controller.report(18.5).incarnation.endswith("/ended")
 
+    # Guards against tasks that never run again because the lease of a target that has
+    # crashed was extended with each failed attempt to renew it.
+    def test_a_lease_is_not_extended_while_the_target_does_not_reply(self, controller):
+        controller.on_heartbeat(heartbeat(started_ms=2), 10.0)
+        controller.on_listing(listing(started_ms=2), 10.0, 10.0)
+        now_s, lease_s = 10.0, 8.0
+        while not controller.is_target_lost(now_s) and now_s < 40.0:
+            now_s += 0.3
+            controller.take_lease_end_on_target_s(now_s)
+            reply = fleet_pb2.ReportReply(accepted=True, epoch=1, lease_s=lease_s)
+            controller.on_reply(reply, now_s, controller.incarnation)
+        passed_on_s = 10.0 + UNRESPONSIVE_AFTER_S + lease_s
+        assert now_s - 10.0 < (passed_on_s - 10.0) * (1 + MAX_CLOCK_DRIFT) + 0.3
+
+    def test_a_lease_is_extended_once_the_target_replies_again(self, controller):
+        controller.on_heartbeat(heartbeat(started_ms=2), 10.0)
+        controller.on_listing(listing(started_ms=2), 10.0, 10.0)
+        assert controller.take_lease_end_on_target_s(10.5) == pytest.approx(58.0)
+        reply = fleet_pb2.ReportReply(accepted=True, epoch=1, lease_s=8.0)
+        controller.on_reply(reply, 13.0, controller.incarnation)
+        assert controller.take_lease_end_on_target_s(13.0) == pytest.approx(58.0)
+        controller.on_listing(listing(started_ms=2, target_s=53.0), 13.0, 13.0)
+        assert controller.take_lease_end_on_target_s(13.0) == pytest.approx(61.0)
+
     def test_a_new_agent_assumes_the_longest_lease_of_its_predecessor(self):
         controller = TargetController("a:2", "agent-2", "cell")
         controller.on_heartbeat(heartbeat(), 10.0)
