Date a job by the store's clock, also right after an entry's start

A job within its guarantee would not have preempted anything for as long as the clocks differ.

Cause: acceptances are dated by the store's clock, which an entry computes from its own and an offset. The offset was 0 until the first reply to a feed. Since requests wait for the first read of the configuration after a start, they are accepted before that reply, and the date was also taken before the wait. The age of such a job is wrong by the difference of the clocks, and with it its slack, its rank and its claim to preempt.

Each reply to a read now sets the clock, and a job is dated after the wait for the store, counted back to its receipt.

The first of the two new tests fails on the code before. The table stand-in shared the clock of the process, which had hidden this.

--- a/packages/control/src/cicadabank/control/internal/job_service.py
+++ b/packages/control/src/cicadabank/control/internal/job_service.py
@@ -267,18 +267,20 @@
         if self._is_in_replica(request.job, queue.name):
             self._log_known(request.job, queue.name, timing)
             return
-        record = JobRecord(
-            request.job,
-            queue.name,
-            request.workspace,
-            self._replica.store_now_s(),
-            request.payload,
-            request.steps,
-        )
         key = JOB_PREFIX + request.job
         try:
             with self._waiting(timing) as wait:
                 self._wait_for_store(queue.cell, key, wait)
+                # An entry that has just started knows the store's clock only now.
+                received_s = self._replica.store_now_s() - timing.held_s()
+                record = JobRecord(
+                    request.job,
+                    queue.name,
+                    request.workspace,
+                    received_s,
+                    request.payload,
+                    request.steps,
+                )
                 self._write(queue.cell, {key: 0}, {key: pack(record)}, wait)
         except RowConflictError as error:
             stored = error.rows.get(key)
@@ -397,6 +399,7 @@
 
     def _read(self, cell: str, key: str, timeout_s: float) -> bytes | None:
         page = self._table.read(cell, key, key + "\x00", timeout_s)
+        self._replica.set_store_clock(page.store_s)
         rows = page.rows
         return rows[0].value if rows else None
 
--- a/packages/control/src/cicadabank/control/internal/replica.py
+++ b/packages/control/src/cicadabank/control/internal/replica.py
@@ -107,8 +107,12 @@
         if now_s - self.last_contact_s > max_gap_s:
             self.continuous_contact_since_s = store_s
         self.last_contact_s = now_s
-        self._offset_s = store_s - now_s
         self._last_store_s = store_s
+        self.set_store_clock(store_s)
+
+    def set_store_clock(self, store_s: float) -> None:
+        """Set the store's clock, as read from a reply that has just arrived."""
+        self._offset_s = store_s - clock_s()
 
     def apply(
         self, rows: Iterable[StoredRow], notify: Callable[[str, str, str], None]
--- a/packages/standin/src/cicadabank/standin/internal/partitions.py
+++ b/packages/standin/src/cicadabank/standin/internal/partitions.py
@@ -28,6 +28,8 @@
     delay_writes : bool
         Writes raise `UnknownOutcomeError` and are delayed until `apply_delayed_writes`,
         which applies them if their conditions still hold.
+    clock_offset_s : float
+        The store's clock minus this process's clock.
     """
 
     def __init__(self) -> None:
@@ -36,6 +38,7 @@
         self.down = False
         self.lose_answers = False
         self.delay_writes = False
+        self.clock_offset_s = 0.0
         self.writes = 0
         self._changes: list[StoredRow] = []
         self._oldest_version = 0
@@ -47,7 +50,7 @@
             raise UnavailableError("the table is down")
 
     def _page(self, rows: list[StoredRow]) -> Page:
-        return Page(rows, self.version, time.monotonic())
+        return Page(rows, self.version, time.monotonic() + self.clock_offset_s)
 
     def partitions(self) -> Page:
         """Return the names of all partitions, as rows without a value."""
--- a/tests/cover/test_job_service.py
+++ b/tests/cover/test_job_service.py
@@ -22,12 +22,14 @@
     RUN_PREFIX,
     Configuration,
     JobProgressRow,
+    JobRecord,
     QueueConfig,
     Resources,
     RouteConfig,
     StepSpec,
     WorkspaceConfig,
     pack,
+    unpack,
 )
 from cicadabank.standin import MemoryTable
 from cicadabank.store import UnavailableError
@@ -147,6 +149,26 @@
         harness.submit()
         assert harness.stored_row() is not None
 
+    # Guards against jobs of an entry that had just started and took its own clock for
+    # the store's: their age was wrong by hours, and they waited behind all others.
+    def test_the_acceptance_is_timed_by_the_stores_clock(self, harness):
+        harness.table.clock_offset_s = 50_000.0
+        harness.replica = Replica()
+        harness.service = harness.new_service()
+        harness.submit()
+        record = unpack(harness.stored_row().value, JobRecord)
+        assert record.accepted_s == pytest.approx(clock_s() + 50_000.0, abs=1.0)
+
+    def test_the_acceptance_is_timed_from_the_receipt(self, harness):
+        harness.table.down = True
+        timer = threading.Timer(0.4, setattr, (harness.table, "down", False))
+        received_s = clock_s()
+        timer.start()
+        harness.submit(deadline_s=2.0)
+        timer.join()
+        record = unpack(harness.stored_row().value, JobRecord)
+        assert record.accepted_s == pytest.approx(received_s, abs=0.1)
+
     def test_a_resubmitted_job_is_stored_once(self, harness):
         harness.submit()
         version = harness.stored_row().version
