Let a new holder continue with the forecasts of earlier ones

Callers saw jobs wait beside idle accelerators until they were late, after a change of the holder.

Cause: what a holder learns of the durations of a queue's tasks was only in its memory. A new one fell back on declared durations, which are off by up to 2.5 times and more. A job declared too long seems to have time: it ranks low, and is held back for urgent jobs.

The statistics of a queue (five numbers, 60 bytes) are now written with the commit of the ends they were learned from. They need no version of their own, since every write depends on the row of the holder. As they now outlive holders, old runs lose weight after 200.

Without the restored rows two tests of TestForecastsAfterTakeover fail (a job ends after 20.5 s instead of 18), and one of test_cell_holder.py, which also checks that a write whose reply was lost is still recognized.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/state.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/state.py
@@ -99,10 +99,18 @@
 
 
 class RowChange(NamedTuple):
-    """A conditional write: applies only if the row has the expected version."""
+    """A row to be written.
+
+    Attributes
+    ----------
+    key : str
+    expected : int or None
+        The write applies only if the row has this version; None if any version will do.
+    value : bytes
+    """
 
     key: str
-    expected: int
+    expected: int | None
     value: bytes
 
 
--- /dev/null
+++ b/tests/cover/test_cell_holder.py
@@ -0,0 +1,123 @@
+"""A cell's scheduler in the entry that holds the cell, on a table in memory."""
+
+from __future__ import annotations
+
+import time
+from contextlib import ExitStack
+
+import pytest
+from cicadabank.control.internal import cell_holder as cell_holder_module
+from cicadabank.control.internal.cell_holder import CellActor
+from cicadabank.control.internal.feed import CellsFeed, OperatorView
+from cicadabank.control.internal.replica import Replica
+from cicadabank.scheduling import (
+    FORECAST_PREFIX,
+    HOLDER_KEY,
+    JOB_PREFIX,
+    RUN_PREFIX,
+    Configuration,
+    HolderRow,
+    JobProgressRow,
+    JobRecord,
+    Resources,
+    StepSpec,
+    Timings,
+    pack,
+    unpack,
+)
+from cicadabank.standin import MemoryTable
+from cicadabank.tasks import running
+from cicadabank.wire import ChannelPool
+
+RECORD = JobRecord("j", "q", "w", 0.0, "spec", (StepSpec(1, Resources(1, 1, 1), 1.0),))
+OPERATOR = OperatorView(Configuration(), frozenset())
+
+
+class Holder:
+    """A holder of a cell with one waiting job."""
+
+    def __init__(self, table: MemoryTable, epoch: int, stack: ExitStack):
+        self.table = table
+        self.replica = Replica()
+        self.feed = CellsFeed(table, self.replica, lambda *_: None, lambda: None)
+        self.fenced: list[str] = []
+        stored = table.rows.get(("cell", HOLDER_KEY))
+        version = table.commit(
+            "cell",
+            {HOLDER_KEY: stored.version if stored else 0},
+            {HOLDER_KEY: pack(HolderRow(epoch, "e", "1.2.3.4:5"))},
+        )
+        self.feed.step()
+        self.actor = CellActor(
+            "cell",
+            epoch,
+            version,
+            "1.2.3.4:5",
+            table,
+            self.replica,
+            ChannelPool(),
+            self.fenced.append,
+            Timings(),
+        )
+        stack.callback(self.actor.close)
+        stack.enter_context(running(self.actor))
+        self.actor.ask(self.actor.load, OPERATOR, 8.0)
+
+    @property
+    def forecast(self):
+        return self.actor.scheduler.state.forecast
+
+    def cancel_job(self):
+        self.actor.ask(self.actor.on_row, "cancel", RECORD.job)
+
+    def wait_for_job_state(self, state: str):
+        key = ("cell", RUN_PREFIX + RECORD.job)
+        until_s = time.monotonic() + 10.0
+        while time.monotonic() < until_s:
+            row = self.table.rows.get(key)
+            if row is not None and unpack(row.value, JobProgressRow).state == state:
+                return
+            time.sleep(0.02)
+        pytest.fail(f"the job's stored state is not {state!r}")
+
+
+@pytest.fixture
+def stack():
+    with ExitStack() as stack:
+        yield stack
+
+
+@pytest.fixture
+def table() -> MemoryTable:
+    table = MemoryTable()
+    table.commit("cell", {}, {JOB_PREFIX + RECORD.job: pack(RECORD)})
+    return table
+
+
+class TestForecasts:
+    def test_a_new_holder_continues_with_the_forecasts(self, table, stack):
+        first = Holder(table, 1, stack)
+        for _ in range(10):
+            first.forecast.observe("q", 1.0, 7.0)
+        first.cancel_job()
+        first.wait_for_job_state("cancelled")
+        second = Holder(table, 2, stack)
+        expected_s = first.forecast.expected_s("q", 1.0)
+        assert second.forecast.expected_s("q", 1.0) == pytest.approx(expected_s)
+
+    # A forecast's row has no expected version, which must not look like a conflict
+    # with another holder.
+    def test_a_write_with_a_lost_reply_does_not_fence(self, table, stack, monkeypatch):
+        monkeypatch.setattr(cell_holder_module, "WRITE_RETRY_PAUSE_S", 0.01)
+        holder = Holder(table, 1, stack)
+        holder.forecast.observe("q", 1.0, 7.0)
+        table.lose_answers = True
+        holder.cancel_job()
+        holder.wait_for_job_state("cancelled")
+        table.lose_answers = False
+        until_s = time.monotonic() + 5.0
+        while holder.actor.scheduler.state.in_flight and time.monotonic() < until_s:
+            time.sleep(0.02)
+        assert holder.actor.scheduler.state.in_flight is None
+        assert ("cell", FORECAST_PREFIX + "q") in table.rows
+        assert not holder.fenced
--- a/tests/cover/test_load_patterns.py
+++ b/tests/cover/test_load_patterns.py
@@ -147,6 +147,40 @@
         cell.run_until(lambda: cell.state("j3") == "completed")
         assert cell.scheduler.state.forecast.expected_s("batch", 20.0) > 15.0
 
+    # Guards against work that waits beside idle accelerators until it is late: a new
+    # holder overestimated its duration, and thus the time until its deadline.
+    def test_work_with_a_deadline_is_as_urgent_as_before(self, cell):
+        cell.duration_s = lambda run, spec: 60.0 if run.job == "long" else 5.0
+        declared = StepSpec(1, Resources(1000, 1000, 1), 50.0)
+        for number in range(8):
+            cell.submit(f"seen{number}", "batch", [declared])
+            cell.submit(f"urgent{number}", "urgent", [declared._replace(count=20)])
+            cell.run(6.0)
+        cell.take_over()
+        cell.run(1.0)
+        # Leaves no accelerators free but those that are kept for urgent jobs.
+        cell.submit("long", "tight", [declared._replace(count=27)])
+        cell.submit("late", "batch", [declared._replace(count=4)])
+        elapsed_s = cell.run_until(lambda: cell.state("late") == "completed")
+        assert elapsed_s <= 3.0 * 5.0 + 3.0
+
+    def test_forecasts_are_the_same_under_a_new_holder(self, cell):
+        cell.duration_s = lambda run, spec: 4.0
+        for number in range(6):
+            cell.submit(f"j{number}", "batch", [self.STEP])
+            cell.run(5.0)
+        before_s = cell.scheduler.state.forecast.expected_s("batch", 9.0)
+        cell.take_over()
+        after_s = cell.scheduler.state.forecast.expected_s("batch", 9.0)
+        assert after_s == pytest.approx(before_s)
+
+    def test_forecasts_follow_durations_that_change(self, cell):
+        forecast = cell.scheduler.state.forecast
+        for duration_s in (2.0, 8.0):
+            for _ in range(1000):
+                forecast.observe("batch", 4.0, duration_s)
+        assert forecast.expected_s("batch", 4.0) == pytest.approx(8.0, rel=0.05)
+
 
 class TestLargeJobs:
     """Jobs have the usual value, but ten times the usual size.
