--- a/packages/scheduling/src/cicadabank/scheduling/internal/headroom.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/headroom.py
@@ -35,12 +35,19 @@
     state : CellState
     targets : list of Target
         Targets that currently accept new tasks.
+
+    Attributes
+    ----------
+    free : int
+        Accelerators that are free, less those of the units placed in this round.
+    size : float
+        Accelerators to keep free.
     """
 
     def __init__(self, state: CellState, targets: list[Target]):
-        self._free = sum(max(0, t.free.accelerators) for t in targets)
+        self.free = sum(max(0, t.free.accelerators) for t in targets)
         self._capacity = sum(t.capacity.accelerators for t in targets)
-        self._headroom = min(
+        self.size = min(
             MAX_HEADROOM_SHARE * self._capacity, _large_urgent_job_size(state)
         )
 
@@ -54,16 +61,16 @@
             Seconds for which the unit's job can certainly wait without being late.
         """
         share = (slack_s - MIN_SLACK_S) / (FULL_SLACK_S - MIN_SLACK_S)
-        headroom = self._headroom * min(1.0, max(0.0, share))
+        headroom = self.size * min(1.0, max(0.0, share))
         # Limited so that even a gang that needs the whole cell can start.
         headroom = min(headroom, self._capacity - unit.accelerators)
         if headroom <= 0 or not unit.accelerators:
             return True
-        return self._free - unit.accelerators >= headroom
+        return self.free - unit.accelerators >= headroom
 
     def record_placement(self, unit: Unit) -> None:
         """Deduct a placed unit's accelerators from the free ones."""
-        self._free -= unit.accelerators
+        self.free -= unit.accelerators
 
 
 def _large_urgent_job_size(state: CellState) -> float:
--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -96,6 +96,7 @@
             continue
         if not _may_start(state, unit, guaranteed, headroom):
             blocked.add(task_group)
+            _log_held_back(state, unit, headroom)
             continue
         placement = _choose_targets(
             state,
@@ -133,6 +134,25 @@
     return headroom.admits(unit, certain_slack_s(state, job))
 
 
+def _log_held_back(state: CellState, unit: Unit, headroom: Headroom) -> None:
+    """Log that a step waits for headroom, unless its last line said so already."""
+    job = state.jobs[unit.job]
+    if unit.step in job.held_back_steps:
+        return
+    job.held_back_steps.add(unit.step)
+    state.log(
+        "unit_held_back",
+        job=unit.job,
+        step=unit.step,
+        first=unit.first_index,
+        waited_s=round(age_s(state, job), 3),
+        slack_s=round(slack_s(state, job), 3),
+        certain_slack_s=round(certain_slack_s(state, job), 3),
+        free=headroom.free,
+        headroom=headroom.size,
+    )
+
+
 def usable_targets(state: CellState) -> list[Target]:
     """Return the targets that currently accept new tasks."""
     oldest_s = state.now_s - state.timings.silent_after_s
@@ -412,6 +432,7 @@
     )
     unit.phase = Phase.CLAIMING
     job = state.jobs[unit.job]
+    job.held_back_steps.discard(unit.step)
     state.log(
         "unit_placed",
         job=unit.job,
@@ -421,7 +442,7 @@
         targets=[t.target_incarnation.target for t in placement.targets],
         near=placement.local,
         entitled=guaranteed,
-        waited_s=round(state.now_s + state.store_offset_s - job.record.accepted_s, 3),
+        waited_s=round(age_s(state, job), 3),
         victims=[f"{v.job}/{v.step}/{v.first_index}" for v in placement.victims],
         config_version=state.config.version,
     )
--- a/packages/scheduling/src/cicadabank/scheduling/internal/units.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/units.py
@@ -145,6 +145,7 @@
         "cancelled",
         "dirty",
         "ended_s",
+        "held_back_steps",
         "reason",
         "record",
         "state",
@@ -160,6 +161,7 @@
         self.ended_s = 0.0
         self.version = 0
         self.dirty = False
+        self.held_back_steps: set[int] = set()  # logged as waiting for headroom
         self.units: list[Unit] = []
         for step_index, step in enumerate(record.steps):
             if step.gang:
--- a/tests/cover/test_load_patterns.py
+++ b/tests/cover/test_load_patterns.py
@@ -79,6 +79,15 @@
         cell.run(1.0)
         assert all(t.free.accelerators == 0 for t in known_targets(cell))
 
+    def test_a_step_that_waits_for_headroom_is_logged_once(self, cell):
+        self.record_urgent_sizes(cell)
+        cell.submit("wide", "batch", [StepSpec(48, Resources(2800, 8200, 1), 60.0)])
+        cell.run(3.0)
+        held = [f for event, f in cell.log if event == "unit_held_back"]
+        assert [(f["job"], f["step"]) for f in held] == [("wide", 0)]
+        assert held[0]["free"] - 1 < held[0]["headroom"]
+        assert held[0]["certain_slack_s"] < held[0]["slack_s"]
+
     def test_cell_without_urgent_jobs_has_no_headroom(self, cell):
         cell.submit("wide", "batch", [StepSpec(48, Resources(2800, 8200, 1), 12.0)])
         cell.run(1.0)
