--- a/packages/scheduling/src/cicadabank/scheduling/internal/forecast.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/forecast.py
@@ -14,8 +14,6 @@
 PRIOR_RUNS = 3.0
 # Variance of the logarithms of declared durations that the prior assumes.
 PRIOR_VARIANCE = 0.5
-# Factor by which a task may be shorter than expected before any of its queue has ended.
-MAX_OVERESTIMATE = 2.5
 # Once as many runs have been observed, old ones lose weight with each new one, so that
 # forecasts follow durations that change.
 MAX_COUNTED_RUNS = 200
@@ -149,15 +147,6 @@
             return max(MIN_DURATION_S, declared_s)
         return math.exp(model.expected(_log_duration(declared_s)))
 
-    def shortest_s(self, queue: str, declared_s: float) -> float:
-        """Return a duration that a task hardly ends before, in seconds.
-
-        It approaches the expected duration as runs of the queue are observed.
-        """
-        model = self._models.get(queue)
-        weight = PRIOR_RUNS / (PRIOR_RUNS + model.count) if model else 1.0
-        return self.expected_s(queue, declared_s) / MAX_OVERESTIMATE**weight
-
     def _model(self, queue: str) -> _DurationModel:
         return self._models.setdefault(queue, _DurationModel())
 
--- a/packages/scheduling/src/cicadabank/scheduling/internal/headroom.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/headroom.py
@@ -58,7 +58,7 @@
         ----------
         unit : Unit
         slack_s : float
-            Seconds for which the unit's job can certainly wait without being late.
+            Seconds for which the unit's job can still wait without being late.
         """
         share = (slack_s - MIN_SLACK_S) / (FULL_SLACK_S - MIN_SLACK_S)
         headroom = self.size * min(1.0, max(0.0, share))
--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -4,7 +4,6 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Callable
 
 from cicadabank.scheduling.internal import lifecycle
 from cicadabank.scheduling.internal.headroom import Headroom
@@ -131,7 +130,7 @@
     job = state.jobs[unit.job]
     if id(unit) in guaranteed or state.queue_of(job.record).priority == 0:
         return True
-    return headroom.admits(unit, certain_slack_s(state, job))
+    return headroom.admits(unit, slack_s(state, job))
 
 
 def _log_held_back(state: CellState, unit: Unit, headroom: Headroom) -> None:
@@ -147,7 +146,6 @@
         first=unit.first_index,
         waited_s=round(age_s(state, job), 3),
         slack_s=round(slack_s(state, job), 3),
-        certain_slack_s=round(certain_slack_s(state, job), 3),
         free=headroom.free,
         headroom=headroom.size,
     )
@@ -207,20 +205,19 @@
     return guaranteed
 
 
-def critical_path_s(
-    state: CellState,
-    job: Job,
-    task_s: Callable[[str, float], float],
-    remaining_only: bool = False,
-) -> float:
-    """Return the duration of a job's critical path, in seconds.
+def relative_deadline_s(state: CellState, job: Job) -> float:
+    """Return the time after its acceptance within which a job is on time."""
+    queue = state.queue_of(job.record)
+    return queue.stretch * critical_path_s(state, job) + queue.latency_s
+
+
+def critical_path_s(state: CellState, job: Job, remaining_only: bool = False) -> float:
+    """Return the expected duration of a job's critical path, in seconds.
 
     Parameters
     ----------
     state : CellState
     job : Job
-    task_s : callable
-        Returns the duration of a task from its queue and declared duration.
     remaining_only : bool, default=False
         Whether to skip steps that are done.
     """
@@ -229,7 +226,7 @@
     queue = job.record.queue
     for index, step in enumerate(job.record.steps):
         before = max((ends[after] for after in step.after), default=0.0)
-        step_s = task_s(queue, step.estimate_s)
+        step_s = state.forecast.expected_s(queue, step.estimate_s)
         remaining_s = 0.0 if index in done else step_s * wave_count(state, step)
         ends.append(before + remaining_s)
     return max(ends, default=0.0)
@@ -245,25 +242,8 @@
 
 def slack_s(state: CellState, job: Job) -> float:
     """Return how long a job can still wait without being late; negative if it is."""
-    return _slack_s(state, job, state.forecast.expected_s)
-
-
-def certain_slack_s(state: CellState, job: Job) -> float:
-    """Return how long a job can wait without being late, also if its tasks are short.
-
-    A job has less time if its tasks are shorter, since its deadline is a multiple of
-    their duration.
-    """
-    return _slack_s(state, job, state.forecast.shortest_s)
-
-
-def _slack_s(
-    state: CellState, job: Job, task_s: Callable[[str, float], float]
-) -> float:
-    queue = state.queue_of(job.record)
-    deadline_s = queue.stretch * critical_path_s(state, job, task_s) + queue.latency_s
-    remaining_s = critical_path_s(state, job, task_s, remaining_only=True)
-    return deadline_s - age_s(state, job) - remaining_s
+    remaining_s = relative_deadline_s(state, job) - age_s(state, job)
+    return remaining_s - critical_path_s(state, job, remaining_only=True)
 
 
 def age_s(state: CellState, job: Job) -> float:
