--- a/packages/control/src/cicadabank/control/internal/cell_holder.py
+++ b/packages/control/src/cicadabank/control/internal/cell_holder.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
 
 import grpc
@@ -21,7 +21,6 @@
     CellScheduler,
     Commit,
     LeaseRow,
-    RowChange,
     Timings,
     pack,
 )
@@ -52,11 +51,6 @@
     logger.bind(event=event, **fields).info(event)
 
 
-def _conditional(rows: Iterable[RowChange]) -> list[RowChange]:
-    """Return the rows that are only written over an expected version."""
-    return [row for row in rows if row.expected is not None]
-
-
 class CellActor(Actor):
     """Holds a cell: commits its scheduler's decisions and sends them to agents.
 
@@ -123,19 +117,12 @@
                 (record, rows.runs.get(job)) for job, record in list(rows.jobs.items())
             )
         ]
-        self.scheduler.load(
-            jobs,
-            list(rows.cancelled),
-            now_s,
-            lease_expiry_s,
-            list(rows.forecasts.items()),
-        )
+        self.scheduler.load(jobs, list(rows.cancelled), now_s, lease_expiry_s)
         log_event(
             "cell_loaded",
             cell=self.cell,
             epoch=self.epoch,
             jobs=len(jobs),
-            forecasts=len(rows.forecasts),
             lapse_s=round(lease_expiry_s, 3),
         )
         self._plan_and_send()
@@ -243,7 +230,7 @@
         """Write to the store; return the new version and when the write was sent."""
         rows = commit.rows if commit else ()
         expected = {HOLDER_KEY: self.version}
-        expected.update({row.key: row.expected for row in _conditional(rows)})
+        expected.update({row.key: row.expected for row in rows})
         puts = {row.key: row.value for row in rows}
         sent_s = clock_s()
         puts[LEASE_KEY] = pack(LeaseRow(self.epoch, self._replica.store_now_s()))
@@ -294,7 +281,7 @@
         if holder is None or holder.version != self.version:
             self._fence("the holder row has another version")
             return
-        rows = _conditional(commit.rows) if commit else []
+        rows = commit.rows if commit else ()
         found = [error.rows.get(row.key) for row in rows]
         if rows and all(
             stored is not None and stored.value == row.value
--- a/packages/control/src/cicadabank/control/internal/replica.py
+++ b/packages/control/src/cicadabank/control/internal/replica.py
@@ -10,13 +10,11 @@
 from cicadabank.scheduling import (
     AGENT_PREFIX,
     CANCEL_PREFIX,
-    FORECAST_PREFIX,
     HOLDER_KEY,
     JOB_PREFIX,
     LEASE_KEY,
     RUN_PREFIX,
     AgentRow,
-    DurationStatistics,
     HolderRow,
     JobProgressRow,
     JobRecord,
@@ -40,7 +38,6 @@
     __slots__ = (
         "agents",
         "cancelled",
-        "forecasts",
         "holder",
         "holder_version",
         "jobs",
@@ -53,7 +50,6 @@
         self.runs: dict[str, StoredRun] = {}
         self.cancelled: set[str] = set()
         self.agents: set[str] = set()
-        self.forecasts: dict[str, DurationStatistics] = {}  # by queue
         self.holder: HolderRow | None = None
         self.holder_version = 0
         self.lease_seen_s = float("-inf")  # on the store's clock
@@ -164,8 +160,6 @@
             cell.cancelled.add(name)
         elif kind == AGENT_PREFIX:
             cell.agents.add(unpack(row.value, AgentRow).address)
-        elif kind == FORECAST_PREFIX:
-            cell.forecasts[name] = unpack(row.value, DurationStatistics)
         elif kind == HOLDER_KEY:
             cell.holder = unpack(row.value, HolderRow)
             cell.holder_version = row.version
@@ -183,5 +177,3 @@
         cell.cancelled.discard(name)
     elif kind == AGENT_PREFIX:
         cell.agents.discard(name)
-    elif kind == FORECAST_PREFIX:
-        cell.forecasts.pop(name, None)
--- a/packages/scheduling/src/cicadabank/scheduling/__init__.py
+++ b/packages/scheduling/src/cicadabank/scheduling/__init__.py
@@ -7,7 +7,6 @@
 """
 
 from cicadabank.scheduling.internal.cell import CellScheduler
-from cicadabank.scheduling.internal.forecast import DurationStatistics
 from cicadabank.scheduling.internal.jobs import (
     Configuration,
     JobRecord,
@@ -22,7 +21,6 @@
 from cicadabank.scheduling.internal.rows import (
     AGENT_PREFIX,
     CANCEL_PREFIX,
-    FORECAST_PREFIX,
     HOLDER_KEY,
     JOB_PREFIX,
     LEASE_KEY,
@@ -36,13 +34,7 @@
     pack,
     unpack,
 )
-from cicadabank.scheduling.internal.state import (
-    AgentOrders,
-    Commit,
-    RowChange,
-    Start,
-    Timings,
-)
+from cicadabank.scheduling.internal.state import AgentOrders, Commit, Start, Timings
 from cicadabank.scheduling.internal.targets import EndedRun, Report, RunningRun
 from cicadabank.scheduling.internal.units import ENDED_STATES, TargetIncarnation
 
@@ -50,7 +42,6 @@
     "AGENT_PREFIX",
     "CANCEL_PREFIX",
     "ENDED_STATES",
-    "FORECAST_PREFIX",
     "HOLDER_KEY",
     "JOB_PREFIX",
     "LEASE_KEY",
@@ -62,7 +53,6 @@
     "CellScheduler",
     "Commit",
     "Configuration",
-    "DurationStatistics",
     "EndedRun",
     "HolderRow",
     "JobProgressRow",
@@ -73,7 +63,6 @@
     "ReportReply",
     "Resources",
     "RouteConfig",
-    "RowChange",
     "RunId",
     "RunningRun",
     "Start",
--- a/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
@@ -5,11 +5,9 @@
 from collections.abc import Iterable
 
 from cicadabank.scheduling.internal import drains, lifecycle, planner, reports
-from cicadabank.scheduling.internal.forecast import DurationStatistics
 from cicadabank.scheduling.internal.jobs import Configuration, JobRecord
 from cicadabank.scheduling.internal.reports import ReportReply
 from cicadabank.scheduling.internal.rows import (
-    FORECAST_PREFIX,
     RUN_PREFIX,
     JobProgressRow,
     job_progress_row,
@@ -28,10 +26,9 @@
 from cicadabank.scheduling.internal.targets import Report
 from cicadabank.scheduling.internal.units import Job, Phase, Unit
 
-# Together below the store's limit of 100 entries per transaction, not counting
-# conditions. The holder adds its lease row to each commit.
-MAX_JOBS_PER_COMMIT = 80
-MAX_FORECASTS_PER_COMMIT = 15
+# Below the store's limit of 100 entries per transaction, not counting conditions. The
+# holder adds its lease row to each commit.
+MAX_ROWS_PER_COMMIT = 80
 
 
 class CellScheduler:
@@ -70,7 +67,6 @@
         cancelled: Iterable[str],
         now_s: float,
         lease_expiry_s: float | None = None,
-        forecasts: Iterable[tuple[str, DurationStatistics]] = (),
     ) -> None:
         """Restore the cell's state from the store after a takeover.
 
@@ -85,13 +81,9 @@
             Time in seconds after which every lease granted by an earlier holder has
             expired, by the targets' clocks. Defaults to ``Timings.outage_s``, which
             also covers an earlier holder that still runs but is cut off from the store.
-        forecasts : iterable of (str, DurationStatistics)
-            What earlier holders learned of each queue.
         """
         state = self.state
         state.now_s = now_s
-        for queue, statistics in forecasts:
-            state.forecast.restore(queue, statistics)
         for record, row, version in jobs:
             job = restore_job(record, row, version, now_s)
             self._add_job(job)
@@ -237,7 +229,7 @@
         state = self.state
         if state.fenced or state.in_flight is not None or not state.dirty:
             return None
-        jobs = list(state.dirty.values())[:MAX_JOBS_PER_COMMIT]
+        jobs = list(state.dirty.values())[:MAX_ROWS_PER_COMMIT]
         for job in jobs:
             del state.dirty[job.record.job]
         rows = tuple(
@@ -245,11 +237,6 @@
                 RUN_PREFIX + job.record.job, job.version, pack(job_progress_row(job))
             )
             for job in jobs
-        ) + tuple(
-            RowChange(FORECAST_PREFIX + queue, None, pack(statistics))
-            for queue, statistics in state.forecast.take_changed(
-                MAX_FORECASTS_PER_COMMIT
-            )
         )
         starting = tuple(
             unit for job in jobs for unit in job.units if unit.phase is Phase.COMMITTING
--- a/packages/scheduling/src/cicadabank/scheduling/internal/forecast.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/forecast.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from typing import NamedTuple
 
 # Shorter durations count as this long, which bounds their logarithms.
 MIN_DURATION_S = 0.2
@@ -14,22 +13,6 @@
 PRIOR_RUNS = 3.0
 # Variance of the logarithms of declared durations that the prior assumes.
 PRIOR_VARIANCE = 0.5
-# Once as many runs have been observed, old ones lose weight with each new one, so that
-# forecasts follow durations that change.
-MAX_COUNTED_RUNS = 200
-
-
-class DurationStatistics(NamedTuple):
-    """What has been learned of the durations of a queue's tasks.
-
-    Sums and means are of log durations, as in `_DurationModel`.
-    """
-
-    count: int
-    mean_declared: float
-    mean_actual: float
-    sum_xx: float
-    sum_xy: float
 
 
 class _DurationModel:
@@ -63,29 +46,13 @@
 
     def observe(self, declared: float, actual: float) -> None:
         """Add the declared and the actual log duration of a finished task."""
-        if self.count < MAX_COUNTED_RUNS:
-            self.count += 1
-        else:
-            self.sum_xx *= 1.0 - 1.0 / MAX_COUNTED_RUNS
-            self.sum_xy *= 1.0 - 1.0 / MAX_COUNTED_RUNS
+        self.count += 1
         deviation = declared - self.mean_declared
         self.mean_declared += deviation / self.count
         self.mean_actual += (actual - self.mean_actual) / self.count
         self.sum_xx += deviation * (declared - self.mean_declared)
         self.sum_xy += deviation * (actual - self.mean_actual)
 
-    def statistics(self) -> DurationStatistics:
-        """Return what has been learned from finished tasks."""
-        return DurationStatistics(
-            self.count, self.mean_declared, self.mean_actual, self.sum_xx, self.sum_xy
-        )
-
-    def restore(self, statistics: DurationStatistics) -> None:
-        """Replace what has been learned from finished tasks."""
-        self.count, self.mean_declared, self.mean_actual, self.sum_xx, self.sum_xy = (
-            statistics
-        )
-
     def expected(self, declared: float) -> float:
         """Return the expected logarithm of the actual duration."""
         weight = self.count / (self.count + PRIOR_RUNS)
@@ -111,8 +78,6 @@
 
     def __init__(self) -> None:
         self._models: dict[str, _DurationModel] = {}
-        # Queues with observations that have not been returned for storing.
-        self._changed: set[str] = set()
 
     def add_declared(self, queue: str, declared_s: float) -> None:
         """Record the declared duration of a step of a new job."""
@@ -121,17 +86,6 @@
     def observe(self, queue: str, declared_s: float, actual_s: float) -> None:
         """Record how long a task ran from its start to its end."""
         self._model(queue).observe(_log_duration(declared_s), _log_duration(actual_s))
-        self._changed.add(queue)
-
-    def restore(self, queue: str, statistics: DurationStatistics) -> None:
-        """Continue from statistics that an earlier holder stored."""
-        self._model(queue).restore(statistics)
-
-    def take_changed(self, limit: int) -> list[tuple[str, DurationStatistics]]:
-        """Return up to `limit` queues with their statistics, if not yet returned."""
-        queues = sorted(self._changed)[:limit]
-        self._changed.difference_update(queues)
-        return [(queue, self._models[queue].statistics()) for queue in queues]
 
     def expected_s(self, queue: str, declared_s: float) -> float:
         """Return the expected duration of a task, in seconds.
--- a/packages/scheduling/src/cicadabank/scheduling/internal/rows.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/rows.py
@@ -9,13 +9,11 @@
 from cicadabank.scheduling.internal.units import Job, Member, Phase, TargetIncarnation
 
 TABLE = "cells"
-# Prefixes of keys, each followed by the id of a job or an agent, but for the last.
+# Prefixes of keys, each followed by the id of a job or an agent.
 JOB_PREFIX = "job/"
 CANCEL_PREFIX = "cancel/"
 RUN_PREFIX = "run/"
 AGENT_PREFIX = "agent/"
-# Followed by the name of a queue; the row is a `DurationStatistics`.
-FORECAST_PREFIX = "forecast/"
 # Complete keys.
 HOLDER_KEY = "holder"
 LEASE_KEY = "lease"
--- a/packages/scheduling/src/cicadabank/scheduling/internal/state.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/state.py
@@ -99,18 +99,10 @@
 
 
 class RowChange(NamedTuple):
-    """A row to be written.
-
-    Attributes
-    ----------
-    key : str
-    expected : int or None
-        The write applies only if the row has this version; None if any version will do.
-    value : bytes
-    """
+    """A conditional write: applies only if the row has the expected version."""
 
     key: str
-    expected: int | None
+    expected: int
     value: bytes
 
 
