--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -134,7 +134,7 @@
 
 
 def _log_held_back(state: CellState, unit: Unit, headroom: Headroom) -> None:
-    """Log that a step waits for headroom, unless its last line said so already."""
+    """Log that a step waits for headroom, once until one of its units is placed."""
     job = state.jobs[unit.job]
     if unit.step in job.held_back_steps:
         return
