Log failed calls to agents

After a loss of power of all VMs, agents learn who holds their cell 1.0 s after they have announced themselves. The logs couldn't tell whether the holder calls them late, or calls them and fails: `_on_order_reply` dropped the error.

--- a/packages/control/src/cicadabank/control/internal/cell_holder.py
+++ b/packages/control/src/cicadabank/control/internal/cell_holder.py
@@ -332,6 +332,7 @@
             if reply.epoch > self.epoch:
                 self._fence("an agent has seen a newer epoch")
             return
+        log_event("order_failed", agent=agent, epoch=self.epoch, code=error.code().name)
         if error.code() == grpc.StatusCode.DEADLINE_EXCEEDED:
             self._pool.drop(agent)
 
