Reach a started agent over a new connection

Callers saw jobs end a second later than needed after all VMs had lost power, or all processes had been killed.

Cause: a new holder calls all known agents, those that don't listen yet included. Their channels are then in gRPC's reconnect backoff (200 ms, then more). An agent that announces itself meanwhile is called at once, but on the same channel, so that the call fails without an attempt to connect; the next one is due a second later (`contact_retry_s`). Until then its target is unknown: nothing is placed there, and ended runs are not read.

The channel of an agent that announces its start is now replaced: no connection to its earlier process can be of use.

Ruled out: the agents' announcements (they are written 0.02 s after the start) and the feed.

--- a/packages/control/src/cicadabank/control/internal/cell_holder.py
+++ b/packages/control/src/cicadabank/control/internal/cell_holder.py
@@ -151,6 +151,8 @@
             self.scheduler.on_cancel(name, now_s)
         elif kind == "agent" and name in rows.agents:
             self.scheduler.on_agent_started(name)
+            # Attempts to reach it before it listened have left the channel in backoff.
+            self._pool.drop(name)
             self._notify_silent_agents(now_s)
         elif kind == "agent":
             self.scheduler.on_agent_removed(name)
--- a/tests/cover/test_cell_holder.py
+++ b/tests/cover/test_cell_holder.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+import threading
 import time
 from contextlib import ExitStack
 
@@ -11,9 +13,11 @@
 from cicadabank.control.internal.feed import CellsFeed, OperatorView
 from cicadabank.control.internal.replica import Replica
 from cicadabank.scheduling import (
+    AGENT_PREFIX,
     HOLDER_KEY,
     JOB_PREFIX,
     RUN_PREFIX,
+    AgentRow,
     Configuration,
     HolderRow,
     JobProgressRow,
@@ -26,7 +30,7 @@
 )
 from cicadabank.standin import MemoryTable
 from cicadabank.tasks import running
-from cicadabank.wire import ChannelPool
+from cicadabank.wire import ChannelPool, fleet_pb2, fleet_pb2_grpc, serve
 
 RECORD = JobRecord("j", "q", "w", 0.0, "spec", (StepSpec(1, Resources(1, 1, 1), 1.0),))
 OPERATOR = OperatorView(Configuration(), frozenset())
@@ -103,3 +107,34 @@
             time.sleep(0.02)
         assert holder.actor.scheduler.state.in_flight is None
         assert not holder.fenced
+
+
+class ListeningAgent:
+    """An agent that only records which epochs it has been told of."""
+
+    def __init__(self) -> None:
+        self.told = threading.Event()
+
+    def Order(self, request, context):  # noqa: N802 (named by the protocol)
+        self.told.set()
+        return fleet_pb2.OrderReply(epoch=request.epoch, accepted=True)
+
+
+class TestStartedAgents:
+    # Guards against an agent that learns a second after its start who holds its cell,
+    # since the holder's connection to its address is in backoff.
+    @pytest.mark.parametrize("silent_s", [0.3, 1.2, 2.4])
+    def test_an_agent_that_did_not_listen_before_is_told_at_once(
+        self, table, stack, silent_s
+    ):
+        with socket.socket() as unused:
+            unused.bind(("127.0.0.1", 0))
+            address = f"127.0.0.1:{unused.getsockname()[1]}"
+        table.commit("cell", {}, {AGENT_PREFIX + address: pack(AgentRow(address))})
+        holder = Holder(table, 1, stack)
+        time.sleep(silent_s)
+        agent = ListeningAgent()
+        service = (fleet_pb2_grpc.add_StewardServicer_to_server, agent)
+        stack.enter_context(serve(address, [service], 2))
+        holder.actor.ask(holder.actor.on_row, "agent", address)
+        assert agent.told.wait(0.3)
