Freeze the holder only once the gang has begun

TestFrozenHolder::test_resumed_entry_starts_nothing_twice froze the holder as soon as the job was shown as running. That is before its members are told to begin: a holder frozen in between leaves a gang of which nothing has begun, and the next holder truthfully requeues it ("no member had started"), so that the job has two attempts without having run twice.

The test now waits until both workers run their part, asked from their runners, and checks as much as before: one attempt, and no start under the frozen holder's epoch.

--- a/tests/processes/test_agent_paths.py
+++ b/tests/processes/test_agent_paths.py
@@ -8,7 +8,6 @@
 import pytest
 from cicadabank.local import DeploymentSize, Ports, make_layout
 from cicadabank.standin import proxy_running
-from cicadabank.wire import ChannelPool, targets_pb2, targets_pb2_grpc
 
 from tests.support.deployments import DOMAINS, OVERRIDES, layout_running
 
@@ -69,16 +68,6 @@
         yield harness, proxies
 
 
-def runner_task_states(harness, worker):
-    """Return the states of a worker's tasks, queried from its runner directly."""
-    pool = ChannelPool()
-    address = harness.deployment.layout.settings[worker]["listen"]
-    stub = targets_pb2_grpc.RunnerStub(pool.get(address))
-    states = [task.state for task in stub.Usage(targets_pb2.Empty()).tasks]
-    pool.close()
-    return states
-
-
 class TestRunnerConnection:
     @pytest.mark.parametrize(
         ("worker", "domain", "tasks"),
@@ -101,6 +90,6 @@
             lambda: harness.client.job(job)["state"] == "queued", "the requeued job"
         )
         for name in ("worker-1", "worker-2", "worker-3", "worker-4"):
-            assert set(runner_task_states(harness, name)) <= {"stopped"}
+            assert set(harness.task_states(name)) <= {"stopped"}
         harness.client.apply("failure-domain", {"name": domain, "out": False})
         assert harness.wait_ended(job)["state"] == "done"
--- a/tests/processes/test_holder_faults.py
+++ b/tests/processes/test_holder_faults.py
@@ -57,7 +57,10 @@
         harness.deployment.wait_ready(4, 2)
         holder = harness.holder()
         job = harness.submit(run_s=8.0, tasks=8, idempotent=False)
-        harness.wait_running(job)
+        # A gang that has not begun on each of its two workers may be requeued.
+        harness.wait_until(
+            lambda: harness.running_attempts() == 2, "the start of the gang's tasks"
+        )
         harness.deployment.suspend(holder)
         with harness.other_entry_client(holder) as other_entry:
             harness.wait_until(
--- a/tests/support/deployments.py
+++ b/tests/support/deployments.py
@@ -15,6 +15,7 @@
     wait_until,
 )
 from cicadabank.standin import StandInUnreachableError, set_fault
+from cicadabank.wire import ChannelPool, targets_pb2, targets_pb2_grpc
 
 ENDED = {"done", "failed", "refused", "cancelled", "outcome-unknown"}
 DOMAINS = ("erie", "huron")
@@ -62,6 +63,22 @@
         spec = {"workspace": "glaze", "payload": payload, **fields}
         return self.client.submit(spec, key)["job"]
 
+    def task_states(self, worker):
+        """Return the states of a worker's tasks, queried from its runner directly."""
+        pool = ChannelPool()
+        address = self.deployment.layout.settings[worker]["listen"]
+        stub = targets_pb2_grpc.RunnerStub(pool.get(address))
+        states = [task.state for task in stub.Usage(targets_pb2.Empty()).tasks]
+        pool.close()
+        return states
+
+    def running_attempts(self):
+        """Return how many attempts run, counted on each worker that runs a part."""
+        workers = [
+            n for n in self.deployment.layout.settings if n.startswith("worker-")
+        ]
+        return sum(self.task_states(name).count("running") for name in workers)
+
     def wait_ended(self, job, client=None):
         return (client or self.client).wait_for_job(job, ENDED)
 
