Forecast by the progress that targets report

Callers saw jobs wait beside idle accelerators, or lose their runs to more urgent jobs seconds before their end.

Cause: forecasts relied on declared durations until tasks of the queue had ended under the same holder. Targets report for each run how much of its work is done, to the percent; nothing used that.

Once a run has done a tenth of the work, its remaining time follows from its progress; its duration is learned for the step and the queue at that moment, not at its end, so that short tasks are not learned first. A stopped run's saved share counts as done. Runs on remote racks teach nothing: they take three times as long. Reports now carry the age of their lists, since a list may be a second old and progress is a rate.

The in-memory targets reported 100 % throughout; they now report what is done.

--- a/packages/control/src/cicadabank/control/internal/conversion.py
+++ b/packages/control/src/cicadabank/control/internal/conversion.py
@@ -42,6 +42,7 @@
         draining=message.draining,
         remaining_s=message.remaining_s,
         observed=message.observed,
+        listed_age_s=message.listed_age_s,
         unhealthy=message.unhealthy,
         leaving=message.leaving,
         running=tuple(
--- a/packages/control/src/cicadabank/control/internal/target_controller.py
+++ b/packages/control/src/cicadabank/control/internal/target_controller.py
@@ -379,6 +379,7 @@
         )
         if self._listing is not None:
             message.observed = True
+            message.listed_age_s = now_s - self._last_reply_s
             self._add_runs(message, self._listing)
         return message
 
--- a/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
@@ -276,6 +276,7 @@
         unit.phase = Phase.RUNNING
         unit.started_s = unit.checkpointed_s = state.now_s
         unit.is_timed = True
+        unit.progress = None
         lost = any(member.released for member in unit.members)
         if unit.stop_reason or lost or job.cancelled or job.reason:
             # No start was ordered for this run, so there is nothing to stop.
--- a/packages/scheduling/src/cicadabank/scheduling/internal/forecast.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/forecast.py
@@ -67,6 +67,31 @@
         return shrunk_actual + self.sum_xy / self.sum_xx * (declared - shrunk_declared)
 
 
+class MeasuredDurations:
+    """Mean log duration of the tasks of one step that have been measured."""
+
+    __slots__ = ("_count", "_mean")
+
+    def __init__(self) -> None:
+        self._count = 0
+        self._mean = 0.0
+
+    def add(self, duration_s: float) -> None:
+        """Add the duration of a task."""
+        self._count += 1
+        self._mean += (_log_duration(duration_s) - self._mean) / self._count
+
+    def combine(self, expected: float) -> float:
+        """Return a forecast log duration of the step's other tasks.
+
+        Parameters
+        ----------
+        expected : float
+            Forecast log duration without these measurements; it counts as one more.
+        """
+        return (self._count * self._mean + expected) / (self._count + 1)
+
+
 class Forecast:
     """Forecasts how long the tasks of each queue run.
 
@@ -84,10 +109,12 @@
         self._model(queue).add_declared(_log_duration(declared_s))
 
     def observe(self, queue: str, declared_s: float, actual_s: float) -> None:
-        """Record how long a task ran from its start to its end."""
+        """Record how long a run takes that does all of a task's work."""
         self._model(queue).observe(_log_duration(declared_s), _log_duration(actual_s))
 
-    def expected_s(self, queue: str, declared_s: float) -> float:
+    def expected_s(
+        self, queue: str, declared_s: float, measured: MeasuredDurations | None = None
+    ) -> float:
         """Return the expected duration of a task, in seconds.
 
         Parameters
@@ -95,11 +122,14 @@
         queue : str
         declared_s : float
             Duration declared by the job.
+        measured : MeasuredDurations, optional
+            Durations of other tasks of the same step.
         """
         model = self._models.get(queue)
-        if model is None:
-            return max(MIN_DURATION_S, declared_s)
-        return math.exp(model.expected(_log_duration(declared_s)))
+        expected = _log_duration(declared_s)
+        if model is not None:
+            expected = model.expected(expected)
+        return math.exp(measured.combine(expected) if measured else expected)
 
     def _model(self, queue: str) -> _DurationModel:
         return self._models.setdefault(queue, _DurationModel())
--- a/packages/scheduling/src/cicadabank/scheduling/internal/lifecycle.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/lifecycle.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from cicadabank.scheduling.internal.forecast import MeasuredDurations
+from cicadabank.scheduling.internal.placement import is_local
 from cicadabank.scheduling.internal.state import CellState
 from cicadabank.scheduling.internal.targets import EndedRun, Target
 from cicadabank.scheduling.internal.units import Job, Phase, Unit
@@ -38,6 +40,8 @@
     elif found is not None:
         if end.checkpoint:
             unit.checkpoint = end.checkpoint
+            if unit.progress is not None:
+                unit.saved_percent = unit.progress.percent
         if end.outcome == "failed":
             _count_failure(state, job, unit, target)
         stop_unit(state, unit, end.outcome)
@@ -61,11 +65,10 @@
     if unit.phase is Phase.CLAIMING:
         release_claim(state, unit)
     newer_run = unit.run != run
-    has_measured_duration = unit.is_timed and not unit.checkpoint and not newer_run
-    if unit.phase is Phase.RUNNING and has_measured_duration:
-        actual_s = state.now_s - unit.started_s
-        queue = job.record.queue
-        state.forecast.observe(queue, unit.spec.estimate_s, actual_s)
+    is_complete_run = unit.is_timed and not unit.checkpoint and not newer_run
+    if unit.phase is Phase.RUNNING and is_complete_run and unit.duration_s is None:
+        if is_local(unit, state.targets_by_incarnation):
+            record_duration(state, unit, state.now_s - unit.started_s)
     unit.phase = Phase.DONE
     unit.done_s = float("-inf") if newer_run else state.now_s
     state.mark_dirty(job)
@@ -78,6 +81,25 @@
         finish_job(state, job, "completed", "")
 
 
+def record_duration(state: CellState, unit: Unit, duration_s: float) -> None:
+    """Record the measured duration of a unit; learn from its first measurement."""
+    if unit.duration_s is None:
+        job = state.jobs[unit.job]
+        if unit.step not in job.measured_by_step:
+            state.log(
+                "step_measured",
+                job=unit.job,
+                step=unit.step,
+                first=unit.first_index,
+                declared_s=unit.spec.estimate_s,
+                expected_s=round(state.expected_s(unit), 3),
+                measured_s=round(duration_s, 3),
+            )
+        state.forecast.observe(job.record.queue, unit.spec.estimate_s, duration_s)
+        job.measured_by_step.setdefault(unit.step, MeasuredDurations()).add(duration_s)
+    unit.duration_s = duration_s
+
+
 def stop_unit(state: CellState, unit: Unit, reason: str) -> None:
     """Stop a unit that has been placed, or release its claim if it has not started."""
     if unit.phase is Phase.CLAIMING:
--- a/packages/scheduling/src/cicadabank/scheduling/internal/placement.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/placement.py
@@ -14,7 +14,7 @@
 
 from cicadabank.scheduling.internal.jobs import Resources, StepSpec
 from cicadabank.scheduling.internal.targets import Target, fits, max_tasks
-from cicadabank.scheduling.internal.units import Unit
+from cicadabank.scheduling.internal.units import TargetIncarnation, Unit
 
 
 class Victim(NamedTuple):
@@ -68,6 +68,20 @@
     return group_by_rack(local) if needs_one_rack(unit) else [local]
 
 
+def is_local(
+    unit: Unit, targets_by_incarnation: dict[TargetIncarnation, Target]
+) -> bool:
+    """Return whether the current placement of a unit is local."""
+    racks = {
+        target.rack
+        for member in unit.members
+        if (target := targets_by_incarnation.get(member.target_incarnation))
+    }
+    if needs_one_rack(unit) and len(racks) > 1:
+        return False
+    return not unit.spec.data_rack or racks == {unit.spec.data_rack}
+
+
 def find_placement(
     unit: Unit,
     targets: list[Target],
--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -223,10 +223,9 @@
     """
     done = job.done_steps() if remaining_only else set()
     ends: list[float] = []
-    queue = job.record.queue
     for index, step in enumerate(job.record.steps):
         before = max((ends[after] for after in step.after), default=0.0)
-        step_s = state.forecast.expected_s(queue, step.estimate_s)
+        step_s = state.expected_step_s(job, index)
         remaining_s = 0.0 if index in done else step_s * wave_count(state, step)
         ends.append(before + remaining_s)
     return max(ends, default=0.0)
@@ -279,8 +278,7 @@
 def work_core_s(state: CellState, job: Job) -> float:
     """Return the expected work of a job; an accelerator counts as eight cores."""
     return sum(
-        unit.core_equivalents
-        * state.forecast.expected_s(job.record.queue, unit.spec.estimate_s)
+        unit.core_equivalents * state.expected_step_s(job, unit.step)
         for unit in job.units
     )
 
--- a/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
@@ -6,8 +6,10 @@
 
 from cicadabank.scheduling.internal import lifecycle
 from cicadabank.scheduling.internal.jobs import RunId
+from cicadabank.scheduling.internal.placement import is_local
+from cicadabank.scheduling.internal.progress import RunProgress
 from cicadabank.scheduling.internal.state import CellState, Start
-from cicadabank.scheduling.internal.targets import Report, Target
+from cicadabank.scheduling.internal.targets import Report, RunningRun, Target
 from cicadabank.scheduling.internal.units import Phase, TargetIncarnation, Unit
 
 # Time for which the members of a done gang may go on before they are stopped. Normally,
@@ -144,7 +146,7 @@
             target.processed_sequence = end.sequence
     for run in report.running:
         reported.add(run.id[:3])
-        _handle_running(state, target, run)
+        _handle_running(state, target, run, state.now_s - report.listed_age_s)
     reported.update(run[:3] for run in report.pending)
     settled = [*report.not_running, *(run for run, _ in report.refused)]
     for run in report.not_running:
@@ -179,7 +181,9 @@
     return unit.phase is Phase.STOPPING
 
 
-def _handle_running(state: CellState, target: Target, run) -> None:
+def _handle_running(
+    state: CellState, target: Target, run: RunningRun, listed_s: float
+) -> None:
     found = state.find_member(run.id, target.target_incarnation)
     if found is None:
         orders = state.orders_for(target)
@@ -192,9 +196,12 @@
         member.running = True
         if unit.phase is Phase.RUNNING and all(m.running for m in unit.members):
             unit.started_s = unit.checkpointed_s = state.now_s
+    if member_index == 0:
+        _update_progress(state, unit, run, listed_s)
     if run.checkpoint and run.checkpoint != unit.checkpoint:
         unit.checkpoint = run.checkpoint
         unit.checkpointed_s = state.now_s
+        unit.saved_percent = run.percent
         if (
             state.now_s - unit.checkpoint_stored_s
             >= state.timings.checkpoint_write_interval_s
@@ -203,6 +210,22 @@
             state.mark_dirty(state.jobs[unit.job])
 
 
+def _update_progress(
+    state: CellState, unit: Unit, run: RunningRun, listed_s: float
+) -> None:
+    """Update a unit's progress, and learn the duration of its tasks from it."""
+    if unit.phase is not Phase.RUNNING or not run.percent:
+        # Its agent has started the run, but its target has not listed it yet.
+        return
+    if unit.progress is None:
+        unit.progress = RunProgress(listed_s, run.percent)
+        return
+    unit.progress.update(listed_s, run.percent)
+    duration_s = unit.progress.duration_s
+    if duration_s is not None and is_local(unit, state.targets_by_incarnation):
+        lifecycle.record_duration(state, unit, duration_s)
+
+
 def _handle_not_running(
     state: CellState, target_incarnation: TargetIncarnation, run: RunId, reason: str
 ) -> None:
--- a/packages/scheduling/src/cicadabank/scheduling/internal/reservations.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/reservations.py
@@ -32,7 +32,7 @@
         """Return the targets that a unit may use without delaying a reservation."""
         if not self._needed_at_s:
             return targets
-        ends_s = self._state.now_s + self._state.expected_s(unit)
+        ends_s = self._state.now_s + self._state.remaining_s(unit)
         return [
             target
             for target in targets
--- a/packages/scheduling/src/cicadabank/scheduling/internal/state.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/state.py
@@ -199,8 +199,16 @@
 
     def expected_s(self, unit: Unit) -> float:
         """Return the expected duration of a complete run of a unit, in seconds."""
-        queue = self.jobs[unit.job].record.queue
-        return self.forecast.expected_s(queue, unit.spec.estimate_s)
+        if unit.duration_s is not None:
+            return unit.duration_s
+        return self.expected_step_s(self.jobs[unit.job], unit.step)
+
+    def expected_step_s(self, job: Job, step: int) -> float:
+        """Return the expected duration of a task that has not been measured."""
+        record = job.record
+        return self.forecast.expected_s(
+            record.queue, record.steps[step].estimate_s, job.measured_by_step.get(step)
+        )
 
     def remaining_s(self, unit: Unit) -> float:
         """Return the expected remaining duration of a unit, in seconds.
@@ -208,7 +216,10 @@
         At least 0.2 s for a running unit.
         """
         if unit.phase is not Phase.RUNNING:
-            return self.expected_s(unit)
+            return self.expected_s(unit) * (1.0 - unit.saved_percent / 100)
+        measured_s = unit.progress.remaining_s(self.now_s) if unit.progress else None
+        if measured_s is not None:
+            return max(measured_s, 0.2)
         elapsed_s = self.now_s - unit.started_s
         return max(self.expected_s(unit) - elapsed_s, OVERRUN_SHARE * elapsed_s, 0.2)
 
--- a/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
@@ -16,7 +16,13 @@
 
 
 class RunningRun(NamedTuple):
-    """A run that a target reports as running."""
+    """A run that a target reports as running.
+
+    Attributes
+    ----------
+    percent : int
+        Share of the task's work that is done.
+    """
 
     id: RunId
     checkpoint: str
@@ -48,6 +54,8 @@
         Time until a draining target may terminate.
     observed : bool
         Whether the lists of runs were read from this incarnation of the target.
+    listed_age_s : float
+        Age of the lists of running and ended runs when the report was sent.
     unhealthy : bool
         Whether the target does not reply to its agent or has refused a start as
         unhealthy.
@@ -73,6 +81,7 @@
     draining: bool = False
     remaining_s: float = 0.0
     observed: bool = False
+    listed_age_s: float = 0.0
     unhealthy: bool = False
     leaving: bool = False
     running: tuple[RunningRun, ...] = ()
--- a/packages/scheduling/src/cicadabank/scheduling/internal/units.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/units.py
@@ -5,7 +5,9 @@
 from enum import Enum
 from typing import NamedTuple
 
+from cicadabank.scheduling.internal.forecast import MeasuredDurations
 from cicadabank.scheduling.internal.jobs import JobRecord, RunId, StepSpec
+from cicadabank.scheduling.internal.progress import RunProgress
 
 
 class Phase(Enum):
@@ -74,13 +76,16 @@
         "checkpoint_stored_s",
         "checkpointed_s",
         "done_s",
+        "duration_s",
         "failed_runs",
         "first_index",
         "is_timed",
         "job",
         "members",
         "phase",
+        "progress",
         "run",
+        "saved_percent",
         "size",
         "spec",
         "started_s",
@@ -105,6 +110,11 @@
         # Whether `started_s` is when the current run began. It is not for a run that an
         # earlier holder started.
         self.is_timed = True
+        # Progress of the current run, once its target has listed it.
+        self.progress: RunProgress | None = None
+        # Measured duration of a run that does all of the task's work.
+        self.duration_s: float | None = None
+        self.saved_percent = 0  # share of the work that the checkpoint contains
         self.checkpointed_s = 0.0
         self.checkpoint_stored_s = 0.0  # when its checkpoint was last stored in a row
         self.done_s = float("-inf")
@@ -146,6 +156,7 @@
         "dirty",
         "ended_s",
         "held_back_steps",
+        "measured_by_step",
         "reason",
         "record",
         "state",
@@ -161,6 +172,7 @@
         self.ended_s = 0.0
         self.version = 0
         self.dirty = False
+        self.measured_by_step: dict[int, MeasuredDurations] = {}
         self.held_back_steps: set[int] = set()  # logged as waiting for headroom
         self.units: list[Unit] = []
         for step_index, step in enumerate(record.steps):
--- a/tests/cover/test_load_patterns.py
+++ b/tests/cover/test_load_patterns.py
@@ -4,7 +4,9 @@
 
 import pytest
 from cicadabank.scheduling import QueueConfig, Resources, StepSpec
+from cicadabank.scheduling.internal import lifecycle
 from cicadabank.scheduling.internal.planner import waste_cost_per_core_s
+from cicadabank.scheduling.internal.units import Phase
 
 from tests.support.in_memory_cell import ModelCell, ModelTarget
 
@@ -158,6 +160,61 @@
         assert cell.scheduler.state.forecast.expected_s("batch", 20.0) > 15.0
 
 
+class TestTasksDeclaredTooLong:
+    """Tasks end after a fraction of their declared duration.
+
+    Guards against decisions by declared durations while targets report how much of the
+    work is done.
+    """
+
+    STEP = StepSpec(48, Resources(1000, 1000, 1), 60.0, checkpointable=True)
+
+    @pytest.fixture
+    def busy_cell(self, cell):
+        """Return a full cell, whose tasks are declared too long."""
+        cell.duration_s = lambda run, spec: 10.0 if run.job == "wide" else 4.0
+        cell.submit("wide", "batch", [self.STEP])
+        cell.run_until(lambda: cell.state("wide") == "running")
+        return cell
+
+    def remaining_s(self, cell):
+        state = cell.scheduler.state
+        return state.remaining_s(state.jobs["wide"].units[0])
+
+    def test_running_tasks_are_expected_to_end_as_their_progress_shows(self, busy_cell):
+        busy_cell.run(5.0)
+        assert 3.5 < self.remaining_s(busy_cell) < 6.0
+
+    def test_a_new_holder_expects_the_same(self, busy_cell):
+        busy_cell.run(5.0)
+        busy_cell.take_over()
+        busy_cell.run(2.0)
+        assert 1.5 < self.remaining_s(busy_cell) < 4.0
+
+    def test_forecasts_learn_from_tasks_that_still_run(self, busy_cell):
+        busy_cell.run(5.0)
+        forecast = busy_cell.scheduler.state.forecast
+        assert 8.0 < forecast.expected_s("batch", 60.0) < 15.0
+
+    def test_tasks_that_are_about_to_end_are_not_preempted(self, busy_cell):
+        busy_cell.run(9.0)
+        large = StepSpec(1, Resources(3700, 11_000, 8), 4.0)
+        busy_cell.submit("large", "urgent", [large])
+        elapsed_s = busy_cell.run_until(lambda: busy_cell.state("large") == "completed")
+        assert elapsed_s <= 1.5 * 4.0 + 0.25
+        assert not any(run.outcome == "stopped" for run in busy_cell.history)
+        busy_cell.check()
+
+    def test_a_stopped_task_has_its_saved_work_behind_it(self, busy_cell):
+        busy_cell.run(5.0)
+        state = busy_cell.scheduler.state
+        unit = state.jobs["wide"].units[0]
+        lifecycle.stop_unit(state, unit, "preempted")
+        busy_cell.submit("large", "urgent", [self.STEP])
+        busy_cell.run_until(lambda: unit.phase is Phase.WAITING)
+        assert 3.5 < state.remaining_s(unit) < 6.0
+
+
 class TestWorkHeldBackForUrgentJobs:
     """Only accelerators that are kept for urgent jobs are free.
 
--- a/tests/cover/test_target_controller.py
+++ b/tests/cover/test_target_controller.py
@@ -1,7 +1,10 @@
 from __future__ import annotations
 
 import pytest
-from cicadabank.control.internal.conversion import run_id_to_message
+from cicadabank.control.internal.conversion import (
+    report_from_message,
+    run_id_to_message,
+)
 from cicadabank.control.internal.target_controller import (
     MAX_CLOCK_DRIFT,
     UNRESPONSIVE_AFTER_S,
@@ -250,6 +253,14 @@
         assert controller.report(12.0).unhealthy
 
 
+class TestReports:
+    def test_a_report_tells_how_old_its_lists_are(self, controller):
+        controller.on_listing(listing(running=[RUN]), 10.0, 11.0)
+        report = report_from_message(controller.report(11.75))
+        assert report.listed_age_s == pytest.approx(0.75)
+        assert [run.percent for run in report.running] == [100]
+
+
 class TestEndedRuns:
     def test_ended_runs_are_reported_until_they_are_stored(self, controller):
         controller.on_listing(listing(ended=[(1, RUN)]), 11.0, 11.0)
--- a/tests/support/in_memory_cell.py
+++ b/tests/support/in_memory_cell.py
@@ -48,17 +48,28 @@
     """A run in progress on a target."""
 
     def __init__(
-        self, run_id: RunId, spec: StepSpec, started_s: float, remaining_s: float
+        self,
+        run_id: RunId,
+        spec: StepSpec,
+        started_s: float,
+        remaining_s: float,
+        duration_s: float,
     ):
         self.run_id = run_id
         self.spec = spec
         self.started_s = started_s
+        self.duration_s = duration_s
         self.remaining_s = remaining_s
         self.initial_remaining_s = remaining_s
         self.checkpoint = ""
         self.checkpoint_remaining_s = remaining_s
         self.stop_at_s = float("inf")
 
+    @property
+    def percent(self) -> int:
+        """Share of the task's work that is done."""
+        return int(100 * (1.0 - self.remaining_s / self.duration_s))
+
 
 class ModelTarget:
     """A target with its agent; also accepts starts beyond its capacity.
@@ -153,7 +164,7 @@
             remaining_s=self.remaining_s,
             observed=True,
             running=tuple(
-                RunningRun(active.run_id, active.checkpoint, 100)
+                RunningRun(active.run_id, active.checkpoint, active.percent)
                 for active in self.active_runs.values()
             ),
             ended=tuple(self.ended),
@@ -422,8 +433,11 @@
         if run_id in target.active_runs:
             return
         spec = self.records[run_id.job].steps[run_id.step]
-        remaining_s = float(start.checkpoint or self.duration_s(run_id, spec))
-        target.active_runs[run_id] = ActiveRun(run_id, spec, self.now_s, remaining_s)
+        duration_s = self.duration_s(run_id, spec)
+        remaining_s = float(start.checkpoint or duration_s)
+        target.active_runs[run_id] = ActiveRun(
+            run_id, spec, self.now_s, remaining_s, duration_s
+        )
         for resource, limit in enumerate(target.capacity):
             used = sum(
                 active.spec.need[resource] for active in target.active_runs.values()
