Start one task of a step to learn how long it takes

Callers saw the first work of a queue wait beside idle accelerators until it was late: a task declared at 20 s that takes 5 s ends after 18.6 s, and 11 s is in time.

Cause: work is held back for urgent jobs for as long as it has slack, and its slack follows from its expected duration. While no task of its queue has run, that is the declared one, which is off by 2.5 times either way; a task declared too long seems to have time, and as it is held back, nothing corrects that.

One task of a step of which none has run may now use up to a tenth of the headroom. Its progress shows how long the step takes within seconds, and the others wait or start by that. Larger tasks, and gangs with them, still leave the headroom free.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/headroom.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/headroom.py
@@ -2,7 +2,8 @@
 
 Urgent jobs must start within seconds, and preempting other work for them wastes that
 work. Work with enough slack therefore leaves as many accelerators free as a large
-urgent job needs.
+urgent job needs. How much slack it has follows from the duration of its tasks, so one
+small task of each step may start in any case and show it by its progress.
 """
 
 from __future__ import annotations
@@ -25,6 +26,8 @@
 # it may use none. In between, the share falls linearly.
 MIN_SLACK_S = 2.0
 FULL_SLACK_S = 18.0
+# Share that a task may use whose progress would show how long its step takes.
+PROBE_SHARE = 0.1
 
 
 class Headroom:
@@ -68,6 +71,10 @@
             return True
         return self.free - unit.accelerators >= headroom
 
+    def admits_probe(self, unit: Unit) -> bool:
+        """Return whether a unit may use the headroom to show its duration."""
+        return unit.accelerators <= PROBE_SHARE * self.size
+
     def record_placement(self, unit: Unit) -> None:
         """Deduct a placed unit's accelerators from the free ones."""
         self.free -= unit.accelerators
--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -126,11 +126,24 @@
 def _may_start(
     state: CellState, unit: Unit, guaranteed: set[int], headroom: Headroom
 ) -> bool:
-    """Return whether a unit is urgent or leaves enough headroom for urgent jobs."""
+    """Return whether a unit may start now, and not wait so that urgent jobs have room.
+
+    Urgent work may, and work that leaves enough headroom. So may one small task of a
+    step of unknown duration.
+    """
     job = state.jobs[unit.job]
     if id(unit) in guaranteed or state.queue_of(job.record).priority == 0:
         return True
-    return headroom.admits(unit, slack_s(state, job))
+    if headroom.admits(unit, slack_s(state, job)):
+        return True
+    return headroom.admits_probe(unit) and _has_no_probe(job, unit.step)
+
+
+def _has_no_probe(job: Job, step: int) -> bool:
+    """Return whether no task of a step has been measured or is about to be."""
+    if step in job.measured_by_step:
+        return False
+    return all(u.phase is Phase.WAITING for u in job.units if u.step == step)
 
 
 def _log_held_back(state: CellState, unit: Unit, headroom: Headroom) -> None:
--- a/tests/cover/test_load_patterns.py
+++ b/tests/cover/test_load_patterns.py
@@ -90,6 +90,27 @@
         assert held[0]["free"] - 1 < held[0]["headroom"]
         assert held[0]["slack_s"] > 0
 
+    def test_one_task_shows_how_long_its_step_takes(self, cell):
+        self.record_urgent_sizes(cell)
+        step = StepSpec(20, Resources(2800, 8200, 1), 60.0)
+        cell.duration_s = lambda run, spec: 500.0
+        cell.submit("wide", "tight", [step._replace(count=40)])
+        cell.run(1.0)
+        cell.submit("narrow", "batch", [step])
+        cell.run(1.0)
+        units = cell.scheduler.state.jobs["narrow"].units
+        assert [unit.phase for unit in units].count(Phase.RUNNING) == 1
+
+    def test_a_large_task_leaves_the_headroom_free(self, cell):
+        self.record_urgent_sizes(cell)
+        cell.duration_s = lambda run, spec: 500.0
+        step = StepSpec(5, Resources(13_000, 68_000, 8), 60.0)
+        cell.submit("wide", "tight", [step])
+        cell.run(1.0)
+        cell.submit("large", "batch", [step._replace(count=1)])
+        cell.run(1.0)
+        assert cell.state("large") == "pending"
+
     def test_cell_without_urgent_jobs_has_no_headroom(self, cell):
         cell.submit("wide", "batch", [StepSpec(48, Resources(2800, 8200, 1), 12.0)])
         cell.run(1.0)
