--- a/packages/scheduling/src/cicadabank/scheduling/internal/headroom.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/headroom.py
@@ -26,7 +26,7 @@
 # it may use none. In between, the share falls linearly.
 MIN_SLACK_S = 2.0
 FULL_SLACK_S = 18.0
-# Share that a task may use whose progress would show how long its step takes.
+# Share of the headroom that one task of a step may use to show how long the step takes.
 PROBE_SHARE = 0.1
 
 
