Ask a unit how much longer it takes; share the tests' unused address

The same expression stood in the state and in the moves from draining targets, and the same lines in two test files. The docstring of the tests' listening agent says what it records. No behaviour changes, and the tests keep their assertions.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/drains.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/drains.py
@@ -51,7 +51,7 @@
     stop_s = state.timings.stop_s + STOP_MARGIN_S
     if unit.spec.checkpointable:
         return left_s < stop_s < state.remaining_s(unit)
-    measured_s = unit.progress.remaining_s(state.now_s) if unit.progress else None
+    measured_s = unit.measured_remaining_s(state.now_s)
     if measured_s is None or left_s < stop_s:
         return False  # it may finish, or a stop takes as long as the target remains
     return measured_s > left_s + MIN_EXCESS_S
--- a/packages/scheduling/src/cicadabank/scheduling/internal/state.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/state.py
@@ -217,7 +217,7 @@
         """
         if unit.phase is not Phase.RUNNING:
             return self.expected_s(unit) * (1.0 - unit.saved_percent / 100)
-        measured_s = unit.progress.remaining_s(self.now_s) if unit.progress else None
+        measured_s = unit.measured_remaining_s(self.now_s)
         if measured_s is not None:
             return max(measured_s, 0.2)
         elapsed_s = self.now_s - unit.started_s
--- a/packages/scheduling/src/cicadabank/scheduling/internal/units.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/units.py
@@ -141,6 +141,10 @@
         """Return the id of a member's current run."""
         return RunId(self.job, self.step, self.first_index + member_index, self.run)
 
+    def measured_remaining_s(self, now_s: float) -> float | None:
+        """Return how much longer the current run takes; None if not measured yet."""
+        return self.progress.remaining_s(now_s) if self.progress else None
+
     def unsaved_s(self, now_s: float) -> float:
         """Return the seconds of work per task that stopping the unit now would lose."""
         if self.phase is not Phase.RUNNING:
--- a/tests/cover/test_agent_reports.py
+++ b/tests/cover/test_agent_reports.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 import threading
 import time
 from contextlib import ExitStack
@@ -16,6 +15,8 @@
 from cicadabank.tasks import running
 from cicadabank.wire import ChannelPool, fleet_pb2, fleet_pb2_grpc, serve
 
+from tests.support.addresses import unused_address
+
 HEARTBEAT = TargetHeartbeat(
     "t", 1, 1, "cell", "d", "a:1", Resources(1, 1, 1), ("a", "r"), "r", False, 0.0
 )
@@ -47,13 +48,6 @@
         yield actor
 
 
-def unused_address() -> str:
-    """Return an address at which nothing listens."""
-    with socket.socket() as unused:
-        unused.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{unused.getsockname()[1]}"
-
-
 class TestRestartedHolder:
     # Guards against reports that fail for seconds after the holder's restart, since the
     # agent's connection to its address is in backoff.
--- a/tests/cover/test_cell_holder.py
+++ b/tests/cover/test_cell_holder.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 import threading
 import time
 from contextlib import ExitStack
@@ -32,6 +31,8 @@
 from cicadabank.tasks import running
 from cicadabank.wire import ChannelPool, fleet_pb2, fleet_pb2_grpc, serve
 
+from tests.support.addresses import unused_address
+
 RECORD = JobRecord("j", "q", "w", 0.0, "spec", (StepSpec(1, Resources(1, 1, 1), 1.0),))
 OPERATOR = OperatorView(Configuration(), frozenset())
 
@@ -110,7 +111,7 @@
 
 
 class ListeningAgent:
-    """An agent that only records which epochs it has been told of."""
+    """An agent that only records that it was told who holds its cell."""
 
     def __init__(self) -> None:
         self.told = threading.Event()
@@ -127,9 +128,7 @@
     def test_an_agent_that_did_not_listen_before_is_told_at_once(
         self, table, stack, silent_s
     ):
-        with socket.socket() as unused:
-            unused.bind(("127.0.0.1", 0))
-            address = f"127.0.0.1:{unused.getsockname()[1]}"
+        address = unused_address()
         table.commit("cell", {}, {AGENT_PREFIX + address: pack(AgentRow(address))})
         holder = Holder(table, 1, stack)
         time.sleep(silent_s)
