Log which report removed a target, which was ignored, and which run was not expected

Two hypotheses of the doubled runs, a late report of an earlier process and a task released too early, looked the same in the holder's log: a target removed, and later a stop for a run that the holder doesn't expect. target_found and target_lost now have the agent's process and report number, report_ignored tells of a report put aside, and run_unexpected names the task's current run.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
@@ -41,9 +41,22 @@
     """Reconcile the state with an agent's report and return the reply."""
     known = state.targets.get(report.agent)
     if known is not None and _is_stale(known, report):
+        state.log(
+            "report_ignored",
+            agent=report.agent,
+            agent_run=report.agent_run,
+            number=report.report_number,
+            newest=known.report_number,
+        )
         return ReportReply(0.0, 0, ())
     if known is not None and known.target_incarnation != report.target_incarnation:
-        remove_target(state, known, "a new incarnation of the target has reported")
+        remove_target(
+            state,
+            known,
+            "a new incarnation of the target has reported",
+            reported_by=report.agent_run,
+            reported=report.target_incarnation.incarnation,
+        )
         known = None
     target = known or _add_target(state, report)
     was_draining = target.draining
@@ -95,6 +108,8 @@
         target=report.target_incarnation.target,
         incarnation=report.target_incarnation.incarnation,
         agent=report.agent,
+        agent_run=report.agent_run,
+        number=report.report_number,
         domain=report.domain,
         capacity=list(report.capacity),
         labels=list(report.labels),
@@ -103,13 +118,21 @@
     return target
 
 
-def remove_target(state: CellState, target: Target, reason: str) -> None:
-    """Remove an incarnation of a target, on which nothing runs any more."""
+def remove_target(
+    state: CellState, target: Target, reason: str, **evidence: object
+) -> None:
+    """Remove an incarnation of a target, on which nothing runs any more.
+
+    `evidence` is logged beside the reason.
+    """
     state.log(
         "target_lost",
         target=target.target_incarnation.target,
         incarnation=target.target_incarnation.incarnation,
+        agent_run=target.agent_run,
+        number=target.report_number,
         reason=reason,
+        **evidence,
         members=len(state.members_by_incarnation.get(target.target_incarnation, {})),
     )
     if state.targets.get(target.agent) is target:
@@ -186,9 +209,7 @@
 ) -> None:
     found = state.find_member(run.id, target.target_incarnation)
     if found is None:
-        orders = state.orders_for(target)
-        if run.id not in orders.stops:
-            orders.stops.append(run.id)
+        _stop_unexpected(state, target, run.id)
         return
     unit, member_index = found
     member = unit.members[member_index]
@@ -210,6 +231,25 @@
             state.mark_dirty(state.jobs[unit.job])
 
 
+def _stop_unexpected(state: CellState, target: Target, run: RunId) -> None:
+    """Order a run to stop that the holder does not expect on its target."""
+    orders = state.orders_for(target)
+    if run in orders.stops:
+        return
+    orders.stops.append(run)
+    job = state.jobs.get(run.job)
+    unit = job.unit_of(run.step, run.index) if job else None
+    state.log(
+        "run_unexpected",
+        **run._asdict(),
+        target=target.target_incarnation.target,
+        incarnation=target.target_incarnation.incarnation,
+        agent_run=target.agent_run,
+        current_run=unit.run if unit else None,
+        phase=unit.phase.value if unit else None,
+    )
+
+
 def _update_progress(
     state: CellState, unit: Unit, run: RunningRun, listed_s: float
 ) -> None:
