Stop a refused run whose earlier start call got no reply

Cause: a target may leave a call unanswered and carry it out seconds later. The agent repeats the start; if the target refuses the repetition, for example as unhealthy, the agent reported the run as refused. That holds for the refused call only, not for the one before. The holder then started the task elsewhere and gave the room to other tasks, and the first call was carried out after that.

Change: once a call has gone unanswered, a refused run is first stopped. A target rejects the start of a run that was stopped there, so a list that it makes after it has confirmed the stop settles the matter; only then is the run reported as refused. A run that is refused as "old" has ended there or was stopped, and needs no stop.

Five cases of the new tests failed before: the run was reported as refused at once.

--- a/packages/control/src/cicadabank/control/internal/target_controller.py
+++ b/packages/control/src/cicadabank/control/internal/target_controller.py
@@ -209,7 +209,10 @@
         if run in self._closed:
             self._not_running.add(run)
             return
-        local = self._runs.setdefault(run, LocalRun(None))
+        self._begin_stop(self._runs.setdefault(run, LocalRun(None)))
+
+    def _begin_stop(self, local: LocalRun) -> None:
+        """Have a run stopped on the target, unless that has begun already."""
         if not local.stopping:
             local.stopping = True
             local.call_pending = False
@@ -265,6 +268,7 @@
         if not local.stopping:
             local.call_pending = False
         if not outcome.known:
+            local.may_start_late = True
             return
         if not outcome.refused:
             local.known_on_target_since_s = min(local.known_on_target_since_s, now_s)
@@ -274,7 +278,19 @@
         # "late" means that the lease had expired when the start arrived; the start is
         # retried with a renewed lease.
         if not local.stopping and outcome.refused != "late":
-            self._refuse(run, outcome.refused)
+            self._on_refused(run, local, outcome.refused)
+
+    def _on_refused(self, run: RunId, local: LocalRun, reason: str) -> None:
+        """Report a run as refused, once it certainly can't start any more.
+
+        An earlier call that got no reply may be carried out after one that is refused.
+        The target rejects it only once the run has ended there ("old") or was stopped.
+        """
+        if local.may_start_late and reason != "old":
+            local.refusal = reason
+            self._begin_stop(local)
+        else:
+            self._refuse(run, reason)
 
     def on_stopped(self, run: RunId, confirmed: bool, now_s: float) -> None:
         """Process the reply to a stop; `confirmed` is False if none arrived."""
@@ -309,15 +325,22 @@
             elif run in ended:
                 self._close(run, "old")
             elif local.stop_confirmed_s < asked_s:
-                self._not_running.add(run)
-                self._close(run, "old")
+                self._on_stop_completed(run, local)
             elif local.known_on_target_since_s < asked_s:
                 self._close(run, "old")
         newest = max((end.sequence for end in listing.ended), default=0)
         newest_before = (
             max((end.sequence for end in previous.ended), default=0) if previous else 0
         )
-        return previous is None or newest > newest_before or bool(self._not_running)
+        return previous is None or newest > newest_before or self.has_unsettled_runs()
+
+    def _on_stop_completed(self, run: RunId, local: LocalRun) -> None:
+        """Record that a stopped run neither runs nor can start any more."""
+        if local.refusal:
+            self._refuse(run, local.refusal)
+        else:
+            self._not_running.add(run)
+            self._close(run, "old")
 
     @property
     def has_unstored_ended_runs(self) -> bool:
--- a/packages/control/src/cicadabank/control/internal/target_messages.py
+++ b/packages/control/src/cicadabank/control/internal/target_messages.py
@@ -73,6 +73,8 @@
         "call_pending",
         "known_on_target_since_s",
         "last_call_s",
+        "may_start_late",
+        "refusal",
         "start_order",
         "stop_confirmed_s",
         "stopping",
@@ -84,7 +86,11 @@
         self.last_call_s = float("-inf")
         # Since when the target is known to have the run.
         self.known_on_target_since_s = float("inf")
+        # Whether a start call got no reply and may still be carried out.
+        self.may_start_late = False
         self.stopping = False
+        # Why the run was refused, if it must be stopped before that can be reported.
+        self.refusal = ""
         self.stop_confirmed_s = float("inf")  # when the target confirmed a stop
 
     @property
--- a/tests/cover/test_target_controller.py
+++ b/tests/cover/test_target_controller.py
@@ -151,6 +151,53 @@
         assert refused(controller) == {("j", 0): "old"}
 
 
+class TestUnansweredStarts:
+    """A start call that got no reply may be carried out seconds later."""
+
+    @pytest.fixture
+    def unanswered(self, controller):
+        controller.on_orders(batch(controller, starts=[start()]), 11.0)
+        controller.take_due_calls(11.0)
+        controller.on_started(RUN, StartOutcome(False), 11.5)
+        assert [c.kind for c in controller.take_due_calls(11.5)] == ["start"]
+        return controller
+
+    # Guards against two runs of a task: the holder starts a refused task elsewhere,
+    # and the target then carries out the call that it had left unanswered.
+    @pytest.mark.parametrize("reason", ["unhealthy", "room", "fence", "malformed"])
+    def test_a_refusal_is_reported_only_once_the_run_is_stopped(
+        self, unanswered, reason
+    ):
+        unanswered.on_started(RUN, StartOutcome(True, reason), 11.6)
+        assert refused(unanswered) == {}
+        assert [p.job for p in unanswered.report(11.6).pending] == ["j"]
+        assert [c.kind for c in unanswered.take_due_calls(11.6)] == ["stop"]
+        unanswered.on_stopped(RUN, True, 11.7)
+        assert unanswered.on_listing(listing(), 11.8, 11.9)
+        assert refused(unanswered) == {("j", 0): reason}
+        assert not unanswered.report(11.9).gone
+
+    def test_a_run_that_the_unanswered_call_started_ends_as_stopped(self, unanswered):
+        unanswered.on_started(RUN, StartOutcome(True, "unhealthy"), 11.6)
+        unanswered.take_due_calls(11.6)
+        unanswered.on_stopped(RUN, True, 11.7)
+        unanswered.on_listing(listing(running=[RUN]), 11.8, 11.9)
+        assert refused(unanswered) == {}
+        unanswered.on_listing(listing(ended=[(1, RUN)]), 12.0, 12.1)
+        assert refused(unanswered) == {}
+        assert [e.id.job for e in unanswered.report(12.1).ended] == ["j"]
+
+    def test_a_run_that_ended_on_its_target_is_refused_at_once(self, unanswered):
+        unanswered.on_started(RUN, StartOutcome(True, "old"), 11.6)
+        assert refused(unanswered) == {("j", 0): "old"}
+
+    def test_a_start_refused_at_its_first_call_is_refused_at_once(self, controller):
+        controller.on_orders(batch(controller, starts=[start()]), 11.0)
+        controller.take_due_calls(11.0)
+        controller.on_started(RUN, StartOutcome(True, "unhealthy"), 11.1)
+        assert refused(controller) == {("j", 0): "unhealthy"}
+
+
 class TestStops:
     def test_a_stopped_run_is_gone_once_a_later_list_omits_it(self, controller):
         controller.on_orders(batch(controller, stops=[RUN]), 11.0)
