Stop a run that its agent took for ended but its target lists

What callers saw: in the incident, a run that the target had started late went on until it was done, though the holder ordered its stop again and again, every 2 to 5 ms.

Cause: an agent confirmed the stop of any run that it had closed, that is refused, stopped or found missing from a list, without a call to the target, also if the target listed the run as running since. Its report then named the run as running and as gone, the holder ordered the stop again, and the agent's room check did not count the run.

Change: a closed run that a list shows as running is opened again: it uses its resources, it is stopped on the target, and earlier statements that it is refused or gone are taken back. A closed run therefore keeps what it needs.

Both new tests failed before: no stop call was due, and a start beyond the capacity was accepted.

--- a/packages/control/src/cicadabank/control/internal/target_controller.py
+++ b/packages/control/src/cicadabank/control/internal/target_controller.py
@@ -13,6 +13,7 @@
     run_id_to_message,
 )
 from cicadabank.control.internal.target_messages import (
+    ClosedRun,
     Listing,
     LocalRun,
     StartOutcome,
@@ -39,6 +40,7 @@
 # A target that refused a start as unhealthy is reported as unhealthy for this long, so
 # that it gets no further starts.
 UNHEALTHY_BACKOFF_S = 2.0
+NO_RESOURCES = Resources(0, 0, 0)
 
 
 class TargetController:
@@ -77,9 +79,7 @@
         self._not_running: set[RunId] = (
             set()
         )  # stopped, and confirmed not to run any more
-        # Runs that must not be started again, with the reason why a start is refused:
-        # "old" for a run that has ended, was stopped or is no longer on the target.
-        self._closed: OrderedDict[RunId, str] = OrderedDict()
+        self._closed: OrderedDict[RunId, ClosedRun] = OrderedDict()
 
     @property
     def incarnation(self) -> str:
@@ -164,16 +164,20 @@
     def _accept_start(self, start_order: fleet_pb2.StartRun) -> None:
         run = run_id_from_message(start_order.id)
         if run in self._closed:
-            self._refused[run] = self._closed[run]
+            self._refused[run] = self._closed[run].reason
             return
         if run in self._runs:
             return
-        local = LocalRun(start_order)
-        reason = self._refusal_reason(run, local.need)
+        need = Resources(
+            start_order.cpu_millicores,
+            start_order.memory_mb,
+            start_order.accelerators,
+        )
+        reason = self._refusal_reason(run, need)
         if reason:
             self._refuse(run, reason)
         else:
-            self._runs[run] = local
+            self._runs[run] = LocalRun(start_order, need)
 
     def _refusal_reason(self, run: RunId, need: Resources) -> str:
         """Return why a run can't start on the target, or an empty string.
@@ -200,16 +204,23 @@
 
     def _close(self, run: RunId, reason: str) -> None:
         """Record that a run must not be started again, and why."""
-        self._runs.pop(run, None)
-        self._closed[run] = reason
+        local = self._runs.pop(run, None)
+        self._closed[run] = ClosedRun(reason, local.need if local else NO_RESOURCES)
         while len(self._closed) > MAX_CLOSED_RUNS:
             self._closed.popitem(last=False)
 
+    def _reopen(self, run: RunId) -> None:
+        """Stop a run that the target has although it was taken for ended."""
+        self._refused.pop(run, None)
+        self._not_running.discard(run)
+        self._runs[run] = LocalRun(None, self._closed.pop(run).need)
+        self._begin_stop(self._runs[run])
+
     def _accept_stop(self, run: RunId) -> None:
         if run in self._closed:
             self._not_running.add(run)
             return
-        self._begin_stop(self._runs.setdefault(run, LocalRun(None)))
+        self._begin_stop(self._runs.setdefault(run, LocalRun(None, NO_RESOURCES)))
 
     def _begin_stop(self, local: LocalRun) -> None:
         """Have a run stopped on the target, unless that has begun already."""
@@ -317,6 +328,8 @@
         self._last_reply_s = now_s
         running = {run.id for run in listing.running}
         ended = {end.id for end in listing.ended}
+        for run in running & self._closed.keys():
+            self._reopen(run)
         for run, local in list(self._runs.items()):
             if run in running:
                 local.known_on_target_since_s = min(
--- a/packages/control/src/cicadabank/control/internal/target_messages.py
+++ b/packages/control/src/cicadabank/control/internal/target_messages.py
@@ -66,6 +66,22 @@
     checkpoint: str = ""
 
 
+class ClosedRun(NamedTuple):
+    """A run that must not be started again.
+
+    Attributes
+    ----------
+    reason : str
+        Why a start is refused: "old" for a run that has ended, was stopped or is no
+        longer on the target.
+    need : Resources
+        The resources that the run used.
+    """
+
+    reason: str
+    need: Resources
+
+
 class LocalRun:
     """A run that this agent was ordered to start or stop."""
 
@@ -74,14 +90,16 @@
         "known_on_target_since_s",
         "last_call_s",
         "may_start_late",
+        "need",
         "refusal",
         "start_order",
         "stop_confirmed_s",
         "stopping",
     )
 
-    def __init__(self, start_order: fleet_pb2.StartRun | None):
+    def __init__(self, start_order: fleet_pb2.StartRun | None, need: Resources):
         self.start_order = start_order
+        self.need = need  # zero if unknown
         self.call_pending = False
         self.last_call_s = float("-inf")
         # Since when the target is known to have the run.
@@ -92,14 +110,3 @@
         # Why the run was refused, if it must be stopped before that can be reported.
         self.refusal = ""
         self.stop_confirmed_s = float("inf")  # when the target confirmed a stop
-
-    @property
-    def need(self) -> Resources:
-        """The resources that the run uses; zero if they are unknown."""
-        if self.start_order is None:
-            return Resources(0, 0, 0)
-        return Resources(
-            self.start_order.cpu_millicores,
-            self.start_order.memory_mb,
-            self.start_order.accelerators,
-        )
--- a/tests/cover/test_target_controller.py
+++ b/tests/cover/test_target_controller.py
@@ -214,6 +214,33 @@
         controller.on_stopped(RUN, False, 11.5)
         assert [c.kind for c in controller.take_due_calls(11.6)] == ["stop"]
 
+    # Guards against a stop that is confirmed without a call to the target.
+    def test_a_run_taken_for_ended_is_stopped_once_its_target_lists_it(
+        self, controller
+    ):
+        controller.on_orders(batch(controller, starts=[start()]), 11.0)
+        controller.take_due_calls(11.0)
+        controller.on_started(RUN, StartOutcome(True, "unhealthy"), 11.1)
+        assert refused(controller) == {("j", 0): "unhealthy"}
+        controller.on_listing(listing(running=[RUN]), 11.2, 11.2)
+        assert refused(controller) == {}
+        controller.on_orders(batch(controller, stops=[RUN]), 11.3)
+        assert not controller.report(11.3).gone
+        assert [c.kind for c in controller.take_due_calls(11.3)] == ["stop"]
+        controller.on_stopped(RUN, True, 11.4)
+        controller.on_listing(listing(), 11.5, 11.5)
+        assert [r.job for r in controller.report(11.5).gone] == ["j"]
+
+    def test_a_run_taken_for_ended_uses_resources_while_its_target_lists_it(
+        self, controller
+    ):
+        controller.on_orders(batch(controller, starts=[start(RUN, 8)]), 11.0)
+        controller.take_due_calls(11.0)
+        controller.on_started(RUN, StartOutcome(True, "unhealthy"), 11.1)
+        controller.on_listing(listing(running=[RUN]), 11.2, 11.2)
+        controller.on_orders(batch(controller, starts=[start(OTHER_RUN, 1)]), 11.3)
+        assert refused(controller) == {("j", 1): "room"}
+
     def test_a_pending_start_does_not_delay_a_stop(self, controller):
         controller.on_orders(batch(controller, starts=[start()]), 11.0)
         controller.take_due_calls(11.0)
