Ignore a list of runs that a later one has overtaken

What callers may see: a run ordered to stop after its end, or its resources counted once more, since an older list shows it as running. Found by reading; no play shows it.

Cause: lists are requested by two threads over two connections, and replies may overtake each other. A list is as old as the target's clock in it, but the last one to arrive replaced any other. When a list was requested says nothing, since the target delays some replies until a run ends.

Change: a list is ignored if the target made it before the one that is known.

The new test failed before.

--- a/packages/control/src/cicadabank/control/internal/target_controller.py
+++ b/packages/control/src/cicadabank/control/internal/target_controller.py
@@ -323,6 +323,8 @@
         if self.heartbeat is None or listing.started_ms != self.heartbeat.started_ms:
             return False
         previous = self._listing
+        if previous is not None and listing.target_s < previous.target_s:
+            return False  # overtaken by a list that the target made later
         self._listing = listing
         self._clock_sample = (listing.target_s, now_s)
         self._last_reply_s = now_s
--- a/tests/cover/test_target_controller.py
+++ b/tests/cover/test_target_controller.py
@@ -335,6 +335,20 @@
         assert [run.percent for run in report.running] == [100]
 
 
+class TestListings:
+    # Guards against a run that is stopped, or counted twice, because a list that was
+    # overtaken on its way shows it as running after its end.
+    def test_a_list_that_was_overtaken_is_ignored(self, controller):
+        newer = listing(ended=[(1, RUN)], target_s=52.0)
+        older = listing(running=[RUN], target_s=51.0)
+        assert controller.on_listing(newer, 11.5, 12.0)
+        assert not controller.on_listing(older, 11.0, 12.1)
+        report = controller.report(12.1)
+        assert [e.id.job for e in report.ended] == ["j"]
+        assert not report.running
+        assert controller.take_due_calls(12.1) == []
+
+
 class TestEndedRuns:
     def test_ended_runs_are_reported_until_they_are_stored(self, controller):
         controller.on_listing(listing(ended=[(1, RUN)]), 11.0, 11.0)
