Test: keep probes from finding the recovered store before the call does

Trace: the test is about a call that goes to the store directly once no peer can relay. A probe runs every 0.05 s beside it; if it notices the recovered store between two lines of the test, the path is direct before the call, and a call over a direct path rightly waits 5 s for changes. A pause of 0.3 s between the two lines made the test fail; with probes 60 s apart it passes with the pause and without. The checks and the bound are unchanged.

--- a/tests/cover/test_store_relay.py
+++ b/tests/cover/test_store_relay.py
@@ -193,7 +193,9 @@
         with pytest.raises(UnavailableError):
             harness.table.commit("p", {}, {"k": b"1"})
 
-    def test_recovered_store_is_accessed_without_a_relay(self, harness):
+    def test_recovered_store_is_accessed_without_a_relay(self, harness, monkeypatch):
+        # A probe that notices the store first would let the call long-poll.
+        monkeypatch.setattr(relay_module, "PROBE_INTERVAL_S", 60.0)
         harness.block_direct_access()
         for access in harness.peers.values():
             access.error = UnavailableError("store unavailable")
