Carry the end of earlier holders' leases on through takeovers

A holder that is cut off from the store renews leases until 8 s after its last write, so they last until 16 s after it. Its successor waited that long, but the successor's successor saw only the last holder: if that one had ended, had handed the cell over, or was this entry itself after a takeover whose reply was lost, it waited for 8 s. The tasks on a target that only the first holder reached were then released and started elsewhere while they ran.

Each takeover now stores, on the store's clock, when the leases of all earlier holders that may still run have expired, and the next one carries it on. Only stamps that the store gave with its replies enter it, none of which precedes the write it stands for. The leases of a holder that had ended need no entry: they expire within 8 s of the takeover, and every later takeover waits that long at least.

If an older build took over last, the row's epoch is not the holder's, and the successor waits until 16 s after the last renewal, which covers all earlier holders.

--- a/packages/control/src/cicadabank/control/internal/entry.py
+++ b/packages/control/src/cicadabank/control/internal/entry.py
@@ -33,8 +33,10 @@
 )
 from cicadabank.control.internal.replica import CellRows, Replica
 from cicadabank.scheduling import (
+    EARLIER_LEASES_KEY,
     HOLDER_KEY,
     LEASE_KEY,
+    EarlierLeasesRow,
     HolderRow,
     LeaseRow,
     Timings,
@@ -149,7 +151,7 @@
         # Held cells whose takeover the replica doesn't include yet.
         self._loading: dict[str, CellActor] = {}
         self._last_ping_s: dict[str, float] = {}
-        # By cell: the time until leases renewed by the previous holder have expired.
+        # By cell: the time until leases renewed by earlier holders have expired.
         self._lease_expiry_s: dict[str, float] = {}
         # By cell: the epoch of the holder whose last ping was not answered, or answered
         # by an entry that doesn't hold the cell.
@@ -285,7 +287,8 @@
         rows = self.replica.cell(cell)
         epoch = (rows.holder.epoch if rows.holder else 0) + 1
         self._takeover_epochs[cell] = epoch
-        self._lease_expiry_s[cell] = self._target_lease_expiry_s(rows, holder_ended)
+        leases_until_s = self._earlier_leases_until_s(rows, holder_ended)
+        self._lease_expiry_s[cell] = self._target_lease_expiry_s(rows, leases_until_s)
         log_event(
             "cell_takeover",
             cell=cell,
@@ -294,41 +297,62 @@
             lease_age_s=round(self.replica.store_now_s() - rows.lease_seen_s, 3),
         )
         future = self._takeover_threads.submit(
-            self._write_holder, cell, epoch, self.parts.peer
+            self._write_holder, cell, epoch, leases_until_s
         )
         future.add_done_callback(
             lambda f: self.post(self._on_takeover_written, cell, epoch, f)
         )
 
-    def _target_lease_expiry_s(self, rows: CellRows, holder_ended: bool) -> float:
-        """Return the time after which all leases that the holder renewed have expired.
+    def _earlier_leases_until_s(self, rows: CellRows, holder_ended: bool) -> float:
+        """Return when leases granted by holders that may still run have expired.
 
-        A holder that has ended renews no more leases, so their duration is enough. One
-        that is cut off from the store may renew leases for a limited time; they have
-        expired `outage_s` after its last write.
+        A holder that is cut off from the store may renew leases for a limited time;
+        they have expired `outage_s` after its last write. The end of a holder says
+        nothing about those before it, so what the last takeover stored is carried on.
+
+        Returns
+        -------
+        float
+            Time by the store's clock.
         """
-        timings = self.parts.timings
-        if rows.holder is None:
-            return 0.0
+        holder, earlier = rows.holder, rows.earlier_leases
+        if holder is None:
+            return float("-inf")
         # A holder with this process's address is its earlier incarnation and has ended.
-        if (
-            holder_ended
-            or not rows.holder.address
-            or rows.holder.address == self.parts.peer
-        ):
-            return timings.lease_s
+        holder_ended = (
+            holder_ended or not holder.address or holder.address == self.parts.peer
+        )
+        is_known = earlier is not None and earlier.epoch == holder.epoch
+        if is_known and holder_ended:
+            return earlier.until_s
+        # Every earlier holder's last write precedes the latest renewal.
         last_renewal_s = max(rows.lease_seen_s, self.replica.continuous_contact_since_s)
-        since_renewal_s = max(0.0, self.replica.store_now_s() - last_renewal_s)
-        return max(timings.lease_s, timings.outage_s - since_renewal_s)
+        until_s = last_renewal_s + self.parts.timings.outage_s
+        return max(until_s, earlier.until_s) if is_known else until_s
+
+    def _target_lease_expiry_s(self, rows: CellRows, leases_until_s: float) -> float:
+        """Return the time after which all leases of earlier holders have expired.
+
+        Holders that have ended renew no more leases, so their duration is enough.
+        """
+        if rows.holder is None:
+            return 0.0
+        remaining_s = leases_until_s - self.replica.store_now_s()
+        return max(self.parts.timings.lease_s, remaining_s)
 
-    def _write_holder(self, cell: str, epoch: int, address: str) -> int:
+    def _write_holder(self, cell: str, epoch: int, leases_until_s: float) -> int:
         rows = self.replica.cell(cell)
-        holder = HolderRow(epoch, self.parts.name, address)
+        earlier_leases = EarlierLeasesRow(epoch, leases_until_s)
+        holder = HolderRow(epoch, self.parts.name, self.parts.peer)
         lease = LeaseRow(epoch, self.replica.store_now_s())
         return self.cells_table.commit(
             cell,
             {HOLDER_KEY: rows.holder_version if rows.holder else 0},
-            {HOLDER_KEY: pack(holder), LEASE_KEY: pack(lease)},
+            {
+                EARLIER_LEASES_KEY: pack(earlier_leases),
+                HOLDER_KEY: pack(holder),
+                LEASE_KEY: pack(lease),
+            },
         )
 
     def _on_takeover_written(self, cell: str, epoch: int, future) -> None:
--- a/packages/control/src/cicadabank/control/internal/replica.py
+++ b/packages/control/src/cicadabank/control/internal/replica.py
@@ -10,11 +10,13 @@
 from cicadabank.scheduling import (
     AGENT_PREFIX,
     CANCEL_PREFIX,
+    EARLIER_LEASES_KEY,
     HOLDER_KEY,
     JOB_PREFIX,
     LEASE_KEY,
     RUN_PREFIX,
     AgentRow,
+    EarlierLeasesRow,
     HolderRow,
     JobProgressRow,
     JobRecord,
@@ -38,6 +40,7 @@
     __slots__ = (
         "agents",
         "cancelled",
+        "earlier_leases",
         "holder",
         "holder_version",
         "jobs",
@@ -52,6 +55,7 @@
         self.agents: set[str] = set()
         self.holder: HolderRow | None = None
         self.holder_version = 0
+        self.earlier_leases: EarlierLeasesRow | None = None
         self.lease_seen_s = float("-inf")  # on the store's clock
 
 
@@ -164,6 +168,8 @@
             cell.holder = unpack(row.value, HolderRow)
             cell.holder_version = row.version
             cell.lease_seen_s = self._last_store_s
+        elif kind == EARLIER_LEASES_KEY:
+            cell.earlier_leases = unpack(row.value, EarlierLeasesRow)
         elif kind == LEASE_KEY:
             cell.lease_seen_s = self._last_store_s
 
--- a/packages/scheduling/src/cicadabank/scheduling/__init__.py
+++ b/packages/scheduling/src/cicadabank/scheduling/__init__.py
@@ -21,6 +21,7 @@
 from cicadabank.scheduling.internal.rows import (
     AGENT_PREFIX,
     CANCEL_PREFIX,
+    EARLIER_LEASES_KEY,
     HOLDER_KEY,
     JOB_PREFIX,
     LEASE_KEY,
@@ -28,6 +29,7 @@
     TABLE,
     AgentRow,
     CancelRow,
+    EarlierLeasesRow,
     HolderRow,
     JobProgressRow,
     LeaseRow,
@@ -41,6 +43,7 @@
 __all__ = [
     "AGENT_PREFIX",
     "CANCEL_PREFIX",
+    "EARLIER_LEASES_KEY",
     "ENDED_STATES",
     "HOLDER_KEY",
     "JOB_PREFIX",
@@ -53,6 +56,7 @@
     "CellScheduler",
     "Commit",
     "Configuration",
+    "EarlierLeasesRow",
     "EndedRun",
     "HolderRow",
     "JobProgressRow",
--- a/packages/scheduling/src/cicadabank/scheduling/internal/rows.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/rows.py
@@ -17,6 +17,7 @@
 # Complete keys.
 HOLDER_KEY = "holder"
 LEASE_KEY = "lease"
+EARLIER_LEASES_KEY = "earlier-leases"
 
 
 class UnitRow(NamedTuple):
@@ -56,7 +57,11 @@
 
 
 class HolderRow(NamedTuple):
-    """The holder of a cell; written when the holder changes."""
+    """The holder of a cell; written when the holder changes.
+
+    Entries of other builds, which run during a rolling update, can't decode a row with
+    a different number of fields.
+    """
 
     epoch: int
     entry: str
@@ -76,6 +81,25 @@
     at_s: float
 
 
+class EarlierLeasesRow(NamedTuple):
+    """When leases granted by earlier holders of a cell have expired.
+
+    Written with each takeover. Entries of builds without this row take over without
+    writing it; its epoch then is not the current holder's.
+
+    Attributes
+    ----------
+    epoch : int
+        Epoch of the takeover.
+    until_s : float
+        Time by the store's clock. Leases granted by a holder that had ended before the
+        takeover may last longer, but not longer than one granted at the takeover.
+    """
+
+    epoch: int
+    until_s: float
+
+
 class CancelRow(NamedTuple):
     """A client's request to cancel a job."""
 
--- /dev/null
+++ b/tests/cover/test_cell_takeover.py
@@ -0,0 +1,132 @@
+"""Entries take over a cell from others, on a table in memory."""
+
+from __future__ import annotations
+
+from contextlib import ExitStack
+from typing import NamedTuple
+
+import pytest
+from cicadabank.control.internal import entry as entry_module
+from cicadabank.scheduling import HOLDER_KEY, LEASE_KEY, AgentRow, pack, unpack
+from cicadabank.standin import MemoryTable
+
+from tests.support.addresses import unused_address
+from tests.support.cell_entries import (
+    CELL,
+    TARGET,
+    TIMINGS,
+    CellEntry,
+    cell_entry_running,
+    silent_address,
+    write_holder,
+    write_running_job,
+)
+
+
+@pytest.fixture
+def stack(monkeypatch):
+    # Holders without a reply to a ping lose their cell sooner.
+    monkeypatch.setattr(entry_module, "HOLDER_LEASE_S", 0.6)
+    monkeypatch.setattr(entry_module, "PING_AFTER_S", 0.2)
+    monkeypatch.setattr(entry_module, "UNRESPONSIVE_LEASE_S", 0.3)
+    with ExitStack() as stack:
+        yield stack
+
+
+@pytest.fixture
+def table() -> MemoryTable:
+    table = MemoryTable()
+    table.clock_offset_s = 1000.0
+    write_running_job(table)
+    return table
+
+
+def release_s(entry: CellEntry) -> float:
+    """Return when an entry gives up a target that doesn't report to it."""
+    state = entry.wait_for_holder().scheduler.state
+    return state.unreported_lease_until_s[TARGET]
+
+
+def start_entry(stack: ExitStack, table: MemoryTable, name: str) -> CellEntry:
+    return stack.enter_context(cell_entry_running(table, name))
+
+
+# Guards against a task that runs twice: a holder that is cut off from the store goes on
+# renewing the lease of a target that reaches no other entry.
+class TestWaitForLeasesOfEarlierHolders:
+    @pytest.mark.parametrize("end", [CellEntry.kill, CellEntry.hand_over])
+    @pytest.mark.parametrize("takeovers", [1, 2, 3])
+    def test_holders_that_end_do_not_shorten_the_wait(
+        self, stack, table, takeovers, end
+    ):
+        cut_off_s = write_holder(table, 1, stack.enter_context(silent_address()))
+        for number in range(takeovers):
+            entry = start_entry(stack, table, f"e{number}")
+            assert release_s(entry) >= cut_off_s + TIMINGS.outage_s
+            end(entry)
+        entry = start_entry(stack, table, "last")
+        assert release_s(entry) >= cut_off_s + TIMINGS.outage_s
+        # Nor do they prolong it.
+        assert release_s(entry) < cut_off_s + TIMINGS.outage_s + 2.0
+
+    def test_a_takeover_with_a_lost_reply_does_not_shorten_the_wait(self, stack, table):
+        cut_off_s = write_holder(table, 1, stack.enter_context(silent_address()))
+        entry = CellEntry(table, "e")
+        entry.table.lost_answers = 1
+        stack.callback(entry.kill)
+        entry.start()
+        assert entry.wait_for_holder().epoch == 3
+        assert release_s(entry) >= cut_off_s + TIMINGS.outage_s
+
+    # An entry of a build that stores no ends of leases may have taken over meanwhile.
+    @pytest.mark.parametrize("before", ["none", "new"])
+    def test_a_takeover_by_an_older_build_does_not_shorten_the_wait(
+        self, stack, table, before
+    ):
+        epoch = 1
+        cut_off_s = write_holder(table, epoch, stack.enter_context(silent_address()))
+        if before == "new":
+            entry = start_entry(stack, table, "e")
+            epoch = entry.wait_for_holder().epoch
+            entry.kill()
+        write_holder(table, epoch + 1, "")
+        entry = start_entry(stack, table, "last")
+        assert release_s(entry) >= cut_off_s + TIMINGS.outage_s
+
+    # Guards against tasks that are released later than necessary.
+    def test_only_the_lease_of_an_ended_holder_is_waited_for(self, stack):
+        table = MemoryTable()
+        table.commit(CELL, {}, {"agent/a": pack(AgentRow("a"))})
+        first = start_entry(stack, table, "first")
+        first.wait_for_holder()
+        first.kill()
+        write_running_job(table)
+        second = start_entry(stack, table, "second")
+        loaded_s = second.wait_for_holder().scheduler.state.loaded_s
+        drift_factor = 1.0 + TIMINGS.clock_drift
+        expected_s = loaded_s + TIMINGS.lease_s * drift_factor
+        assert release_s(second) == pytest.approx(expected_s)
+
+
+class HolderRowOfOlderBuilds(NamedTuple):
+    epoch: int
+    entry: str
+    address: str
+
+
+class LeaseRowOfOlderBuilds(NamedTuple):
+    epoch: int
+    at_s: float
+
+
+# Guards against entries of older builds that don't see a takeover during a rolling
+# update, since they can't decode its rows.
+class TestRowsForOlderBuilds:
+    def test_the_rows_of_a_takeover_can_be_decoded(self, stack, table):
+        write_holder(table, 1, unused_address())
+        entry = start_entry(stack, table, "e")
+        entry.wait_for_holder()
+        holder = unpack(table.rows[(CELL, HOLDER_KEY)].value, HolderRowOfOlderBuilds)
+        assert holder == (2, "e", entry.address)
+        lease = unpack(table.rows[(CELL, LEASE_KEY)].value, LeaseRowOfOlderBuilds)
+        assert lease.epoch == 2
