Don't count leases from when a conflict shows that a write took effect

A holder may renew leases until 8 s after its last write. When the retry of an unanswered write met a conflict that showed that the earlier attempt had taken effect, the holder counted from that answer, though the row may have been written many seconds before. A successor counts from when it saw the lease row change, so the holder could renew leases beyond what the successor waits for.

The time of the last write now stays at that of the last write that was answered. The next renewal, due at the latest 0.45 s after the last write began, moves it on.

--- a/packages/control/src/cicadabank/control/internal/cell_holder.py
+++ b/packages/control/src/cicadabank/control/internal/cell_holder.py
@@ -289,7 +289,7 @@
             stored is not None and stored.value == row.value
             for stored, row in zip(found, rows, strict=True)
         ):
-            self._last_write_s = clock_s()
+            # It is unknown when the earlier attempt took effect: `_last_write_s` stays.
             self.scheduler.on_committed(commit, found[0].version, clock_s())
             self._plan_and_send()
             return
--- a/tests/cover/test_cell_holder.py
+++ b/tests/cover/test_cell_holder.py
@@ -15,6 +15,7 @@
     AGENT_PREFIX,
     HOLDER_KEY,
     JOB_PREFIX,
+    LEASE_KEY,
     RUN_PREFIX,
     AgentRow,
     Configuration,
@@ -28,12 +29,14 @@
     unpack,
 )
 from cicadabank.standin import MemoryTable
-from cicadabank.tasks import running
+from cicadabank.tasks import clock_s, running
 from cicadabank.wire import ChannelPool, fleet_pb2, fleet_pb2_grpc, serve
 
 from tests.support.addresses import unused_address
+from tests.support.platform import wait_for
 
 RECORD = JobRecord("j", "q", "w", 0.0, "spec", (StepSpec(1, Resources(1, 1, 1), 1.0),))
+TIMINGS = Timings()
 OPERATOR = OperatorView(Configuration(), frozenset())
 
 
@@ -61,7 +64,7 @@
             self.replica,
             ChannelPool(),
             self.fenced.append,
-            Timings(),
+            TIMINGS,
         )
         stack.callback(self.actor.close)
         stack.enter_context(running(self.actor))
@@ -80,6 +83,26 @@
             time.sleep(0.02)
         pytest.fail(f"the job's stored state is not {state!r}")
 
+    def wait_until_stored(self):
+        """Wait until the holder knows that its writes took effect."""
+        state = self.actor.scheduler.state
+        until_s = time.monotonic() + 5.0
+        while state.in_flight and time.monotonic() < until_s:
+            time.sleep(0.02)
+        assert state.in_flight is None
+
+    def wait_for_first_renewal(self):
+        """Wait until the lease row is written and the reply to it processed."""
+
+        def renewed() -> bool:
+            is_writing = self.actor.ask(getattr, self.actor, "_writing")
+            return ("cell", LEASE_KEY) in self.table.rows and not is_writing
+
+        wait_for(renewed, 5.0)
+
+    def may_renew_leases(self, now_s: float) -> bool:
+        return self.actor.ask(self.actor._may_renew_leases, now_s)
+
 
 @pytest.fixture
 def stack():
@@ -103,10 +126,26 @@
         holder.cancel_job()
         holder.wait_for_job_state("cancelled")
         table.lose_answers = False
-        until_s = time.monotonic() + 5.0
-        while holder.actor.scheduler.state.in_flight and time.monotonic() < until_s:
-            time.sleep(0.02)
-        assert holder.actor.scheduler.state.in_flight is None
+        holder.wait_until_stored()
+        assert not holder.fenced
+
+    # Guards against leases that last longer than a successor waits: it counts from the
+    # time at which it saw the write, not from that of the conflict.
+    def test_a_write_found_to_have_taken_effect_counts_from_when_it_was_sent(
+        self, table, stack, monkeypatch
+    ):
+        monkeypatch.setattr(cell_holder_module, "RENEW_INTERVAL_S", 60.0)
+        monkeypatch.setattr(cell_holder_module, "WRITE_RETRY_PAUSE_S", 1.0)
+        holder = Holder(table, 1, stack)
+        holder.wait_for_first_renewal()
+        table.lose_answers = True
+        holder.cancel_job()
+        holder.wait_for_job_state("cancelled")
+        written_s = clock_s()
+        table.lose_answers = False
+        holder.wait_until_stored()
+        grant_s = TIMINGS.outage_s - TIMINGS.lease_s
+        assert not holder.may_renew_leases(written_s + grant_s)
         assert not holder.fenced
 
 
