Count a new holder's leases from when its takeover was sent

A new holder counted its first 8 s of renewals from when the reply to its takeover had been processed. Its own successor counts from when it saw the takeover's rows, which may be earlier by the whole delay of that reply, so the holder could renew leases beyond what the successor waits for. It now counts from when the takeover was sent, as with every later write.

--- a/packages/control/src/cicadabank/control/internal/cell_holder.py
+++ b/packages/control/src/cicadabank/control/internal/cell_holder.py
@@ -60,6 +60,8 @@
         Epoch of this entry's takeover of the cell.
     version : int
         Version of the row that names the holder; every write is conditional on it.
+    taken_over_s : float
+        Time at which the write of the takeover was sent.
     address : str
         ``IP:port`` at which this entry receives reports.
     on_fenced : callable
@@ -71,6 +73,7 @@
         cell: str,
         epoch: int,
         version: int,
+        taken_over_s: float,
         address: str,
         table: PartitionedTable,
         replica: Replica,
@@ -89,7 +92,7 @@
         self._on_fenced = on_fenced
         self._timings = timings
         self._writer = ThreadPoolExecutor(1, f"commit-{cell}")
-        self._last_write_s = clock_s()
+        self._last_write_s = taken_over_s
         self._renew_due_s = 0.0
         self._last_plan_s = float("-inf")
         self._writing = False
--- a/packages/control/src/cicadabank/control/internal/entry.py
+++ b/packages/control/src/cicadabank/control/internal/entry.py
@@ -340,12 +340,16 @@
         remaining_s = leases_until_s - self.replica.store_now_s()
         return max(self.parts.timings.lease_s, remaining_s)
 
-    def _write_holder(self, cell: str, epoch: int, leases_until_s: float) -> int:
+    def _write_holder(
+        self, cell: str, epoch: int, leases_until_s: float
+    ) -> tuple[int, float]:
+        """Write a takeover; return the new version and when the write was sent."""
         rows = self.replica.cell(cell)
         earlier_leases = EarlierLeasesRow(epoch, leases_until_s)
         holder = HolderRow(epoch, self.parts.name, self.parts.peer)
         lease = LeaseRow(epoch, self.replica.store_now_s())
-        return self.cells_table.commit(
+        sent_s = clock_s()
+        version = self.cells_table.commit(
             cell,
             {HOLDER_KEY: rows.holder_version if rows.holder else 0},
             {
@@ -354,6 +358,7 @@
                 LEASE_KEY: pack(lease),
             },
         )
+        return version, sent_s
 
     def _on_takeover_written(self, cell: str, epoch: int, future) -> None:
         error = future.exception()
@@ -361,14 +366,17 @@
             level = "INFO" if isinstance(error, PlatformError) else "ERROR"
             logger.bind(event="takeover_failed", cell=cell).log(level, "{!r}", error)
         else:
-            self._start_holding(cell, epoch, future.result())
+            self._start_holding(cell, epoch, *future.result())
         del self._takeover_epochs[cell]
 
-    def _start_holding(self, cell: str, epoch: int, version: int) -> None:
+    def _start_holding(
+        self, cell: str, epoch: int, version: int, taken_over_s: float
+    ) -> None:
         actor = CellActor(
             cell,
             epoch,
             version,
+            taken_over_s,
             self.parts.peer,
             self.cells_table,
             self.replica,
--- a/tests/cover/test_cell_holder.py
+++ b/tests/cover/test_cell_holder.py
@@ -59,6 +59,7 @@
             "cell",
             epoch,
             version,
+            clock_s(),
             "1.2.3.4:5",
             table,
             self.replica,
--- a/tests/cover/test_cell_takeover.py
+++ b/tests/cover/test_cell_takeover.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import time
 from contextlib import ExitStack
 from typing import NamedTuple
 
 import pytest
+from cicadabank.control.internal import cell_holder as cell_holder_module
 from cicadabank.control.internal import entry as entry_module
 from cicadabank.scheduling import HOLDER_KEY, LEASE_KEY, AgentRow, pack, unpack
 from cicadabank.standin import MemoryTable
+from cicadabank.tasks import clock_s
 
 from tests.support.addresses import unused_address
 from tests.support.cell_entries import (
@@ -21,6 +24,7 @@
     write_holder,
     write_running_job,
 )
+from tests.support.platform import wait_for
 
 
 @pytest.fixture
@@ -108,6 +112,33 @@
         assert release_s(second) == pytest.approx(expected_s)
 
 
+# Guards against leases that last longer than a successor waits: it counts from the time
+# at which it saw the takeover, not from that of the reply.
+class TestLeasesAfterATakeover:
+    def test_leases_count_from_when_the_takeover_was_sent(
+        self, stack, table, monkeypatch
+    ):
+        monkeypatch.setattr(cell_holder_module, "RENEW_INTERVAL_S", 60.0)
+        write_holder(table, 1, "")
+        entry = CellEntry(table, "e")
+        written_s = []
+
+        def delay_reply():
+            if not written_s:
+                written_s.append(clock_s())
+                # The holder's own writes don't take effect.
+                table.down = True
+                time.sleep(0.5)
+
+        entry.table.after_commit = delay_reply
+        stack.callback(entry.kill)
+        entry.start()
+        wait_for(lambda: CELL in entry.actor.held_cells)
+        holder = entry.actor.held_cells[CELL]
+        grant_s = TIMINGS.outage_s - TIMINGS.lease_s
+        assert not holder.ask(holder._may_renew_leases, written_s[0] + grant_s)
+
+
 class HolderRowOfOlderBuilds(NamedTuple):
     epoch: int
     entry: str
