Write a takeover only if the holder is still the one it was decided on

A takeover's epoch and its wait follow from the holder row at the decision, but the row's version, on which the write is conditional, was read when the write's thread began. The two threads also ping silent holders, for up to 0.4 s each. If another entry's takeover arrived meanwhile, the late one replaced it: two holders had the same epoch, so that agents could not tell whose orders are newer, and the second didn't wait for leases that the first had granted.

The version is now read at the decision, before the row, so that a row that changes between the two reads leads to a conflict as well.

--- a/packages/control/src/cicadabank/control/internal/entry.py
+++ b/packages/control/src/cicadabank/control/internal/entry.py
@@ -285,6 +285,8 @@
             the cell no more.
         """
         rows = self.replica.cell(cell)
+        # Read before the row: if that is newer, the takeover fails with a conflict.
+        holder_version = rows.holder_version
         epoch = (rows.holder.epoch if rows.holder else 0) + 1
         self._takeover_epochs[cell] = epoch
         leases_until_s = self._earlier_leases_until_s(rows, holder_ended)
@@ -297,7 +299,7 @@
             lease_age_s=round(self.replica.store_now_s() - rows.lease_seen_s, 3),
         )
         future = self._takeover_threads.submit(
-            self._write_holder, cell, epoch, leases_until_s
+            self._write_holder, cell, epoch, holder_version, leases_until_s
         )
         future.add_done_callback(
             lambda f: self.post(self._on_takeover_written, cell, epoch, f)
@@ -341,17 +343,16 @@
         return max(self.parts.timings.lease_s, remaining_s)
 
     def _write_holder(
-        self, cell: str, epoch: int, leases_until_s: float
+        self, cell: str, epoch: int, holder_version: int, leases_until_s: float
     ) -> tuple[int, float]:
         """Write a takeover; return the new version and when the write was sent."""
-        rows = self.replica.cell(cell)
         earlier_leases = EarlierLeasesRow(epoch, leases_until_s)
         holder = HolderRow(epoch, self.parts.name, self.parts.peer)
         lease = LeaseRow(epoch, self.replica.store_now_s())
         sent_s = clock_s()
         version = self.cells_table.commit(
             cell,
-            {HOLDER_KEY: rows.holder_version if rows.holder else 0},
+            {HOLDER_KEY: holder_version},
             {
                 EARLIER_LEASES_KEY: pack(earlier_leases),
                 HOLDER_KEY: pack(holder),
--- a/tests/cover/test_cell_takeover.py
+++ b/tests/cover/test_cell_takeover.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 import time
 from contextlib import ExitStack
 from typing import NamedTuple
@@ -9,7 +10,14 @@
 import pytest
 from cicadabank.control.internal import cell_holder as cell_holder_module
 from cicadabank.control.internal import entry as entry_module
-from cicadabank.scheduling import HOLDER_KEY, LEASE_KEY, AgentRow, pack, unpack
+from cicadabank.scheduling import (
+    HOLDER_KEY,
+    LEASE_KEY,
+    AgentRow,
+    HolderRow,
+    pack,
+    unpack,
+)
 from cicadabank.standin import MemoryTable
 from cicadabank.tasks import clock_s
 
@@ -139,6 +147,29 @@
         assert not holder.ask(holder._may_renew_leases, written_s[0] + grant_s)
 
 
+# Guards against two holders with the same epoch, the second of which doesn't wait for
+# leases granted by the first.
+class TestOvertakenTakeovers:
+    def test_a_takeover_decided_before_another_one_fails(self, stack, table):
+        write_holder(table, 1, "")
+        late = CellEntry(table, "late")
+        # Pings of silent holders delay the takeover's write.
+        may_write = threading.Event()
+        late.actor._takeover_threads.submit(may_write.wait, 10.0)
+        late.actor._takeover_threads.submit(may_write.wait, 10.0)
+        stack.callback(late.kill)
+        late.start()
+        wait_for(lambda: late.actor.epoch_of(CELL) == 2)
+        rival = start_entry(stack, table, "rival")
+        rival.wait_for_holder()
+        replica = late.actor.replica
+        wait_for(lambda: replica.cell(CELL).holder.address == rival.address)
+        may_write.set()
+        wait_for(lambda: CELL not in late.actor._takeover_epochs)
+        holder = unpack(table.rows[(CELL, HOLDER_KEY)].value, HolderRow)
+        assert holder == HolderRow(2, "rival", rival.address)
+
+
 class HolderRowOfOlderBuilds(NamedTuple):
     epoch: int
     entry: str
