Make a takeover conditional on the lease that it waits for

The wait of a takeover counts from the last renewal that the entry has seen, but the write was conditional on the holder row only, which a renewal doesn't change. The store may perform a write seconds after it was sent, even if its reply was lost, so the holder could renew its lease and leases of tasks in between, and they last until 16 s after that renewal.

A takeover from a holder that may still run is now conditional on the version of the lease row that its wait counts from, and is decided anew after a conflict. One from a holder that has ended is not, so that a last write of that holder doesn't delay it.

Without the change, both cases of the new test fail: with the reply and without it, the wait ends 14.8 s after the renewal instead of 16 s. The other new test, of a holder that has ended, holds before and after. tests/cover/test_cell_takeover.py: 16 passed.

--- a/packages/control/src/cicadabank/control/internal/entry.py
+++ b/packages/control/src/cicadabank/control/internal/entry.py
@@ -285,8 +285,12 @@
             the cell no more.
         """
         rows = self.replica.cell(cell)
-        # Read before the row: if that is newer, the takeover fails with a conflict.
-        holder_version = rows.holder_version
+        # Read before the rows: if those are newer, the takeover fails with a conflict.
+        expected = {HOLDER_KEY: rows.holder_version, LEASE_KEY: rows.lease_version}
+        holder_ended = holder_ended or self._has_ended(rows.holder)
+        if holder_ended:
+            # One of its last writes may still take effect.
+            del expected[LEASE_KEY]
         epoch = (rows.holder.epoch if rows.holder else 0) + 1
         self._takeover_epochs[cell] = epoch
         leases_until_s = self._earlier_leases_until_s(rows, holder_ended)
@@ -299,18 +303,27 @@
             lease_age_s=round(self.replica.store_now_s() - rows.lease_seen_s, 3),
         )
         future = self._takeover_threads.submit(
-            self._write_holder, cell, epoch, holder_version, leases_until_s
+            self._write_holder, cell, epoch, expected, leases_until_s
         )
         future.add_done_callback(
             lambda f: self.post(self._on_takeover_written, cell, epoch, f)
         )
 
+    def _has_ended(self, holder: HolderRow | None) -> bool:
+        """Return whether a cell's row shows that its holder has ended."""
+        if holder is None or not holder.address:
+            return True
+        # A holder with this process's address is its earlier incarnation.
+        return holder.address == self.parts.peer
+
     def _earlier_leases_until_s(self, rows: CellRows, holder_ended: bool) -> float:
         """Return when leases granted by holders that may still run have expired.
 
         A holder that is cut off from the store may renew leases for a limited time;
-        they have expired `outage_s` after its last write. The end of a holder says
-        nothing about those before it, so what the last takeover stored is carried on.
+        they have expired `outage_s` after its last write. A takeover from it is
+        conditional on its lease row, so no write of it is unseen. The end of a holder
+        says nothing about those before it, so what the last takeover stored is carried
+        on.
 
         Returns
         -------
@@ -320,10 +333,6 @@
         holder, earlier = rows.holder, rows.earlier_leases
         if holder is None:
             return float("-inf")
-        # A holder with this process's address is its earlier incarnation and has ended.
-        holder_ended = (
-            holder_ended or not holder.address or holder.address == self.parts.peer
-        )
         is_known = earlier is not None and earlier.epoch == holder.epoch
         if is_known and holder_ended:
             return earlier.until_s
@@ -343,7 +352,7 @@
         return max(self.parts.timings.lease_s, remaining_s)
 
     def _write_holder(
-        self, cell: str, epoch: int, holder_version: int, leases_until_s: float
+        self, cell: str, epoch: int, expected: dict[str, int], leases_until_s: float
     ) -> tuple[int, float]:
         """Write a takeover; return the new version and when the write was sent."""
         earlier_leases = EarlierLeasesRow(epoch, leases_until_s)
@@ -352,7 +361,7 @@
         sent_s = clock_s()
         version = self.cells_table.commit(
             cell,
-            {HOLDER_KEY: holder_version},
+            expected,
             {
                 EARLIER_LEASES_KEY: pack(earlier_leases),
                 HOLDER_KEY: pack(holder),
--- a/packages/control/src/cicadabank/control/internal/replica.py
+++ b/packages/control/src/cicadabank/control/internal/replica.py
@@ -45,6 +45,7 @@
         "holder_version",
         "jobs",
         "lease_seen_s",
+        "lease_version",
         "runs",
     )
 
@@ -57,6 +58,7 @@
         self.holder_version = 0
         self.earlier_leases: EarlierLeasesRow | None = None
         self.lease_seen_s = float("-inf")  # on the store's clock
+        self.lease_version = 0
 
 
 class Replica:
@@ -172,6 +174,7 @@
             cell.earlier_leases = unpack(row.value, EarlierLeasesRow)
         elif kind == LEASE_KEY:
             cell.lease_seen_s = self._last_store_s
+            cell.lease_version = row.version
 
 
 def _remove(cell: CellRows, kind: str, name: str) -> None:
--- a/tests/cover/test_cell_takeover.py
+++ b/tests/cover/test_cell_takeover.py
@@ -15,6 +15,7 @@
     LEASE_KEY,
     AgentRow,
     HolderRow,
+    LeaseRow,
     pack,
     unpack,
 )
@@ -170,6 +171,48 @@
         assert holder == HolderRow(2, "rival", rival.address)
 
 
+# Guards against leases that last longer than a successor waits: a takeover that is
+# performed late, perhaps after its reply was lost, finds a lease that was renewed.
+class TestRenewalsDuringATakeover:
+    def entry_with_renewal(self, stack, table, renewed_s: list[float]) -> CellEntry:
+        """Return an entry; the holder renews its lease just before the takeover."""
+        entry = CellEntry(table, "e")
+
+        def renew():
+            if not renewed_s:
+                renewed_s.append(clock_s())
+                table.commit(CELL, {}, {LEASE_KEY: pack(LeaseRow(1, 0.0))})
+
+        entry.table.before_commit = renew
+        stack.callback(entry.kill)
+        return entry
+
+    @pytest.mark.parametrize("lost_answers", [0, 1])
+    def test_leases_granted_after_the_renewal_are_waited_for(
+        self, stack, table, monkeypatch, lost_answers
+    ):
+        monkeypatch.setattr(entry_module, "HOLDER_LEASE_S", 1.5)
+        monkeypatch.setattr(entry_module, "UNRESPONSIVE_LEASE_S", 1.5)
+        write_holder(table, 1, stack.enter_context(silent_address()))
+        renewed_s = []
+        entry = self.entry_with_renewal(stack, table, renewed_s)
+        entry.table.lost_answers = lost_answers
+        entry.start()
+        assert release_s(entry) >= renewed_s[0] + TIMINGS.outage_s
+
+    # Guards against a cell that stays without a holder longer than necessary.
+    def test_a_late_write_of_an_ended_holder_does_not_prevent_the_takeover(
+        self, stack, table
+    ):
+        write_holder(table, 1, "")
+        renewed_s = []
+        entry = self.entry_with_renewal(stack, table, renewed_s)
+        entry.start()
+        entry.wait_for_holder()
+        assert unpack(table.rows[(CELL, HOLDER_KEY)].value, HolderRow).epoch == 2
+        assert clock_s() - renewed_s[0] < 0.5
+
+
 class HolderRowOfOlderBuilds(NamedTuple):
     epoch: int
     entry: str
