Renew no leases while a cell is handed over

A stopping entry wrote the empty holder row, waited for the reply and only then let the cell go. Until then it renewed leases, while a successor that had seen the row counts 8 s from its own takeover, since the holder has ended. With a slow or lost reply (up to the calls' timeouts), leases lasted longer than that wait.

The holder now renews no lease from before the write on. Those that it granted last for up to 8 s more, and the successor calls all agents at once.

--- a/packages/control/src/cicadabank/control/internal/cell_holder.py
+++ b/packages/control/src/cicadabank/control/internal/cell_holder.py
@@ -190,11 +190,12 @@
         """Return whether the leases of targets may be renewed.
 
         After the last write, leases are renewed for a limited time only, so that a
-        successor knows when the last of them has expired.
+        successor knows when the last of them has expired. None are renewed during a
+        hand-over: a successor may count from its write before the reply arrives here.
         """
-        return (
-            now_s - self._last_write_s < self._timings.outage_s - self._timings.lease_s
-        )
+        since_write_s = now_s - self._last_write_s
+        in_time = since_write_s < self._timings.outage_s - self._timings.lease_s
+        return in_time and not self.scheduler.state.stopping
 
     def on_tick(self) -> None:
         """Plan, renew the cell's lease if due, and notify silent agents."""
@@ -341,8 +342,11 @@
         if error.code() == grpc.StatusCode.DEADLINE_EXCEEDED:
             self._pool.drop(agent)
 
-    def stop_placement(self) -> None:
-        """Place no further runs; starts that are already committed are still sent."""
+    def prepare_hand_over(self) -> None:
+        """Place no further runs and renew no more leases.
+
+        Starts that are already committed are still sent.
+        """
         self.scheduler.state.stopping = True
 
     def close(self) -> None:
--- a/packages/control/src/cicadabank/control/internal/entry.py
+++ b/packages/control/src/cicadabank/control/internal/entry.py
@@ -441,7 +441,7 @@
         """Release all cells, so that other entries take them over at once."""
         self.stopping = True
         for cell, actor in list(self.held_cells.items()):
-            actor.ask(actor.stop_placement)
+            actor.ask(actor.prepare_hand_over)
             try:
                 self.cells_table.commit(
                     cell,
--- a/tests/cover/test_cell_takeover.py
+++ b/tests/cover/test_cell_takeover.py
@@ -21,6 +21,7 @@
 )
 from cicadabank.standin import MemoryTable
 from cicadabank.tasks import clock_s
+from cicadabank.wire import fleet_pb2
 
 from tests.support.addresses import unused_address
 from tests.support.cell_entries import (
@@ -36,6 +37,18 @@
 from tests.support.platform import wait_for
 
 
+def target_report(number: int) -> fleet_pb2.TargetReport:
+    return fleet_pb2.TargetReport(
+        cell=CELL,
+        agent=TARGET.agent,
+        agent_run="1",
+        number=number,
+        target=TARGET.target,
+        incarnation=TARGET.incarnation,
+        domain="d",
+    )
+
+
 @pytest.fixture
 def stack(monkeypatch):
     # Holders without a reply to a ping lose their cell sooner.
@@ -213,6 +226,26 @@
         assert clock_s() - renewed_s[0] < 0.5
 
 
+# Guards against leases that last longer than a successor waits: it may have taken over
+# before the reply to the hand-over arrives.
+class TestHandOver:
+    def test_no_lease_is_renewed_once_the_hand_over_is_written(self, stack, table):
+        entry = start_entry(stack, table, "e")
+        holder = entry.wait_for_holder()
+        renewed = []
+
+        def delay_reply():
+            if not unpack(table.rows[(CELL, HOLDER_KEY)].value, HolderRow).address:
+                reply = holder.ask(holder.on_report, target_report(2))
+                renewed.append(reply.lease_s)
+
+        reply = holder.ask(holder.on_report, target_report(1))
+        assert reply.lease_s == TIMINGS.lease_s
+        entry.table.after_commit = delay_reply
+        entry.hand_over()
+        assert renewed == [0.0]
+
+
 class HolderRowOfOlderBuilds(NamedTuple):
     epoch: int
     entry: str
