Take a refused ping as the end of a holder only on a new channel

An entry whose address refuses connections has ended, and its successor waits only for the leases that it granted last. But a gRPC channel that was refused answers further calls with the same refusal for up to 2 s, without an attempt to connect: an entry that had just restarted and taken a cell over was reported as gone to others that had forwarded a row to it, or pinged it, while it was down. If it was then cut off from the store, it went on renewing leases for which its successor didn't wait.

A refusal now counts only if a new channel is refused as well.

Both cases of the new test fail without the change: the listening entry is reported as gone. test_peers.py and test_cell_takeover.py pass with it (25).

--- a/packages/control/src/cicadabank/control/internal/peers.py
+++ b/packages/control/src/cicadabank/control/internal/peers.py
@@ -75,17 +75,23 @@
 
 def ping(pool: ChannelPool, address: str, cell: str, epoch: int) -> HolderStatus:
     """Ask an entry whether it holds a cell under this epoch or a later one."""
-    stub = fleet_pb2_grpc.PeerStub(pool.get(address))
-    try:
-        reply = stub.Ping(fleet_pb2.PingRequest(cell=cell), timeout=PING_TIMEOUT_S)
-    except grpc.RpcError as error:
-        if error.code() == grpc.StatusCode.UNAVAILABLE and _connection_refused(error):
-            return HolderStatus.GONE
-        pool.drop(address)
-        return HolderStatus.SILENT
-    return HolderStatus.HOLDS if reply.epoch >= epoch else HolderStatus.GONE
+    # A channel in backoff repeats an earlier refusal without an attempt to connect, so
+    # a refusal counts only on a new channel.
+    for _ in range(2):
+        stub = fleet_pb2_grpc.PeerStub(pool.get(address))
+        try:
+            reply = stub.Ping(fleet_pb2.PingRequest(cell=cell), timeout=PING_TIMEOUT_S)
+        except grpc.RpcError as error:
+            pool.drop(address)
+            if not _connection_refused(error):
+                return HolderStatus.SILENT
+        else:
+            return HolderStatus.HOLDS if reply.epoch >= epoch else HolderStatus.GONE
+    return HolderStatus.GONE
 
 
 def _connection_refused(error: grpc.RpcError) -> bool:
     """Return whether the VM answered that no process listens on the port."""
+    if error.code() != grpc.StatusCode.UNAVAILABLE:
+        return False
     return "refused" in (error.details() or "").lower()
--- a/tests/cover/test_peers.py
+++ b/tests/cover/test_peers.py
@@ -1,6 +1,7 @@
 """Calls between entries: forwarded rows, and pings of the holder of a cell."""
 
 import threading
+import time
 
 import pytest
 from cicadabank.control.internal.peers import (
@@ -56,6 +57,20 @@
     def test_address_without_a_listener_is_reported_as_gone(self, holder):
         assert ping(ChannelPool(), holder.address, "cell", 3) is HolderStatus.GONE
 
+    # Guards against a holder that is taken to have ended though it goes on renewing
+    # leases: a channel in backoff repeats an earlier refusal.
+    @pytest.mark.parametrize("refused_s", [0.3, 1.5])
+    def test_an_entry_that_listens_again_is_not_reported_as_gone(
+        self, holder, refused_s
+    ):
+        pool = ChannelPool()
+        end_s = time.monotonic() + refused_s
+        while time.monotonic() < end_s:
+            assert ping(pool, holder.address, "cell", 3) is HolderStatus.GONE
+            time.sleep(0.05)
+        with holder.serving():
+            assert ping(pool, holder.address, "cell", 3) is HolderStatus.HOLDS
+
     def test_entry_that_does_not_reply_is_reported_as_silent(self, holder):
         holder.resume = threading.Event()
         with holder.serving():
