Shorten leases by the drift that a target's clock may have

A lease's end was passed to the target as if its clock ran at the right speed. On one that runs 2 % slow, a lease of 8 s, computed from a sample of the clock that may be 1.2 s older, ends up to 0.188 s late. The holder releases a target that is silent for 8.16 s, and the agent gives it up after 1.02 times what was left of the lease: a task could run for up to 28 ms more after the holder had given it away.

The time on the target's clock is now reduced by the drift, so that the lease has expired by its end on the agent's clock. A target with a right clock gets 7.84 of 8 s.

The new test puts a target's clock, the agent's controller and the holder's scheduler side by side.

--- a/packages/control/src/cicadabank/control/internal/target_controller.py
+++ b/packages/control/src/cicadabank/control/internal/target_controller.py
@@ -244,7 +244,8 @@
         """Return when the lease ends on the target's clock; None without a lease.
 
         Records that the target may have been passed this end. The target read its clock
-        before its reply arrived, so the returned time is never later than the true end.
+        before its reply arrived, and may run slow, so the lease is shortened by the
+        drift: the target reaches the returned time no later than the true end.
         The lease of a target that does not reply is not extended, so that it expires.
         """
         until_s = self._granted_until_s
@@ -254,7 +255,7 @@
             return None
         target_s, received_s = self._clock_sample
         self._passed_on_until_s = max(self._passed_on_until_s, until_s)
-        return target_s + (until_s - received_s)
+        return target_s + (until_s - received_s) * (1 - MAX_CLOCK_DRIFT)
 
     def on_started(self, run: RunId, outcome: StartOutcome, now_s: float) -> None:
         """Process the target's reply to a start."""
--- a/tests/cover/test_target_controller.py
+++ b/tests/cover/test_target_controller.py
@@ -15,11 +15,13 @@
     StartOutcome,
     TargetHeartbeat,
 )
-from cicadabank.scheduling import EndedRun, Resources, RunId, RunningRun
+from cicadabank.scheduling import CellScheduler, EndedRun, Resources, RunId, RunningRun
 from cicadabank.wire import fleet_pb2
 
 RUN = RunId("j", 0, 0, 1)
 OTHER_RUN = RunId("j", 0, 1, 1)
+# How far the slowest clock advances during the lease of 8 s.
+SHORTEST_LEASE_ON_TARGET_S = 8.0 * (1 - MAX_CLOCK_DRIFT)
 
 
 def heartbeat(started_ms=1, sequence=1, draining=False, **overrides) -> TargetHeartbeat:
@@ -204,8 +206,33 @@
 class TestLeases:
     def test_a_lease_ends_no_later_on_the_target_s_clock(self, controller):
         # The target's clock read 50 s no later than at 10.0 s, and the lease ends at
-        # 18.0 s, so at least 8 s later.
-        assert controller.take_lease_end_on_target_s(11.0) == pytest.approx(58.0)
+        # 18.0 s, so at least 8 s later. A slow clock advances by less in that time.
+        end_s = controller.take_lease_end_on_target_s(11.0)
+        assert end_s == pytest.approx(50.0 + SHORTEST_LEASE_ON_TARGET_S)
+
+    # Guards against a task that runs twice: its lease ends on the target's clock, while
+    # the holder and the agent count its end on theirs.
+    @pytest.mark.parametrize("drift", [0.0, MAX_CLOCK_DRIFT])
+    @pytest.mark.parametrize("sample_age_s", [0.0, UNRESPONSIVE_AFTER_S - 0.01])
+    def test_a_lease_has_expired_when_the_target_is_given_up(
+        self, controller, drift, sample_age_s
+    ):
+        scheduler = CellScheduler("cell", 1, 10.0)
+        scheduler.load([], [], 10.0)
+        # The target's clock is read at 10 s. The report arrives as soon as it is sent.
+        sent_s = 10.0 + sample_age_s
+        report = report_from_message(controller.report(sent_s))
+        lease_s = scheduler.on_report(report, sent_s, may_renew=True).lease_s
+        reply = fleet_pb2.ReportReply(accepted=True, epoch=1, lease_s=lease_s)
+        controller.on_reply(reply, sent_s, controller.incarnation)
+        on_target_s = controller.take_lease_end_on_target_s(sent_s)
+        end_s = 10.0 + (on_target_s - 50.0) / (1.0 - drift)
+        now_s = sent_s
+        while scheduler.state.targets and not controller.is_target_lost(now_s):
+            now_s += 0.001
+            scheduler.tick(now_s)
+        assert end_s <= now_s
+        assert end_s <= sent_s + lease_s + 1e-6
 
     def test_an_expired_lease_is_not_renewed(self, controller):
         assert controller.take_lease_end_on_target_s(18.5) is None
@@ -235,12 +262,14 @@
     def test_a_lease_is_extended_once_the_target_replies_again(self, controller):
         controller.on_heartbeat(heartbeat(started_ms=2), 10.0)
         controller.on_listing(listing(started_ms=2), 10.0, 10.0)
-        assert controller.take_lease_end_on_target_s(10.5) == pytest.approx(58.0)
+        first_end = pytest.approx(50.0 + SHORTEST_LEASE_ON_TARGET_S)
+        assert controller.take_lease_end_on_target_s(10.5) == first_end
         reply = fleet_pb2.ReportReply(accepted=True, epoch=1, lease_s=8.0)
         controller.on_reply(reply, 13.0, controller.incarnation)
-        assert controller.take_lease_end_on_target_s(13.0) == pytest.approx(58.0)
+        assert controller.take_lease_end_on_target_s(13.0) == first_end
         controller.on_listing(listing(started_ms=2, target_s=53.0), 13.0, 13.0)
-        assert controller.take_lease_end_on_target_s(13.0) == pytest.approx(61.0)
+        second_end = pytest.approx(53.0 + SHORTEST_LEASE_ON_TARGET_S)
+        assert controller.take_lease_end_on_target_s(13.0) == second_end
 
     def test_a_new_agent_assumes_the_longest_lease_of_its_predecessor(self):
         controller = TargetController("a:2", "agent-2", "cell")
