--- a/packages/control/src/cicadabank/control/internal/cell_holder.py
+++ b/packages/control/src/cicadabank/control/internal/cell_holder.py
@@ -60,6 +60,8 @@
         Epoch of this entry's takeover of the cell.
     version : int
         Version of the row that names the holder; every write is conditional on it.
+    taken_over_s : float
+        Time at which the write of the takeover was sent.
     address : str
         ``IP:port`` at which this entry receives reports.
     on_fenced : callable
@@ -71,6 +73,7 @@
         cell: str,
         epoch: int,
         version: int,
+        taken_over_s: float,
         address: str,
         table: PartitionedTable,
         replica: Replica,
@@ -89,7 +92,7 @@
         self._on_fenced = on_fenced
         self._timings = timings
         self._writer = ThreadPoolExecutor(1, f"commit-{cell}")
-        self._last_write_s = clock_s()
+        self._last_write_s = taken_over_s
         self._renew_due_s = 0.0
         self._last_plan_s = float("-inf")
         self._writing = False
@@ -188,11 +191,12 @@
         """Return whether the leases of targets may be renewed.
 
         After the last write, leases are renewed for a limited time only, so that a
-        successor knows when the last of them has expired.
+        successor knows when the last of them has expired. None are renewed during a
+        hand-over: a successor may count from its write before the reply arrives here.
         """
-        return (
-            now_s - self._last_write_s < self._timings.outage_s - self._timings.lease_s
-        )
+        since_write_s = now_s - self._last_write_s
+        in_time = since_write_s < self._timings.outage_s - self._timings.lease_s
+        return in_time and not self.scheduler.state.stopping
 
     def on_tick(self) -> None:
         """Plan, renew the cell's lease if due, and notify silent agents."""
@@ -290,7 +294,7 @@
             stored is not None and stored.value == row.value
             for stored, row in zip(found, rows, strict=True)
         ):
-            self._last_write_s = clock_s()
+            # It is unknown when the earlier attempt took effect: `_last_write_s` stays.
             self.scheduler.on_committed(commit, found[0].version, clock_s())
             self._plan_and_send()
             return
@@ -340,8 +344,11 @@
         if error.code() == grpc.StatusCode.DEADLINE_EXCEEDED:
             self._pool.drop(agent)
 
-    def stop_placement(self) -> None:
-        """Place no further runs; starts that are already committed are still sent."""
+    def prepare_hand_over(self) -> None:
+        """Place no further runs and renew no more leases.
+
+        Starts that are already committed are still sent.
+        """
         self.scheduler.state.stopping = True
 
     def close(self) -> None:
