--- /dev/null
+++ b/tests/cover/test_odd_entries.py
@@ -0,0 +1,183 @@
+"""Entries of other writers: they name nothing to use, and the others hold."""
+
+from __future__ import annotations
+
+import json
+
+import msgspec
+import pytest
+from cicadabank.control.internal.target_controller import TargetController
+from cicadabank.platform.target import HeartbeatApi, decode_heartbeat
+from cicadabank.web.messages import ApiCall
+from hypothesis import example, given
+from hypothesis import strategies as st
+
+NESTED = b"[" * 3_000 + b"]" * 3_000
+DOCUMENTS = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**80), 2**80)
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.sampled_from([10**18, 2**63, 10**400, 1e300, -1, 0.5])
+    | st.text(max_size=8)
+    | st.sampled_from(["ready", "10.0.0.1:99999", "10.0.0.1:-1", "x", "\x00"]),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=4), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+
+
+def changed(document: dict, path: tuple, value: object) -> dict:
+    """Return a copy of a document with another value at a path."""
+    copy = json.loads(json.dumps(document))
+    *parents, last = path
+    inner = copy
+    for name in parents:
+        inner = inner[name]
+    inner[last] = value
+    return copy
+
+
+class FakeAgent:
+    """Records what the heartbeat API passes to the agent."""
+
+    def __init__(self, cell="cell"):
+        self.parts = self
+        self.cell = cell
+        self.heartbeats = []
+        self.on_heartbeat = self.heartbeats.append
+
+    def ask(self, function, *arguments, timeout_s):
+        function(*arguments)
+
+
+class TestHeartbeat:
+    HEARTBEAT = {
+        "service": "cell",
+        "address": "10.0.0.1:8080",
+        "zone": "d",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "coldMs": 0,
+        "capacity": {"cpu": 32_000, "memMb": 1_000, "gpu": 8},
+        "labels": ["a", "r1-2"],
+        "clockMs": 482_113,
+        "seq": 4,
+        "born": 1_783_571_724_642,
+    }
+    PATHS = [(field,) for field in HEARTBEAT] + [
+        ("remainingMs",),
+        ("labels", 0),
+        *(("capacity", kind) for kind in HEARTBEAT["capacity"]),
+    ]
+
+    def put(self, document, target="i-7f3a91c2", agent=None):
+        agent = agent or FakeAgent()
+        body = document if isinstance(document, bytes) else json.dumps(document)
+        body = body if isinstance(body, bytes) else body.encode()
+        call = ApiCall("PUT", f"/api/instances/{target}", {}, {}, body)
+        return HeartbeatApi(agent).dispatch(call).status, agent.heartbeats
+
+    def test_fields_that_are_not_known_are_ignored(self):
+        document = {**self.HEARTBEAT, "later": {"x": [None]}, "remainingMs": 1.5}
+        status, heartbeats = self.put(document)
+        assert (status, len(heartbeats)) == (200, 1)
+
+    def test_fields_that_may_be_missing_have_defaults(self):
+        needed = ("service", "address", "zone", "state", "capacity", "seq")
+        document = {name: self.HEARTBEAT[name] for name in needed}
+        _, (heartbeat,) = self.put(document)
+        assert heartbeat.started_ms == heartbeat.remaining_s == 0
+        assert (heartbeat.labels, heartbeat.rack) == ((), "")
+
+    @pytest.mark.parametrize(
+        ("path", "value"),
+        [
+            (("born",), 10**18),
+            (("born",), 1.5),
+            (("born",), -1),
+            (("seq",), 2**70),
+            (("seq",), 10**18),
+            (("seq",), None),
+            (("address",), "10.0.0.1:99999"),
+            (("address",), "10.0.0.1:-1"),
+            (("address",), "10.0.0.1:0"),
+            (("address",), "10.0.0.1:x"),
+            (("address",), "10.0.0.1:" + "9" * 5_000),
+            (("address",), "10.0.0.1"),
+            (("address",), "10.0.0.1:80/../x"),
+            (("address",), "10.0.0.256:80"),
+            (("address",), 5),
+            (("address",), None),
+            (("capacity", "cpu"), "7"),
+            (("capacity", "cpu"), 2**70),
+            (("capacity", "memMb"), 1e30),
+            (("capacity", "gpu"), -3),
+            (("capacity", "gpu"), True),
+            (("capacity",), []),
+            (("zone",), ["d"]),
+            (("service",), 7),
+            (("state",), "asleep"),
+            (("remainingMs",), -1e300),
+            (("remainingMs",), 1e300),
+            (("labels",), "ab"),
+            (("labels",), ["a"] * 1_000),
+            (("labels", 1), 7),
+            (("labels", 1), "r" * 10_000),
+            (("version",), 1),
+            (("slots",), "many"),
+            (("clockMs",), 10**18),
+        ],
+    )
+    def test_an_odd_heartbeat_is_refused(self, path, value):
+        assert self.put(changed(self.HEARTBEAT, path, value)) == (400, [])
+
+    @pytest.mark.parametrize(
+        "field", ["service", "address", "zone", "state", "capacity", "seq"]
+    )
+    def test_a_heartbeat_without_a_needed_field_is_refused(self, field):
+        document = {k: v for k, v in self.HEARTBEAT.items() if k != field}
+        assert self.put(document) == (400, [])
+
+    # Guards against an error that nothing handles, which the target sees as a failure.
+    @pytest.mark.parametrize("field", ["labels", "later"])
+    def test_a_deeply_nested_heartbeat_is_refused(self, field):
+        body = json.dumps({**self.HEARTBEAT, field: "NESTED"}).encode()
+        assert self.put(body.replace(b'"NESTED"', NESTED)) == (400, [])
+
+    @pytest.mark.parametrize("body", [b"", b"\xff{", b'{"service":"\xff"}', NESTED])
+    def test_a_body_that_cannot_be_read_is_refused(self, body):
+        assert self.put(body) == (400, [])
+
+    # Guards against calls to the target whose header can't be sent.
+    @pytest.mark.parametrize("target", ["", "a%0Ab", "%FF", "a%20b", "i" * 1_000])
+    def test_an_odd_name_of_the_target_is_refused(self, target):
+        assert self.put(self.HEARTBEAT, target) == (400, [])
+
+    # Guards against an agent that takes another cell's target for its own.
+    def test_a_target_of_another_cell_is_refused(self):
+        assert self.put(self.HEARTBEAT, agent=FakeAgent("other")) == (400, [])
+        status, heartbeats = self.put(self.HEARTBEAT, agent=FakeAgent(""))
+        assert (status, len(heartbeats)) == (200, 1)
+
+    # Guards against reports that can't be encoded, which fail again and again.
+    @given(st.sampled_from(PATHS), DOCUMENTS)
+    def test_a_heartbeat_is_refused_or_can_be_reported(self, path, value):
+        body = json.dumps(changed(self.HEARTBEAT, path, value)).encode()
+        try:
+            heartbeat = decode_heartbeat("t", body)
+        except msgspec.DecodeError:
+            return
+        controller = TargetController("10.0.0.2:7000", "agent-1", "cell")
+        controller.on_heartbeat(heartbeat, 0.0)
+        report = controller.report(0.0)
+        assert type(report).FromString(report.SerializeToString()) == report
+        assert 0 <= controller.fence < 2**63
+
+    @given(DOCUMENTS)
+    @example([])
+    def test_any_other_document_is_refused(self, document):
+        assert self.put(json.dumps(document).encode()) == (400, [])
