Read replies over HTTP without errors that callers don't expect

Cause: `JsonHttpClient.call` caught only msgspec.DecodeError, so a reply nested 2,000 levels deep raised RecursionError, also where the status alone was enough. `HttpTable.commit` raised MalformedDataError for a write that the store had answered with 200 but with an unreadable body. The job service repeats a write only after UnknownOutcomeError or UnavailableError, and the status of any other PlatformError is 503, which says that the job was not accepted, though it was stored.

--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -7,8 +7,14 @@
 import msgspec
 import pytest
 from cicadabank.control.internal.target_controller import TargetController
-from cicadabank.platform.target import HeartbeatApi, decode_heartbeat
-from cicadabank.web.messages import ApiCall
+from cicadabank.local import Ports
+from cicadabank.platform.http import JsonHttpClient, MalformedDataError
+from cicadabank.platform.standin import serving
+from cicadabank.platform.store import HttpTable
+from cicadabank.platform.target import HeartbeatApi, HttpTarget, decode_heartbeat
+from cicadabank.scheduling import RunId
+from cicadabank.store import PlatformError, UnavailableError, UnknownOutcomeError
+from cicadabank.web.messages import ApiCall, ApiReply
 from hypothesis import example, given
 from hypothesis import strategies as st
 
@@ -181,3 +187,58 @@
     @example([])
     def test_any_other_document_is_refused(self, document):
         assert self.put(json.dumps(document).encode()) == (400, [])
+
+
+@pytest.fixture(scope="class")
+def answers():
+    """Yield the address of a server, and a dictionary that holds its next reply."""
+    address, reply = Ports().address(), {}
+    with serving(address, lambda call: ApiReply(*reply["next"])):
+        yield address, reply
+
+
+class TestReply:
+    """Replies of the store and of a target that can't be read."""
+
+    BODIES = [NESTED, b"{", b"\xff", b'{"ver":1e400}', b"1" * 10_000, b"[]", b"5"]
+
+    # Guards against an error that callers don't expect, such as RecursionError.
+    @pytest.mark.parametrize("body", BODIES)
+    def test_a_read_raises_a_declared_error(self, answers, body):
+        address, reply = answers
+        reply["next"] = 200, body
+        table = HttpTable(address, "cells")
+        reads = [
+            table.partitions,
+            lambda: table.read("p"),
+            lambda: table.changes(1, 0.1),
+        ]
+        for read in reads:
+            with pytest.raises(MalformedDataError):
+                read()
+
+    # Guards against a write that took effect and counts as failed.
+    @pytest.mark.parametrize("body", [*BODIES, b"{}", b'{"ver":"x"}', b""])
+    def test_a_commit_has_an_unknown_outcome(self, answers, body):
+        address, reply = answers
+        reply["next"] = 200, body
+        with pytest.raises(UnknownOutcomeError):
+            HttpTable(address, "cells").commit("p", {}, {"a": b"one"})
+
+    @pytest.mark.parametrize("body", BODIES)
+    def test_a_refusal_keeps_its_status(self, answers, body):
+        address, reply = answers
+        reply["next"] = 503, body
+        with pytest.raises(UnavailableError):
+            HttpTable(address, "cells").read("p")
+        assert JsonHttpClient(address).call("GET", "/", 1.0)[0] == 503
+
+    @pytest.mark.parametrize("body", BODIES)
+    def test_a_target_raises_a_declared_error(self, answers, body):
+        address, reply = answers
+        target, run = HttpTarget(address), RunId("a" * 16, 0, 0, 1)
+        reply["next"] = 200, body
+        with pytest.raises(PlatformError):
+            target.hold(1, 0, None, 0.0, "t")
+        reply["next"] = 409, body
+        assert target.start(run, "", "", 1.0, 1, "t").refused in ("", "refused")
