Leave odd rows out of the store's replies, and keep the others

The store spells its rows properly, so this is the second line of defence; what another writer leaves in a row's value is decoded by the replica.

Cause: in `_decode_rows` one row without a key raised for the whole page, or one whose version had another type raised TypeError, ValueError or OverflowError. A feed then asked for the same changes again and again, and no later row arrived. A row whose value was no base64 was passed on as removed: the configuration itself would have counted as withdrawn. Base64 was decoded without validation. Versions of any size were passed on, which a relay can't encode. `read` ended early or asked for the same page forever if a page had no usable row, and `partitions` raised IndexError.

A row counts as removed only if the store says so, or, in a conflict, if it has no value. Versions and times fit into 63 bits. The next page begins after the last key of this one, readable or not; pages that don't advance raise MalformedDataError.

--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -6,14 +6,21 @@
 
 import msgspec
 import pytest
+from cicadabank.control.internal.relay import row_from_message, row_to_message
 from cicadabank.control.internal.target_controller import TargetController
 from cicadabank.local import Ports
 from cicadabank.platform.http import JsonHttpClient, MalformedDataError
 from cicadabank.platform.standin import serving
-from cicadabank.platform.store import HttpTable
+from cicadabank.platform.store import HttpTable, decode_rows
 from cicadabank.platform.target import HeartbeatApi, HttpTarget, decode_heartbeat
 from cicadabank.scheduling import RunId
-from cicadabank.store import PlatformError, UnavailableError, UnknownOutcomeError
+from cicadabank.store import (
+    PlatformError,
+    RowConflictError,
+    StoredRow,
+    UnavailableError,
+    UnknownOutcomeError,
+)
 from cicadabank.web.messages import ApiCall, ApiReply
 from hypothesis import example, given
 from hypothesis import strategies as st
@@ -242,3 +249,125 @@
             target.hold(1, 0, None, 0.0, "t")
         reply["next"] = 409, body
         assert target.start(run, "", "", 1.0, 1, "t").refused in ("", "refused")
+
+
+class TestStoreRows:
+    """Odd rows among the rows that the store returns."""
+
+    PAGE = {"ver": 9, "nowMs": 1_000, "morePages": False}
+    GOOD = {"part": "p", "key": "b", "value": "dHdv", "ver": 5}
+    ODD_ROWS = [
+        None,
+        [],
+        5,
+        {},
+        {"key": "a"},
+        {"part": "p", "value": "b25l", "ver": 4},
+        {"part": "p", "key": 7, "value": "b25l", "ver": 4},
+        {"part": ["p"], "key": "a", "value": "b25l", "ver": 4},
+        {"part": "p", "key": "a", "value": "b25l"},
+        {"part": "p", "key": "a", "value": "b25l", "ver": None},
+        {"part": "p", "key": "a", "value": "b25l", "ver": "x"},
+        {"part": "p", "key": "a", "value": "b25l", "ver": [4]},
+        {"part": "p", "key": "a", "value": "b25l", "ver": 1e300},
+        {"part": "p", "key": "a", "value": "b25l", "ver": 2**70},
+        {"part": "p", "key": "a", "value": "b25l", "ver": -1},
+        {"part": "p", "key": "a", "value": "!!!!", "ver": 4},
+        {"part": "p", "key": "a", "value": "b25", "ver": 4},
+        {"part": "p", "key": "a", "value": 7, "ver": 4},
+        {"part": "p", "key": "a", "value": None, "ver": 4},
+        {"part": "p", "key": "a", "ver": 4},
+    ]
+
+    def reply(self, answers, **fields):
+        address, reply = answers
+        reply["next"] = 200, json.dumps({**self.PAGE, **fields}).encode()
+        return HttpTable(address, "cells")
+
+    # Guards against a feed that asks for the same changes forever, and against an odd
+    # row that is taken for a removal.
+    @pytest.mark.parametrize("odd", ODD_ROWS)
+    def test_an_odd_row_does_not_stop_the_others(self, answers, odd):
+        table = self.reply(answers, rows=[odd, self.GOOD])
+        expected = [StoredRow("p", "b", b"two", 5)]
+        page = table.changes(1, 0.1)
+        assert (page.rows, page.version) == (expected, 9)
+        assert table.read("p").rows == expected
+
+    # Guards against an error that callers don't expect.
+    @pytest.mark.parametrize("levels", [100, 900, 940, 960, 980])
+    def test_a_nested_row_is_left_out_or_its_page_refused(self, answers, levels):
+        table = self.reply(answers, rows=["NESTED", self.GOOD])
+        reply = answers[1]
+        nested = b"[" * levels + b"]" * levels
+        reply["next"] = 200, reply["next"][1].replace(b'"NESTED"', nested)
+        try:
+            assert [row.key for row in table.changes(1, 0.1).rows] == ["b"]
+        except MalformedDataError:
+            assert levels > 900
+
+    def test_a_removed_row_has_no_value(self, answers):
+        row = {"part": "p", "key": "a", "ver": 4, "tombstone": True}
+        table = self.reply(answers, rows=[row])
+        assert table.changes(1, 0.1).rows == [StoredRow("p", "a", None, 4)]
+
+    # Rows in a conflict may not exist.
+    @pytest.mark.parametrize("row", [{}, {"ver": 0}, {"ver": None, "value": None}])
+    def test_a_conflict_names_rows_that_do_not_exist(self, answers, row):
+        address, reply = answers
+        rows = [{"part": "p", "key": "a", **row}, None, self.GOOD]
+        reply["next"] = 412, json.dumps({"rows": rows}).encode()
+        with pytest.raises(RowConflictError) as raised:
+            HttpTable(address, "cells").commit("p", {"a": 1}, {"a": b"one"})
+        assert raised.value.rows == {
+            "a": StoredRow("p", "a", None, 0),
+            "b": StoredRow("p", "b", b"two", 5),
+        }
+
+    @pytest.mark.parametrize("odd", [None, 5, [], {}])
+    def test_an_odd_partition_does_not_stop_the_others(self, answers, odd):
+        table = self.reply(answers, parts=[odd, "p"])
+        assert [row.partition for row in table.partitions().rows] == ["p"]
+
+    @pytest.mark.parametrize("field", ["ver", "nowMs"])
+    @pytest.mark.parametrize("value", [True, -1, 2**70, 10**400, "5", None, 1.5])
+    def test_a_page_with_an_odd_number_raises(self, answers, field, value):
+        table = self.reply(answers, rows=[], parts=[], **{field: value})
+        for read in [table.partitions, lambda: table.read("p")]:
+            with pytest.raises(MalformedDataError):
+                read()
+
+    # Guards against a read that never ends.
+    @pytest.mark.parametrize("rows", [[], [None], [{"part": "p", "key": "a"}]])
+    def test_pages_that_do_not_advance_raise(self, answers, rows):
+        parts = [row["key"] for row in rows if row]
+        table = self.reply(answers, rows=rows, parts=parts, morePages=True)
+        for read in [table.partitions, lambda: table.read("p", "a\x00")]:
+            with pytest.raises(MalformedDataError):
+                read()
+
+    def test_a_page_of_odd_rows_does_not_hide_the_next_page(self):
+        pages = [
+            {**self.PAGE, "morePages": True, "rows": [{"part": "p", "key": "a"}]},
+            {**self.PAGE, "rows": [self.GOOD]},
+        ]
+        queries = []
+
+        def dispatch(request):
+            queries.append(request.query)
+            return ApiReply(200, json.dumps(pages[len(queries) - 1]).encode())
+
+        address = Ports().address()
+        with serving(address, dispatch):
+            rows = HttpTable(address, "cells").read("p").rows
+        assert [row.key for row in rows] == ["b"]
+        assert queries[1]["from"] == "a\x00"
+
+    @given(st.lists(DOCUMENTS, max_size=3), st.sampled_from(list(GOOD)), DOCUMENTS)
+    def test_any_rows_are_read_or_left_out(self, documents, field, value):
+        odd = {**self.GOOD, "key": "a", field: value}
+        rows = decode_rows({"rows": [*documents, odd, self.GOOD]}, "cells")
+        assert rows[-1] == StoredRow("p", "b", b"two", 5)
+        for row in rows:
+            message = row_to_message(row)
+            assert row_from_message(message) == row
