Check the rows of cells: an odd one names no agent, no job and no cell

Cause: the replica took every row that msgspec could decode. - An agent's row with a port out of range was used: gRPC takes the port modulo 65,536 (a trial with 10.0.0.1:99999 connected to port 34463), so that orders and relayed calls went to another port. - A job's row with 10^9 tasks was passed to the holder, which lists each task in memory, and so would each of its successors. Estimates that are infinite or no number, steps after themselves and needs beyond the messages' 32 bits came through as well. - A row that could not be decoded, or one of an unknown kind, still added its partition as a cell, which an entry then took over. - `_apply_if_newer` notes the version first and caught two errors. Any other left the rest of its batch unread until the feed's next call, after a pause, and for good where rows come from a peer's call. msgspec raised no other error for the 10 odd values tried (typed decoding stops at the first wrong type, so that nesting costs nothing); the test raises RecursionError by itself.

Change: values are checked after decoding, with the bounds in `control/bounds.py`; a row must belong to its key; unknown kinds are not used. Any error leaves one row out with one log line for its version (`row_unreadable`), and the row's earlier value stays. Cells are added by usable rows only.

--- a/packages/control/src/cicadabank/control/internal/replica.py
+++ b/packages/control/src/cicadabank/control/internal/replica.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import math
 import threading
 from collections.abc import Callable, Iterable
-from typing import NamedTuple
+from functools import singledispatch
+from typing import Any, NamedTuple
 
-import msgspec
+from cicadabank.control.bounds import check_steps, is_address
 from cicadabank.scheduling import (
     AGENT_PREFIX,
     CANCEL_PREFIX,
@@ -138,36 +140,84 @@
             self._versions[row_id] = row.version
             try:
                 self._apply_one(row, kind, name)
-            except (msgspec.MsgspecError, ValueError) as error:
+            # Any error: one row must not keep the others of its batch back.
+            except Exception as error:
                 logger.bind(
                     event="row_unreadable", cell=row.partition, key=row.key
-                ).warning("skipping a row that can't be decoded: {}", error)
+                ).warning("skipping a row that can't be decoded: {!r}", error)
                 return False
         return True
 
     def _apply_one(self, row: StoredRow, kind: str, name: str) -> None:
-        cell = self.cell(row.partition)
         # Restores the key's prefix; the keys of the holder and the lease have no name.
         kind = kind + "/" if name else kind
+        # Decoded first, so that an odd row adds no cell.
+        value = _decode(row, kind, name)
+        cell = self.cell(row.partition)
         if row.value is None:
             _remove(cell, kind, name)
         elif kind == JOB_PREFIX:
-            cell.jobs[name] = unpack(row.value, JobRecord)
+            cell.jobs[name] = value
             self.cell_by_job[name] = row.partition
         elif kind == RUN_PREFIX:
-            cell.runs[name] = StoredRun(unpack(row.value, JobProgressRow), row.version)
+            cell.runs[name] = StoredRun(value, row.version)
         elif kind == CANCEL_PREFIX:
             cell.cancelled.add(name)
         elif kind == AGENT_PREFIX:
-            cell.agents.add(unpack(row.value, AgentRow).address)
+            cell.agents.add(value.address)
         elif kind == HOLDER_KEY:
-            cell.holder = unpack(row.value, HolderRow)
+            cell.holder = value
             cell.holder_version = row.version
             cell.lease_seen_s = self._last_store_s
         elif kind == LEASE_KEY:
             cell.lease_seen_s = self._last_store_s
 
 
+# Kinds of rows whose values are not read.
+PLAIN_KINDS = (CANCEL_PREFIX, LEASE_KEY)
+ROW_TYPES = {
+    JOB_PREFIX: JobRecord,
+    RUN_PREFIX: JobProgressRow,
+    AGENT_PREFIX: AgentRow,
+    HOLDER_KEY: HolderRow,
+}
+
+
+def _decode(row: StoredRow, kind: str, name: str) -> Any:
+    """Decode and check the value of a row; return None if it needs none.
+
+    Raises
+    ------
+    msgspec.MsgspecError, ValueError
+        If the value can't be decoded or is out of range, or the kind is unknown.
+    """
+    if kind not in ROW_TYPES and kind not in PLAIN_KINDS:
+        raise ValueError("rows of this kind are not used")
+    if row.value is None or kind in PLAIN_KINDS:
+        return None
+    value = unpack(row.value, ROW_TYPES[kind])
+    _check(value, name)
+    return value
+
+
+@singledispatch
+def _check(value: Any, name: str) -> None:
+    """Raise ValueError if a row of this name can't have this value."""
+
+
+@_check.register
+def _(value: JobRecord, name: str) -> None:
+    if value.job != name or not math.isfinite(value.accepted_s):
+        raise ValueError(f"a record of the job {value.job!r} at {value.accepted_s} s")
+    check_steps(value.steps)
+
+
+@_check.register
+def _(value: AgentRow, name: str) -> None:
+    if value.address != name or not is_address(name):
+        raise ValueError(f"no agent listens at {value.address!r}")
+
+
 def _remove(cell: CellRows, kind: str, name: str) -> None:
     if kind == JOB_PREFIX:
         cell.jobs.pop(name, None)
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -6,14 +6,28 @@
 
 import msgspec
 import pytest
+from cicadabank.control.internal import replica as replica_module
+from cicadabank.control.internal.feed import CellsFeed
 from cicadabank.control.internal.relay import row_from_message, row_to_message
+from cicadabank.control.internal.replica import Replica
 from cicadabank.control.internal.target_controller import TargetController
 from cicadabank.local import Ports
 from cicadabank.platform.http import JsonHttpClient, MalformedDataError
 from cicadabank.platform.standin import serving
 from cicadabank.platform.store import HttpTable, decode_rows
 from cicadabank.platform.target import HeartbeatApi, HttpTarget, decode_heartbeat
-from cicadabank.scheduling import RunId
+from cicadabank.scheduling import (
+    AGENT_PREFIX,
+    JOB_PREFIX,
+    AgentRow,
+    JobRecord,
+    Resources,
+    RunId,
+    StepSpec,
+    pack,
+    unpack,
+)
+from cicadabank.standin import MemoryTable
 from cicadabank.store import (
     PlatformError,
     RowConflictError,
@@ -24,6 +38,7 @@
 from cicadabank.web.messages import ApiCall, ApiReply
 from hypothesis import example, given
 from hypothesis import strategies as st
+from loguru import logger
 
 NESTED = b"[" * 3_000 + b"]" * 3_000
 DOCUMENTS = st.recursive(
@@ -371,3 +386,162 @@
         for row in rows:
             message = row_to_message(row)
             assert row_from_message(message) == row
+
+
+class TestReplica:
+    """Odd rows of another writer among the rows of a cell."""
+
+    ADDRESS = "10.0.0.1:7000"
+    STEP = StepSpec(1, Resources(1, 1, 1), 1.0)
+    JOB = "a" * 16
+    RECORD = JobRecord(JOB, "q", "w", 0.0, "spec", (STEP,))
+    GOOD = StoredRow("cell", AGENT_PREFIX + ADDRESS, pack(AgentRow(ADDRESS)), 9)
+    VALUES = [
+        b"",
+        b"\xc1",
+        b"\xff" * 40,
+        b"\x91" * 100_000,
+        b"\x91\xa1\xff",
+        NESTED,
+        b"\xdd\xff\xff\xff\xff",
+        b"\x91\xcf" + b"\xff" * 8,
+        b"\x90",
+        b"{}",
+    ]
+
+    def apply(self, *rows):
+        replica, changed, lines = Replica(), [], []
+        sink = logger.add(
+            lambda line: lines.append(line.record["extra"].get("event")), level=0
+        )
+        try:
+            replica.apply(rows, lambda *change: changed.append(change))
+            # As when the feed reads all rows again.
+            replica.apply(rows, lambda *change: changed.append(change))
+        finally:
+            logger.remove(sink)
+        return replica, changed, lines
+
+    @pytest.mark.parametrize("value", VALUES)
+    @pytest.mark.parametrize("key", ["agent/x", "job/" + JOB, "run/x", "holder"])
+    def test_a_row_that_cannot_be_decoded_is_logged_once(self, key, value):
+        odd = StoredRow("cell", key, value, 8)
+        replica, changed, lines = self.apply(odd, self.GOOD)
+        assert changed == [("cell", "agent", self.ADDRESS)]
+        assert lines == ["row_unreadable"]
+        rows = replica.cells["cell"]
+        assert (rows.jobs, rows.runs, rows.holder) == ({}, {}, None)
+        assert rows.agents == {self.ADDRESS}
+
+    # Guards against one error that keeps the other rows of the batch back.
+    def test_any_error_leaves_the_other_rows(self, monkeypatch):
+        def fail(value, kind):
+            if value == b"odd":
+                raise RecursionError("too deep")
+            return unpack(value, kind)
+
+        monkeypatch.setattr(replica_module, "unpack", fail)
+        odd = StoredRow("cell", "agent/x", b"odd", 8)
+        replica, _, lines = self.apply(odd, self.GOOD)
+        assert replica.cells["cell"].agents == {self.ADDRESS}
+        assert lines == ["row_unreadable"]
+
+    # Guards against calls to another port than the row says: gRPC takes the port
+    # modulo 65,536.
+    @pytest.mark.parametrize(
+        "address",
+        ["10.0.0.1:99999", "10.0.0.1:-1", "10.0.0.1:x", "", "x", "10.0.0.2:7000"],
+    )
+    def test_an_agent_at_an_odd_address_is_left_out(self, address):
+        key = "agent/10.0.0.3:7000" if address == "10.0.0.2:7000" else None
+        odd = StoredRow(
+            "cell", key or AGENT_PREFIX + address, pack(AgentRow(address)), 8
+        )
+        replica, changed, lines = self.apply(odd, self.GOOD)
+        assert replica.cells["cell"].agents == {self.ADDRESS}
+        assert (len(changed), lines) == (1, ["row_unreadable"])
+
+    # Guards against a holder that ends while it lists a job's tasks, and so do its
+    # successors.
+    @pytest.mark.parametrize(
+        "step",
+        [
+            STEP._replace(count=2**63),
+            STEP._replace(count=10**9),
+            STEP._replace(count=10**9, gang=True),
+            STEP._replace(count=0),
+            STEP._replace(count=-1),
+            STEP._replace(need=Resources(2**40, 1, 1)),
+            STEP._replace(need=Resources(1, 2**40, 1)),
+            STEP._replace(need=Resources(1, 1, -1)),
+            STEP._replace(estimate_s=float("inf")),
+            STEP._replace(estimate_s=float("nan")),
+            STEP._replace(estimate_s=-1.0),
+            STEP._replace(estimate_s=1e300),
+            STEP._replace(after=(0,)),
+            STEP._replace(after=(7,)),
+            STEP._replace(after=(-1,)),
+            STEP._replace(per_target=-1),
+        ],
+    )
+    def test_a_job_with_an_odd_step_is_left_out(self, step):
+        record = self.RECORD._replace(steps=(step,))
+        odd = StoredRow("cell", JOB_PREFIX + self.JOB, pack(record), 8)
+        replica, changed, lines = self.apply(odd, self.GOOD)
+        assert not replica.cells["cell"].jobs
+        assert not replica.cell_by_job
+        assert (len(changed), lines) == (1, ["row_unreadable"])
+
+    @pytest.mark.parametrize(
+        "record",
+        [
+            RECORD._replace(steps=(STEP._replace(count=60_000),) * 2),
+            RECORD._replace(steps=()),
+            RECORD._replace(job="b" * 16),
+            RECORD._replace(accepted_s=float("nan")),
+            RECORD._replace(accepted_s=float("inf")),
+        ],
+    )
+    def test_an_odd_job_is_left_out(self, record):
+        odd = StoredRow("cell", JOB_PREFIX + self.JOB, pack(record), 8)
+        replica, _, lines = self.apply(odd, self.GOOD)
+        assert not replica.cells["cell"].jobs
+        assert lines == ["row_unreadable"]
+
+    # Guards against a takeover of a cell that only an odd row names.
+    @pytest.mark.parametrize(
+        "key", ["job/x", "agent/x", "job/", "agent/", "holder/x", "minion-1", ""]
+    )
+    def test_an_odd_row_adds_no_cell(self, key):
+        odd = StoredRow("other", key, b"\xc1", 8)
+        replica, changed, lines = self.apply(odd, self.GOOD)
+        assert list(replica.cells) == ["cell"]
+        assert (len(changed), lines) == (1, ["row_unreadable"])
+
+    def test_an_odd_row_leaves_the_earlier_one(self):
+        good = StoredRow("cell", JOB_PREFIX + self.JOB, pack(self.RECORD), 7)
+        odd = good._replace(value=b"\xc1", version=8)
+        replica, _, _ = self.apply(good, odd)
+        assert replica.cells["cell"].jobs == {self.JOB: self.RECORD}
+
+    @given(
+        st.sampled_from(["agent/x", "job/x", "run/x", "cancel/x", "holder", "x", ""]),
+        st.binary(max_size=64) | DOCUMENTS.map(lambda d: json.dumps(d).encode()),
+    )
+    def test_no_value_hides_another_row(self, key, value):
+        odd = StoredRow("cell", key, value, 8)
+        replica, _, _ = self.apply(odd, self.GOOD)
+        assert replica.cells["cell"].agents == {self.ADDRESS}
+
+
+class TestCellsFeed:
+    def test_rows_after_an_odd_one_still_arrive(self):
+        table, replica = MemoryTable(), Replica()
+        feed = CellsFeed(table, replica, lambda *_: None, lambda: None)
+        feed.step()
+        table.commit("cell", {}, {"agent/10.0.0.1:99999": b"\x91" * 3_000})
+        table.commit("cell", {}, {"job/x": b"\xc1"})
+        address = "10.0.0.1:7000"
+        table.commit("cell", {}, {AGENT_PREFIX + address: pack(AgentRow(address))})
+        feed.step()
+        assert replica.cells["cell"].agents == {address}
