Keep the good configuration when an odd one arrives, and apply the other rows

The store accepts only valid configurations, so this guards against a writer that gets around it and against forms that this version doesn't know.

Cause: `read_operator` caught four errors; a configuration nested too deeply raised RecursionError, one that is no object or has such tenants AttributeError, a huge number OverflowError. With any error, declared or not, `OperatorFeed` kept the odd row among its rows, so that each later evacuation failed beside it until a good configuration came; a process that started then saw no evacuation either. Numbers below 0 or of any size, hosts and prefixes of other types and key lists that are a text were taken as they are: one odd version of 10^300 would also have hidden all later configurations.

The feed applies one row after the other: one that can't be decoded is logged (`row_unreadable`), and the earlier row stays in its place, also when all rows are read again.

--- a/packages/control/src/cicadabank/control/internal/feed.py
+++ b/packages/control/src/cicadabank/control/internal/feed.py
@@ -161,7 +161,8 @@
     Parameters
     ----------
     decode : callable
-        Returns the operators' settings that the rows, by key, contain.
+        Returns the operators' settings that the rows, by key, contain; raises
+        PlatformError if a row can't be decoded.
     on_change : callable
         Called with the settings after each change.
     """
@@ -182,9 +183,10 @@
         """Load all rows if none are loaded or history was lost, else await changes."""
         if self._version is None:
             page = self._table.read("")
-            self._rows = {row.key: row for row in page.rows if row.value is not None}
             self._version = page.version
-            self._on_change(self._decode(self._rows))
+            found = {row.key for row in page.rows if row.value is not None}
+            self._rows = {key: self._rows[key] for key in found & self._rows.keys()}
+            self._apply(page.rows)
             return
         try:
             page = self._table.changes(self._version, OPERATOR_WAIT_S)
@@ -195,11 +197,27 @@
             self._version = None
             return
         self._version = max(self._version, page.version)
-        if not page.rows:
-            return
-        for row in page.rows:
-            if row.value is None:
-                self._rows.pop(row.key, None)
+        if page.rows:
+            self._apply(page.rows)
+
+    def _apply(self, rows: list[StoredRow]) -> None:
+        """Apply each row that can be decoded beside the others.
+
+        The earlier row stays in place of one that can't.
+        """
+        for row in rows:
+            changed = {
+                key: known for key, known in self._rows.items() if key != row.key
+            }
+            if row.value is not None:
+                changed[row.key] = row
+            try:
+                self._decode(changed)
+            except PlatformError as error:
+                logger.bind(event="row_unreadable", feed="operator", key=row.key).error(
+                    "keeping the earlier row, since the new one can't be decoded: {}",
+                    error,
+                )
             else:
-                self._rows[row.key] = row
+                self._rows = changed
         self._on_change(self._decode(self._rows))
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import json
+from contextlib import suppress
 
 import msgspec
 import pytest
 from cicadabank.control.internal import replica as replica_module
-from cicadabank.control.internal.feed import CellsFeed
+from cicadabank.control.internal.feed import CellsFeed, OperatorFeed, OperatorView
 from cicadabank.control.internal.relay import row_from_message, row_to_message
 from cicadabank.control.internal.replica import Replica
 from cicadabank.control.internal.target_controller import TargetController
 from cicadabank.local import Ports
 from cicadabank.platform.http import JsonHttpClient, MalformedDataError
+from cicadabank.platform.operator import read_operator
 from cicadabank.platform.standin import serving
 from cicadabank.platform.store import HttpTable, decode_rows
 from cicadabank.platform.target import HeartbeatApi, HttpTarget, decode_heartbeat
@@ -20,10 +22,14 @@
     AGENT_PREFIX,
     JOB_PREFIX,
     AgentRow,
+    Configuration,
     JobRecord,
+    QueueConfig,
     Resources,
+    RouteConfig,
     RunId,
     StepSpec,
+    WorkspaceConfig,
     pack,
     unpack,
 )
@@ -545,3 +551,168 @@
         table.commit("cell", {}, {AGENT_PREFIX + address: pack(AgentRow(address))})
         feed.step()
         assert replica.cells["cell"].agents == {address}
+
+
+class TestOperatorRows:
+    """Odd rows among those of the operators."""
+
+    ROUTE = {"name": "q", "pathPrefix": "/q/", "service": "s", "host": "H"}
+    TENANT = {"name": "w", "apiKeys": ["k"], "guaranteed": {"gpu": 16}}
+    CONFIG = {"version": 5, "routes": [ROUTE], "tenants": [TENANT]}
+    PATHS = [
+        ("version",),
+        ("routes",),
+        ("routes", 0),
+        *(("routes", 0, field) for field in ROUTE),
+        *(
+            ("routes", 0, field)
+            for field in ("priority", "attempts", "stretch", "targetLatencyMs")
+        ),
+        ("routes", 0, "public"),
+        ("tenants",),
+        ("tenants", 0),
+        ("tenants", 0, "name"),
+        ("tenants", 0, "apiKeys"),
+        ("tenants", 0, "apiKeys", 0),
+        ("tenants", 0, "guaranteed"),
+        ("tenants", 0, "guaranteed", "gpu"),
+    ]
+    ODD_VALUES = [
+        NESTED,
+        b"",
+        b"\xff",
+        b"[]",
+        b"5",
+        b"null",
+        b"{}",
+        b'{"version":1e300}',
+        b'{"version":-1}',
+        b'{"version":"x"}',
+        b'{"version":5,"routes":[7]}',
+        b'{"version":5,"tenants":[7]}',
+        b'{"version":5,"tenants":[{"name":"w","guaranteed":5}]}',
+        b'{"version":5,"tenants":[{"name":"w","guaranteed":{"gpu":1e300}}]}',
+        b'{"version":5,"later":' + NESTED + b"}",
+    ]
+
+    def view(self, config):
+        value = config if isinstance(config, bytes) else json.dumps(config).encode()
+        return read_operator({"config": StoredRow("", "config", value, 1)})
+
+    def test_fields_that_may_be_missing_have_defaults(self):
+        fields = ("name", "pathPrefix", "service")
+        route = {field: self.ROUTE[field] for field in fields}
+        document = {"version": 5, "routes": [route], "tenants": [{"name": "w"}]}
+        config = self.view({**document, "later": [{}]}).config
+        queue = QueueConfig("q", "s", 0, 1, 1.0, 0.0)
+        assert config.routes == (RouteConfig("", "/q/", False, queue),)
+        assert config.workspaces == (WorkspaceConfig("w", frozenset(), 0),)
+
+    @pytest.mark.parametrize("value", ODD_VALUES)
+    def test_an_odd_configuration_raises_a_declared_error(self, value):
+        with pytest.raises(MalformedDataError):
+            self.view(value)
+
+    @pytest.mark.parametrize(
+        ("path", "value"),
+        [
+            (("routes", 0, "host"), 7),
+            (("routes", 0, "name"), None),
+            (("routes", 0, "service"), ["s"]),
+            (("routes", 0, "pathPrefix"), 7),
+            (("routes", 0, "priority"), 2**70),
+            (("routes", 0, "attempts"), "3"),
+            (("routes", 0, "attempts"), -1),
+            (("routes", 0, "stretch"), -1.0),
+            (("routes", 0, "stretch"), 1e300),
+            (("routes", 0, "targetLatencyMs"), -5),
+            (("routes", 0, "targetLatencyMs"), 10**400),
+            (("routes", 0, "public"), "no"),
+            (("tenants", 0, "apiKeys"), "abc"),
+            (("tenants", 0, "apiKeys"), [7]),
+            (("tenants", 0, "guaranteed", "gpu"), 1.5),
+            (("tenants", 0, "guaranteed", "gpu"), -1),
+        ],
+    )
+    def test_an_odd_field_raises_a_declared_error(self, path, value):
+        with pytest.raises(MalformedDataError):
+            self.view(changed(self.CONFIG, path, value))
+
+    @given(st.sampled_from(PATHS), DOCUMENTS)
+    def test_any_configuration_is_read_or_refused(self, path, value):
+        try:
+            config = self.view(changed(self.CONFIG, path, value)).config
+        except MalformedDataError:
+            return
+        assert msgspec.convert(msgspec.to_builtins(config), Configuration) == config
+
+
+class TestOperatorFeed:
+    CONFIG = json.dumps(TestOperatorRows.CONFIG).encode()
+
+    def follow(self, table):
+        views = []
+        feed = OperatorFeed(table, read_operator, views.append)
+        return feed, views
+
+    def step(self, feed):
+        """Make a step, as the feed's thread does."""
+        with suppress(PlatformError):
+            feed.step()
+
+    # Guards against an evacuation that nobody sees, and a good configuration that a
+    # worse one replaces.
+    @pytest.mark.parametrize("odd", TestOperatorRows.ODD_VALUES)
+    def test_an_odd_configuration_keeps_the_good_one(self, odd):
+        table = MemoryTable()
+        feed, views = self.follow(table)
+        table.commit("", {}, {"config": self.CONFIG})
+        self.step(feed)
+        table.commit("", {}, {"config": odd})
+        self.step(feed)
+        table.commit("", {}, {"evacuate/z": b"{}"})
+        self.step(feed)
+        assert views[-1].config.version == 5
+        assert views[-1].domains_out == {"z"}
+        newer = {**TestOperatorRows.CONFIG, "version": 6}
+        table.commit("", {}, {"config": json.dumps(newer).encode()})
+        self.step(feed)
+        assert views[-1].config.version == 6
+
+    # Guards against a process that starts beside an odd row and learns nothing.
+    def test_an_odd_configuration_at_the_start_hides_no_evacuation(self):
+        table = MemoryTable()
+        feed, views = self.follow(table)
+        table.commit("", {}, {"config": NESTED, "evacuate/z": b"{}"})
+        self.step(feed)
+        assert views[-1] == OperatorView(None, frozenset({"z"}))
+        table.commit("", {}, {"config": self.CONFIG})
+        self.step(feed)
+        assert views[-1].config.version == 5
+
+    # Guards against a configuration that is dropped when all rows are read again.
+    def test_an_odd_configuration_after_a_lost_history_keeps_the_good_one(self):
+        table = MemoryTable()
+        feed, views = self.follow(table)
+        table.commit("", {}, {"config": self.CONFIG, "evacuate/z": b"{}"})
+        self.step(feed)
+        table.commit("", {}, {"config": NESTED}, ("evacuate/z",))
+        table.forget_history()
+        self.step(feed)
+        self.step(feed)
+        assert views[-1].config.version == 5
+        assert not views[-1].domains_out
+
+    @pytest.mark.parametrize("value", [NESTED, b"", b"\xff", b"[7]"])
+    @pytest.mark.parametrize("key", ["evacuate/", "wave/x", "\x00", "later"])
+    def test_another_odd_row_changes_nothing(self, key, value):
+        table = MemoryTable()
+        feed, views = self.follow(table)
+        table.commit("", {}, {"config": self.CONFIG})
+        self.step(feed)
+        table.commit("", {}, {key: value})
+        self.step(feed)
+        table.commit("", {}, {"evacuate/z": b"{}"})
+        self.step(feed)
+        assert views[-1].config.version == 5
+        assert views[-1].domains_out >= {"z"}
