Read a job's body strictly: what can't be run is refused with 400

Cause: fields were converted or passed on as they came. A body nested too deeply raised RecursionError and one with an estimate of 10^400 ms OverflowError, which the server answered with 500. A label, data rack or `gpu` of another type (null, a number, 1.5) was accepted and stored as a record that no replica can decode, so the accepted job never ran; a limit of 2^70 could not be stored. A count of 10^9 was accepted, and the holder lists each task in memory. Negative and unbounded estimates went into the plans.

The answer is 400 with the code `bad-job`, and the message names the field. Whole numbers must be written as such (`500`, not `"500"` or `500.0`), and flags as true or false, as on the page.

--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -8,12 +8,14 @@
 import msgspec
 import pytest
 from cicadabank.control.internal import replica as replica_module
+from cicadabank.control.internal.conversion import start_to_message
 from cicadabank.control.internal.feed import CellsFeed, OperatorFeed, OperatorView
 from cicadabank.control.internal.relay import row_from_message, row_to_message
 from cicadabank.control.internal.replica import Replica
 from cicadabank.control.internal.target_controller import TargetController
 from cicadabank.local import Ports
 from cicadabank.platform.http import JsonHttpClient, MalformedDataError
+from cicadabank.platform.job_api import JobApi
 from cicadabank.platform.operator import read_operator
 from cicadabank.platform.standin import serving
 from cicadabank.platform.store import HttpTable, decode_rows
@@ -28,6 +30,7 @@
     Resources,
     RouteConfig,
     RunId,
+    Start,
     StepSpec,
     WorkspaceConfig,
     pack,
@@ -46,6 +49,8 @@
 from hypothesis import strategies as st
 from loguru import logger
 
+from tests.cover.test_platform_adapter import FakeJobService
+
 NESTED = b"[" * 3_000 + b"]" * 3_000
 DOCUMENTS = st.recursive(
     st.none()
@@ -716,3 +721,117 @@
         self.step(feed)
         assert views[-1].config.version == 5
         assert views[-1].domains_out >= {"z"}
+
+
+class TestJobBody:
+    """Bodies of jobs that can't be read, or that ask for what can't be."""
+
+    JOB = "a" * 16
+    STEP = {
+        "count": 2,
+        "cpu": 1_500,
+        "memMb": 64,
+        "gpu": 4,
+        "estimateMs": 2_500,
+        "after": [],
+        "checkpointable": True,
+        "gang": True,
+        "sameRack": True,
+        "requires": "a",
+        "dataRack": "r1",
+        "antiAffinity": 2,
+    }
+    BODY = {"spec": "text", "steps": [{"count": 1}, STEP]}
+    PATHS = [("spec",), ("steps",), ("times",), ("steps", 0), ("steps", 1, "later")]
+    PATHS += [("steps", 1, field) for field in [*STEP, "longRunning", "mayMiss"]]
+
+    def submit(self, document):
+        body = document if isinstance(document, bytes) else json.dumps(document)
+        body = body if isinstance(body, bytes) else body.encode()
+        service = FakeJobService()
+        headers = {"host": "h"}
+        reply = JobApi(service).dispatch(
+            ApiCall("POST", "/q/" + self.JOB, {}, headers, body)
+        )
+        return reply, [request for request, _ in service.submitted]
+
+    def test_a_job_with_defaults_is_accepted(self):
+        reply, ((_, _, payload, steps),) = self.submit({**self.BODY, "later": [{}]})
+        assert (reply.status, payload) == (200, "text")
+        assert steps[0] == StepSpec(1, Resources(0, 0, 0), 0.0)
+
+    @pytest.mark.parametrize(
+        ("path", "value"),
+        [
+            (("steps", 1, "count"), 10**9),
+            (("steps", 1, "count"), 2**70),
+            (("steps", 1, "count"), 1e300),
+            (("steps", 1, "count"), "2"),
+            (("steps", 1, "count"), True),
+            (("steps", 1, "count"), None),
+            (("steps", 1, "cpu"), 2**40),
+            (("steps", 1, "cpu"), "7"),
+            (("steps", 1, "memMb"), 1e30),
+            (("steps", 1, "gpu"), "4"),
+            (("steps", 1, "gpu"), 1.5),
+            (("steps", 1, "gpu"), 2**70),
+            (("steps", 1, "estimateMs"), 1e300),
+            (("steps", 1, "estimateMs"), 10**400),
+            (("steps", 1, "estimateMs"), -1),
+            (("steps", 1, "estimateMs"), "9"),
+            (("steps", 1, "after"), [1]),
+            (("steps", 1, "after"), [-1]),
+            (("steps", 1, "after"), [2**70]),
+            (("steps", 1, "after"), [0.5]),
+            (("steps", 1, "after"), "0"),
+            (("steps", 1, "gang"), "no"),
+            (("steps", 1, "requires"), 5),
+            (("steps", 1, "requires"), None),
+            (("steps", 1, "dataRack"), ["r1"]),
+            (("steps", 1, "antiAffinity"), -1),
+            (("steps", 1, "antiAffinity"), 2**70),
+            (("steps", 1), 5),
+            (("steps",), {}),
+            (("spec",), None),
+        ],
+    )
+    def test_an_odd_field_is_refused(self, path, value):
+        reply, submitted = self.submit(changed(self.BODY, path, value))
+        assert (reply.status, json.loads(reply.body)["code"]) == (400, "bad-job")
+        assert not submitted
+
+    # Guards against status 500 for a body that can never be accepted.
+    @pytest.mark.parametrize(
+        "body",
+        [
+            NESTED,
+            b"",
+            b"\xff",
+            b'{"spec":"\xff","steps":[{"count":1}]}',
+            b'{"spec":"s","steps":[{"count":1e400}]}',
+            b'{"spec":"s","steps":[{"count":1}],"later":' + NESTED + b"}",
+            b'{"spec":"s","steps":' + NESTED + b"}",
+            b'{"spec":"s","steps":[{"count":1,"longRunning":' + NESTED + b"}]}",
+            b'{"spec":"s","steps":[{"count":1,"cpu":' + b"9" * 10_000 + b"}]}",
+        ],
+    )
+    def test_an_odd_body_is_refused(self, body):
+        reply, submitted = self.submit(body)
+        assert (reply.status, json.loads(reply.body)["code"]) == (400, "bad-job")
+        assert not submitted
+
+    # Guards against a job that is accepted and that no holder can read.
+    @given(st.sampled_from(PATHS), DOCUMENTS)
+    def test_any_job_is_refused_or_can_be_read(self, path, value):
+        reply, submitted = self.submit(changed(self.BODY, path, value))
+        if not submitted:
+            assert reply.status in (400, 501)
+            return
+        ((job, workspace, payload, steps),) = submitted
+        record = JobRecord(job, "q", workspace, 0.0, payload, steps)
+        replica = Replica()
+        row = StoredRow("cell", JOB_PREFIX + job, pack(record), 1)
+        replica.apply([row], lambda *_: None)
+        assert replica.cells["cell"].jobs == {job: record}
+        for step in steps:
+            start_to_message(Start(RunId(job, 0, 0, 1), "", "", step.need))
