Read a target's list of runs strictly: one odd row refuses the list

Cause: rows of the list were taken as they came. A run or sequence number beyond 64 bits, or a state of another type, made each report to the holder raise in the agent's reports thread, again and again, so that the holder counted the target as lost; a `born` or clock that overflows, or a task name of another type, raised errors that `hold` doesn't declare. A huge sequence number would have acknowledged ends that were never stored.

One odd row refuses the whole list with MalformedDataError, as some odd rows did before. Leaving out only that row would be unsafe: the holder starts a run elsewhere once the list lacks it, while it may still run. Without a list the agent doesn't extend the lease, so what runs there ends before it is started elsewhere. Later elements of a row and fields that aren't known are ignored, and so is an end's unknown kind. A refused start whose reason is no text is "refused".

--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -7,6 +7,7 @@
 
 import msgspec
 import pytest
+from cicadabank.control import StartOutcome
 from cicadabank.control.internal import replica as replica_module
 from cicadabank.control.internal.conversion import start_to_message
 from cicadabank.control.internal.feed import CellsFeed, OperatorFeed, OperatorView
@@ -19,17 +20,24 @@
 from cicadabank.platform.operator import read_operator
 from cicadabank.platform.standin import serving
 from cicadabank.platform.store import HttpTable, decode_rows
-from cicadabank.platform.target import HeartbeatApi, HttpTarget, decode_heartbeat
+from cicadabank.platform.target import (
+    HeartbeatApi,
+    HttpTarget,
+    decode_heartbeat,
+    decode_listing,
+)
 from cicadabank.scheduling import (
     AGENT_PREFIX,
     JOB_PREFIX,
     AgentRow,
     Configuration,
+    EndedRun,
     JobRecord,
     QueueConfig,
     Resources,
     RouteConfig,
     RunId,
+    RunningRun,
     Start,
     StepSpec,
     WorkspaceConfig,
@@ -835,3 +843,103 @@
         assert replica.cells["cell"].jobs == {job: record}
         for step in steps:
             start_to_message(Start(RunId(job, 0, 0, 1), "", "", step.need))
+
+
+class TestListing:
+    """Lists of a target's runs that can't be read."""
+
+    TASK = "5c0e7a21d94b36f8.0.1.17"
+    REPLY = {
+        "born": 1_783_571_724_642,
+        "clockMs": 482_113,
+        "running": [[TASK, 2, "00ab", 41, 500]],
+        "ended": [[58, "5c0e7a21d94b36f8.0.1.9", 1, "done", ""]],
+    }
+    PATHS = [(field,) for field in REPLY]
+    PATHS += [("running", 0), ("ended", 0)]
+    PATHS += [("running", 0, index) for index in range(4)]
+    PATHS += [("ended", 0, index) for index in range(5)]
+
+    def hold(self, answers, document):
+        address, reply = answers
+        reply["next"] = 200, json.dumps(document).encode()
+        return HttpTarget(address).hold(1, 0, None, 0.0, "t")
+
+    def test_fields_that_are_not_known_are_ignored(self, answers):
+        run = RunId("5c0e7a21d94b36f8", 1, 17, 2)
+        ended = EndedRun(58, RunId("5c0e7a21d94b36f8", 1, 9, 1), "done", "")
+        listing = self.hold(answers, {**self.REPLY, "later": {}})
+        assert listing.running == (RunningRun(run, "00ab", 41),)
+        assert listing.ended == (ended,)
+        assert (listing.started_ms, listing.target_s) == (1_783_571_724_642, 482.113)
+
+    def test_a_list_without_runs_is_empty(self, answers):
+        assert self.hold(answers, {"clockMs": 0}) == (0, 0.0, (), ())
+
+    # A list that hides a run would have the holder start it elsewhere while it runs, so
+    # one odd row refuses the whole list; the target's lease then expires.
+    @pytest.mark.parametrize(
+        ("path", "value"),
+        [
+            (("born",), 1e300),
+            (("born",), 2**70),
+            (("born",), "x"),
+            (("clockMs",), None),
+            (("clockMs",), 10**400),
+            (("clockMs",), "482113"),
+            (("running",), {}),
+            (("running",), None),
+            (("running", 0), None),
+            (("running", 0), []),
+            (("running", 0), {"task": TASK}),
+            (("running", 0, 0), 7),
+            (("running", 0, 0), "x"),
+            (("running", 0, 0), "a.0.1"),
+            (("running", 0, 0), "a.0.1.2.3"),
+            (("running", 0, 0), "a.0.-1.2"),
+            (("running", 0, 0), "a.0.1." + "9" * 30),
+            (("running", 0, 0), "a.0.1.\u0664"),
+            (("running", 0, 0), ".0.1.2"),
+            (("running", 0, 1), 2**70),
+            (("running", 0, 1), 0),
+            (("running", 0, 1), "2"),
+            (("running", 0, 2), 5),
+            (("running", 0, 3), 10**6),
+            (("running", 0, 3), -1),
+            (("running", 0, 3), "41"),
+            (("ended", 0), "58"),
+            (("ended", 0, 0), 2**70),
+            (("ended", 0, 0), 2**60),
+            (("ended", 0, 0), "58"),
+            (("ended", 0, 0), 0),
+            (("ended", 0, 2), -1),
+            (("ended", 0, 3), 7),
+            (("ended", 0, 3), "x" * 1_000),
+            (("ended", 0, 4), []),
+        ],
+    )
+    def test_one_odd_row_refuses_the_list(self, answers, path, value):
+        with pytest.raises(MalformedDataError):
+            self.hold(answers, changed(self.REPLY, path, value))
+
+    @pytest.mark.parametrize("reason", [None, 5, ["old"], {"x": "old"}])
+    def test_a_refusal_without_a_reason_is_still_one(self, answers, reason):
+        address, reply = answers
+        reply["next"] = 409, json.dumps({"reason": reason}).encode()
+        run = RunId("a" * 16, 0, 0, 1)
+        outcome = HttpTarget(address).start(run, "", "", 1.0, 1, "t")
+        assert outcome == StartOutcome(True, "refused")
+
+    # Guards against reports that can't be encoded, which fail again and again.
+    @given(st.sampled_from(PATHS), DOCUMENTS)
+    def test_a_list_is_refused_or_can_be_reported(self, path, value):
+        heartbeat = decode_heartbeat("t", json.dumps(TestHeartbeat.HEARTBEAT).encode())
+        controller = TargetController("10.0.0.2:7000", "agent-1", "cell")
+        controller.on_heartbeat(heartbeat, 0.0)
+        try:
+            listing = decode_listing(changed(self.REPLY, path, value))
+        except MalformedDataError:
+            return
+        controller.on_listing(listing, 0.0, 0.1)
+        report = controller.report(0.2)
+        assert type(report).FromString(report.SerializeToString()) == report
