--- a/packages/control/src/cicadabank/control/internal/replica.py
+++ b/packages/control/src/cicadabank/control/internal/replica.py
@@ -176,7 +176,7 @@
             cell.holder_version = row.version
             cell.lease_seen_s = self._last_store_s
         elif kind == EARLIER_LEASES_KEY:
-            cell.earlier_leases = unpack(row.value, EarlierLeasesRow)
+            cell.earlier_leases = value
         elif kind == LEASE_KEY:
             cell.lease_seen_s = self._last_store_s
             cell.lease_version = row.version
@@ -189,6 +189,7 @@
     RUN_PREFIX: JobProgressRow,
     AGENT_PREFIX: AgentRow,
     HOLDER_KEY: HolderRow,
+    EARLIER_LEASES_KEY: EarlierLeasesRow,
 }
 
 
@@ -227,6 +228,13 @@
         raise ValueError(f"no agent listens at {value.address!r}")
 
 
+@_check.register
+def _(value: EarlierLeasesRow, name: str) -> None:
+    # Without earlier holders, the time is minus infinity.
+    if math.isnan(value.until_s) or value.until_s == math.inf:
+        raise ValueError(f"leases expire at {value.until_s} s")
+
+
 def _remove(cell: CellRows, kind: str, name: str) -> None:
     if kind == JOB_PREFIX:
         cell.jobs.pop(name, None)
--- a/tests/cover/test_cell_takeover.py
+++ b/tests/cover/test_cell_takeover.py
@@ -11,6 +11,7 @@
 from cicadabank.control.internal import cell_holder as cell_holder_module
 from cicadabank.control.internal import entry as entry_module
 from cicadabank.scheduling import (
+    AGENT_PREFIX,
     HOLDER_KEY,
     LEASE_KEY,
     AgentRow,
@@ -123,7 +124,8 @@
     # Guards against tasks that are released later than necessary.
     def test_only_the_lease_of_an_ended_holder_is_waited_for(self, stack):
         table = MemoryTable()
-        table.commit(CELL, {}, {"agent/a": pack(AgentRow("a"))})
+        agent = unused_address()
+        table.commit(CELL, {}, {AGENT_PREFIX + agent: pack(AgentRow(agent))})
         first = start_entry(stack, table, "first")
         first.wait_for_holder()
         first.kill()
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -28,9 +28,11 @@
 )
 from cicadabank.scheduling import (
     AGENT_PREFIX,
+    EARLIER_LEASES_KEY,
     JOB_PREFIX,
     AgentRow,
     Configuration,
+    EarlierLeasesRow,
     EndedRun,
     JobRecord,
     QueueConfig,
@@ -442,7 +444,9 @@
         return replica, changed, lines
 
     @pytest.mark.parametrize("value", VALUES)
-    @pytest.mark.parametrize("key", ["agent/x", "job/" + JOB, "run/x", "holder"])
+    @pytest.mark.parametrize(
+        "key", ["agent/x", "job/" + JOB, "run/x", "holder", EARLIER_LEASES_KEY]
+    )
     def test_a_row_that_cannot_be_decoded_is_logged_once(self, key, value):
         odd = StoredRow("cell", key, value, 8)
         replica, changed, lines = self.apply(odd, self.GOOD)
@@ -452,6 +456,14 @@
         assert (rows.jobs, rows.runs, rows.holder) == ({}, {}, None)
         assert rows.agents == {self.ADDRESS}
 
+    @pytest.mark.parametrize("until_s", [float("nan"), float("inf")])
+    def test_a_time_at_which_no_lease_expires_is_refused(self, until_s):
+        value = pack(EarlierLeasesRow(1, until_s))
+        odd = StoredRow("cell", EARLIER_LEASES_KEY, value, 8)
+        replica, _, lines = self.apply(odd, self.GOOD)
+        assert replica.cells["cell"].earlier_leases is None
+        assert lines == ["row_unreadable"]
+
     # Guards against one error that keeps the other rows of the batch back.
     def test_any_error_leaves_the_other_rows(self, monkeypatch):
         def fail(value, kind):
@@ -940,6 +952,6 @@
             listing = decode_listing(changed(self.REPLY, path, value))
         except MalformedDataError:
             return
-        controller.on_listing(listing, 0.0, 0.1)
+        controller.on_listing(listing, 0.0, 0.1, controller.fence)
         report = controller.report(0.2)
         assert type(report).FromString(report.SerializeToString()) == report
