--- a/packages/control/src/cicadabank/control/internal/job_service.py
+++ b/packages/control/src/cicadabank/control/internal/job_service.py
@@ -8,6 +8,7 @@
 from contextlib import contextmanager
 from typing import NamedTuple
 
+from cicadabank.control.bounds import check_steps
 from cicadabank.control.errors import (
     InvalidJobError,
     JobServiceError,
@@ -256,13 +257,13 @@
         Raises
         ------
         InvalidJobError
-            If a step's dependencies are invalid, or another queue has a job of this id.
+            If a number in a step is out of range, or another queue has a job of this id.
         StoreUnavailableError
             If it is certain that the job was not stored and will not be.
         OutcomeUnknownError
             If the job may have been stored.
         """
-        _check_step_order(request.steps)
+        _check_steps(request.steps)
         queue = route.queue
         if self._is_in_replica(request.job, queue.name):
             self._log_known(request.job, queue.name, timing)
@@ -472,10 +473,9 @@
     return "cancelled" if cancelled and state not in ENDED_JOB_STATES else state
 
 
-def _check_step_order(steps: tuple[StepSpec, ...]) -> None:
-    """Raise InvalidJobError if a step depends on itself, a later or an unknown step."""
-    for index, step in enumerate(steps):
-        if any(not 0 <= required < index for required in step.after):
-            raise InvalidJobError(
-                f"step {index} depends on itself, a later or an unknown step"
-            )
+def _check_steps(steps: tuple[StepSpec, ...]) -> None:
+    """Raise InvalidJobError if a number is out of range."""
+    try:
+        check_steps(steps)
+    except ValueError as error:
+        raise InvalidJobError(str(error)) from error
