--- a/packages/control/src/cicadabank/control/internal/job_service.py
+++ b/packages/control/src/cicadabank/control/internal/job_service.py
@@ -257,7 +257,8 @@
         Raises
         ------
         InvalidJobError
-            If a number in a step is out of range, or another queue has a job of this id.
+            If a number in a step is out of range, or another queue has a job of this
+            id.
         StoreUnavailableError
             If it is certain that the job was not stored and will not be.
         OutcomeUnknownError
