Let work go on soon after targets have failed, and in an idle cell

The quarantine of a target doubled with each failed run up to 60 s, and only a run that is done ends it, which a target without work can't have. Of 11 sound targets, 6 were still in quarantine. And the accelerators kept free for urgent jobs were reckoned from the targets that accept tasks: with some in quarantine, jobs were held back although less than half of the cell was in use.

Change: the quarantine lasts for 8 s at most. A job of which nothing runs is not held back while less than half of the cell's resources, those of unusable targets included, is in use.

All three new tests failed before.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/jobs.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/jobs.py
@@ -13,6 +13,11 @@
     accelerators: int
 
 
+def core_equivalents(resources: Resources) -> float:
+    """Return the cores that resources count as; an accelerator counts as eight."""
+    return resources.cpu_millicores / 1000 + 8 * resources.accelerators
+
+
 class StepSpec(NamedTuple):
     """A step of a job: identical tasks that become ready once earlier steps are done.
 
--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -7,7 +7,7 @@
 
 from cicadabank.scheduling.internal import lifecycle
 from cicadabank.scheduling.internal.headroom import Headroom
-from cicadabank.scheduling.internal.jobs import StepSpec
+from cicadabank.scheduling.internal.jobs import StepSpec, core_equivalents
 from cicadabank.scheduling.internal.placement import (
     Placement,
     Victim,
@@ -61,6 +61,9 @@
 REMOTE_WAIT_RATIO = 6.0
 # Time wasted by a stop in addition to unsaved work: stopping and restoring.
 RESTART_COST_S = 0.5
+# While a smaller share of the cell's resources is in use, a job of which nothing runs
+# is not held back for urgent jobs.
+IDLE_CELL_SHARE = 0.5
 
 
 def plan(state: CellState) -> None:
@@ -86,6 +89,7 @@
     targets = usable_targets(state)
     reservations = Reservations(state)
     headroom = Headroom(state, targets)
+    is_idle = _is_cell_idle(state)
     blocked: set[tuple[str, int, bool]] = set()
     for unit in waiting:
         # The tasks of a step are interchangeable: if one cannot start in this round,
@@ -93,7 +97,8 @@
         task_group = (unit.job, unit.step, id(unit) in guaranteed)
         if task_group in blocked:
             continue
-        if not _may_start(state, unit, guaranteed, headroom):
+        is_admitted = is_idle and _has_nothing_started(state.jobs[unit.job])
+        if not (is_admitted or _may_start(state, unit, guaranteed, headroom)):
             blocked.add(task_group)
             _log_held_back(state, unit, headroom)
             continue
@@ -113,6 +118,21 @@
             reservations.reserve(unit, targets)
 
 
+def _is_cell_idle(state: CellState) -> bool:
+    """Return whether less than `IDLE_CELL_SHARE` of the cell's resources is used.
+
+    Targets that accept no tasks count as well.
+    """
+    targets = state.targets.values()
+    used = sum(core_equivalents(target.allocated) for target in targets)
+    total = sum(core_equivalents(target.capacity) for target in targets)
+    return used < IDLE_CELL_SHARE * total
+
+
+def _has_nothing_started(job: Job) -> bool:
+    return all(unit.phase in (Phase.WAITING, Phase.DONE) for unit in job.units)
+
+
 def _awaiting_reports(state: CellState) -> bool:
     """Return whether most agents have still to report after a takeover.
 
--- a/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
@@ -9,10 +9,11 @@
 
 # A target is quarantined after this many consecutive failed runs, for a time that
 # doubles with each further failure. Jobs that fail through their own fault seldom cause
-# two consecutive failures on the same target.
+# two consecutive failures on the same target. A sound target of a cell whose
+# jobs fail must not stay idle for long.
 FAILURES_TO_QUARANTINE = 2
 INITIAL_QUARANTINE_S = 4.0
-MAX_QUARANTINE_S = 60.0
+MAX_QUARANTINE_S = 8.0
 
 
 class RunningRun(NamedTuple):
--- a/packages/scheduling/src/cicadabank/scheduling/internal/units.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/units.py
@@ -6,7 +6,12 @@
 from typing import NamedTuple
 
 from cicadabank.scheduling.internal.forecast import MeasuredDurations
-from cicadabank.scheduling.internal.jobs import JobRecord, RunId, StepSpec
+from cicadabank.scheduling.internal.jobs import (
+    JobRecord,
+    RunId,
+    StepSpec,
+    core_equivalents,
+)
 from cicadabank.scheduling.internal.progress import RunProgress
 
 
@@ -129,8 +134,7 @@
     @property
     def core_equivalents(self) -> float:
         """Cores of all members, where an accelerator counts as eight."""
-        need = self.spec.need
-        return self.size * (need.cpu_millicores / 1000 + 8 * need.accelerators)
+        return self.size * core_equivalents(self.spec.need)
 
     @property
     def may_be_running(self) -> bool:
--- a/tests/cover/test_scheduler.py
+++ b/tests/cover/test_scheduler.py
@@ -193,6 +193,45 @@
         cell.check()
 
 
+class TestQuarantine:
+    """Targets on which several runs have failed in a row."""
+
+    # Time after the end of faults within which work has to go on.
+    RECOVERY_S = 14.0
+
+    def quarantine(self, cell, targets, failures=8):
+        for target in targets:
+            for _ in range(failures):
+                cell.scheduler.state.targets[target.agent].record_outcome(
+                    "failed", cell.now_s
+                )
+
+    # Guards against jobs that wait for up to a minute after most targets have failed
+    # their runs, though all of them are sound again.
+    @pytest.mark.parametrize("count", [4, 6])
+    def test_work_goes_on_soon_after_targets_are_sound_again(self, cell, count):
+        self.quarantine(cell, list(cell.targets.values())[:count])
+        cell.submit("j", "urgent", [tasks(6, accelerators=8, estimate_s=20.0)])
+        cell.run_until(
+            lambda: all(t.active_runs for t in cell.targets.values()), self.RECOVERY_S
+        )
+        cell.check()
+
+    # Guards against a job that is held back for urgent ones that may come, while many
+    # targets are unusable and most of the cell is idle.
+    def test_job_is_not_held_back_while_most_of_the_cell_is_idle(self, cell):
+        for number in range(6):
+            cell.submit(f"u{number}", "urgent", [tasks(1, accelerators=8)])
+        cell.run_until(lambda: cell.state("u5") == "completed")
+        self.quarantine(cell, list(cell.targets.values())[2:])
+        cell.submit("k", "batch", [tasks(1, accelerators=8, estimate_s=30.0)])
+        cell.run(1.0)
+        cell.submit("j", "batch", [tasks(1, accelerators=4, estimate_s=12.0)])
+        cell.run(1.0)
+        running = [run.job for t in cell.targets.values() for run in t.active_runs]
+        assert sorted(running) == ["j", "k"]
+
+
 class TestUnexpectedRuns:
     """Runs that a target reports and that the holder does not expect there."""
 
