Make the tests of takeovers independent of the machine's speed

One of them failed once in six runs on a machine with a load of 20: the ping of an ended holder was slower than the test's shortened lease of the cell, so the entry took over without knowing that the holder had ended, and waited 15.5 s instead of 8.2 s (the safe side). From the first takeover on, these tests now let no lease of a cell lapse. Two limits in seconds of elapsed time are replaced: that ended holders don't prolong the wait is checked by the stored time, which must not change at all, and that a late write doesn't delay a takeover by the number of attempts, which must be one.

--- a/tests/cover/test_cell_takeover.py
+++ b/tests/cover/test_cell_takeover.py
@@ -11,9 +11,11 @@
 from cicadabank.control.internal import cell_holder as cell_holder_module
 from cicadabank.control.internal import entry as entry_module
 from cicadabank.scheduling import (
+    EARLIER_LEASES_KEY,
     HOLDER_KEY,
     LEASE_KEY,
     AgentRow,
+    EarlierLeasesRow,
     HolderRow,
     LeaseRow,
     pack,
@@ -73,6 +75,12 @@
     return state.unreported_lease_until_s[TARGET]
 
 
+def only_take_over_from_ended_holders(monkeypatch) -> None:
+    """Let no lease of a cell lapse, however slow the reply to a ping is."""
+    monkeypatch.setattr(entry_module, "HOLDER_LEASE_S", 60.0)
+    monkeypatch.setattr(entry_module, "UNRESPONSIVE_LEASE_S", 60.0)
+
+
 def start_entry(stack: ExitStack, table: MemoryTable, name: str) -> CellEntry:
     return stack.enter_context(cell_entry_running(table, name))
 
@@ -83,17 +91,19 @@
     @pytest.mark.parametrize("end", [CellEntry.kill, CellEntry.hand_over])
     @pytest.mark.parametrize("takeovers", [1, 2, 3])
     def test_holders_that_end_do_not_shorten_the_wait(
-        self, stack, table, takeovers, end
+        self, stack, table, monkeypatch, takeovers, end
     ):
         cut_off_s = write_holder(table, 1, stack.enter_context(silent_address()))
-        for number in range(takeovers):
+        stored_ends_s = set()
+        for number in range(takeovers + 1):
             entry = start_entry(stack, table, f"e{number}")
             assert release_s(entry) >= cut_off_s + TIMINGS.outage_s
+            only_take_over_from_ended_holders(monkeypatch)
+            row = table.rows[(CELL, EARLIER_LEASES_KEY)]
+            stored_ends_s.add(unpack(row.value, EarlierLeasesRow).until_s)
             end(entry)
-        entry = start_entry(stack, table, "last")
-        assert release_s(entry) >= cut_off_s + TIMINGS.outage_s
         # Nor do they prolong it.
-        assert release_s(entry) < cut_off_s + TIMINGS.outage_s + 2.0
+        assert len(stored_ends_s) == 1
 
     def test_a_takeover_with_a_lost_reply_does_not_shorten_the_wait(self, stack, table):
         cut_off_s = write_holder(table, 1, stack.enter_context(silent_address()))
@@ -120,7 +130,8 @@
         assert release_s(entry) >= cut_off_s + TIMINGS.outage_s
 
     # Guards against tasks that are released later than necessary.
-    def test_only_the_lease_of_an_ended_holder_is_waited_for(self, stack):
+    def test_only_the_lease_of_an_ended_holder_is_waited_for(self, stack, monkeypatch):
+        only_take_over_from_ended_holders(monkeypatch)
         table = MemoryTable()
         table.commit(CELL, {}, {"agent/a": pack(AgentRow("a"))})
         first = start_entry(stack, table, "first")
@@ -187,11 +198,15 @@
 # Guards against leases that last longer than a successor waits: a takeover that is
 # performed late, perhaps after its reply was lost, finds a lease that was renewed.
 class TestRenewalsDuringATakeover:
-    def entry_with_renewal(self, stack, table, renewed_s: list[float]) -> CellEntry:
-        """Return an entry; the holder renews its lease just before the takeover."""
+    def entry_with_renewal(self, stack, table, renewed_s, takeovers) -> CellEntry:
+        """Return an entry; the holder renews its lease just before the takeover.
+
+        The times of renewals and the attempted takeovers are added to the lists.
+        """
         entry = CellEntry(table, "e")
 
-        def renew():
+        def renew(puts):
+            takeovers.extend(key for key in puts if key == HOLDER_KEY)
             if not renewed_s:
                 renewed_s.append(clock_s())
                 table.commit(CELL, {}, {LEASE_KEY: pack(LeaseRow(1, 0.0))})
@@ -207,8 +222,8 @@
         monkeypatch.setattr(entry_module, "HOLDER_LEASE_S", 1.5)
         monkeypatch.setattr(entry_module, "UNRESPONSIVE_LEASE_S", 1.5)
         write_holder(table, 1, stack.enter_context(silent_address()))
-        renewed_s = []
-        entry = self.entry_with_renewal(stack, table, renewed_s)
+        renewed_s, takeovers = [], []
+        entry = self.entry_with_renewal(stack, table, renewed_s, takeovers)
         entry.table.lost_answers = lost_answers
         entry.start()
         assert release_s(entry) >= renewed_s[0] + TIMINGS.outage_s
@@ -218,12 +233,12 @@
         self, stack, table
     ):
         write_holder(table, 1, "")
-        renewed_s = []
-        entry = self.entry_with_renewal(stack, table, renewed_s)
+        renewed_s, takeovers = [], []
+        entry = self.entry_with_renewal(stack, table, renewed_s, takeovers)
         entry.start()
         entry.wait_for_holder()
-        assert unpack(table.rows[(CELL, HOLDER_KEY)].value, HolderRow).epoch == 2
-        assert clock_s() - renewed_s[0] < 0.5
+        assert renewed_s
+        assert len(takeovers) == 1
 
 
 # Guards against leases that last longer than a successor waits: it may have taken over
--- a/tests/support/cell_entries.py
+++ b/tests/support/cell_entries.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import ExitStack, contextmanager
 from typing import Any
 
@@ -86,23 +86,31 @@
     ----------
     lost_answers : int
         Number of commits that still take effect without a reply.
-    before_commit, after_commit : callable
-        Called before a commit is sent, and before its reply is returned.
+    before_commit : callable
+        Called with the rows to be written, before a commit is sent.
+    after_commit : callable
+        Called before the reply to a commit is returned.
     """
 
     def __init__(self, table: MemoryTable):
         self._table = table
         self.lost_answers = 0
-        self.before_commit: Callable[[], None] = lambda: None
+        self.before_commit: Callable[[Mapping[str, bytes]], None] = lambda puts: None
         self.after_commit: Callable[[], None] = lambda: None
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self._table, name)
 
-    def commit(self, *arguments: Any, **keywords: Any) -> int:
+    def commit(
+        self,
+        partition: str,
+        expected: Mapping[str, int],
+        puts: Mapping[str, bytes],
+        *arguments: Any,
+    ) -> int:
         """Commit to the shared table."""
-        self.before_commit()
-        version = self._table.commit(*arguments, **keywords)
+        self.before_commit(puts)
+        version = self._table.commit(partition, expected, puts, *arguments)
         if self.lost_answers:
             self.lost_answers -= 1
             raise UnknownOutcomeError("no reply to the write; it was applied")
