Wait for a target that is away before a job counts as infeasible

What callers may see: a job shown as failed although it can be done. The soak shows it: a gang that needs all targets failed 33 ms after one of them was given up, which was back 3.4 s later.

Cause: whether a job can ever be placed was decided by the targets of the moment.

Change: a target counts for 30 s after it was removed, unless its agent reports another incarnation. A job that doesn't fit even so still fails at once.

The new test of a gang that waits failed before.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -64,6 +64,9 @@
 # While a smaller share of the cell's resources is in use, a job of which nothing runs
 # is not held back for urgent jobs.
 IDLE_CELL_SHARE = 0.5
+# A target that was removed this short ago is likely to come back, so a job that only
+# lacks it is not infeasible.
+REMOVED_TARGET_RETENTION_S = 30.0
 
 
 def plan(state: CellState) -> None:
@@ -493,15 +496,26 @@
     state.mark_dirty(job)
 
 
+def _recently_removed_targets(state: CellState) -> list[Target]:
+    """Return the targets that were removed recently and have not come back."""
+    for agent, (_, removed_s) in list(state.removed_targets.items()):
+        present = state.targets.get(agent)
+        is_back = present is not None and any(present.capacity)
+        if is_back or state.now_s - removed_s > REMOVED_TARGET_RETENTION_S:
+            del state.removed_targets[agent]
+    return [target for target, _ in state.removed_targets.values()]
+
+
 def _fail_infeasible_jobs(state: CellState) -> None:
     """Fail pending jobs that none of the targets could ever run."""
     if not state.targets or len(state.targets) < len(state.last_contact_attempt_s) / 2:
         return
+    targets = [*state.targets.values(), *_recently_removed_targets(state)]
     for job in list(state.open_jobs.values()):
         if job.cancelled or job.reason or job.state != "pending":
             continue
         for index, step in enumerate(job.record.steps):
-            reason = infeasible_reason(step, state.targets.values())
+            reason = infeasible_reason(step, targets)
             if reason:
                 lifecycle.fail_job(state, job, f"step {index}: {reason}")
                 break
--- a/packages/scheduling/src/cicadabank/scheduling/internal/state.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/state.py
@@ -189,6 +189,8 @@
         # By incarnation that has not reported since the takeover: when the leases that
         # earlier holders granted to it have expired.
         self.unreported_lease_until_s: dict[TargetIncarnation, float] = {}
+        # By agent: the last removed incarnation of its target, and when.
+        self.removed_targets: dict[str, tuple[Target, float]] = {}
         # By agent: the latest number given to it.
         self.registrations: dict[str, Registration] = {}
         # The known agents, with the time of the last attempt to contact each.
--- a/tests/cover/test_scheduler.py
+++ b/tests/cover/test_scheduler.py
@@ -94,6 +94,38 @@
         assert reason in cell.rows["j"][0].reason
 
 
+class TestInfeasibleJobs:
+    ALL_TARGETS = 6
+
+    # Guards against a job that is shown as failed because a target is away for seconds.
+    def test_gang_that_lacks_a_target_that_is_away_waits_for_it(self, cell):
+        cell.run(8.0)
+        away = cell.targets["agent-t00"]
+        away.silent = True
+        cell.run(10.0)
+        assert "agent-t00" not in cell.scheduler.state.targets
+        cell.submit("j", "batch", [gang(self.ALL_TARGETS, 8)])
+        cell.run(5.0)
+        assert cell.scheduler.state.jobs["j"].state == "pending"
+        away.silent = False
+        cell.run_until(lambda: cell.state("j") == "completed")
+
+    def test_job_that_no_target_could_run_fails_while_one_is_away(self, cell):
+        cell.run(8.0)
+        cell.targets["agent-t00"].silent = True
+        cell.run(10.0)
+        cell.submit("j", "batch", [gang(self.ALL_TARGETS + 1, 8)])
+        cell.run(0.5)
+        assert cell.state("j") == "failed"
+
+    def test_gang_fails_once_a_target_is_away_for_good(self, cell):
+        cell.run(8.0)
+        cell.targets["agent-t00"].silent = True
+        cell.run(10.0)
+        cell.submit("j", "batch", [gang(self.ALL_TARGETS, 8)])
+        cell.run_until(lambda: cell.state("j") == "failed", 40.0)
+
+
 class TestGangs:
     def test_members_start_at_the_same_time(self, cell):
         cell.submit("j", "normal", [gang(3, 8, same_rack=True)])
