Report a run that has ended on its target by its end, not as refused

What callers may see: a task that is done runs again.

Cause: the repeated start is refused as "old", which the agent reported at once. The holder released the run and started the task elsewhere before a list showed its end.

Change: a run refused as "old" is settled by a list requested after the refusal, which is requested at once. If the list shows the run's end, that is what counts.

--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -268,6 +268,9 @@
                     call.run, call.payload, call.checkpoint, until_s, fence, target
                 )
                 self.post(self._on_start_reply, call, outcome)
+                if outcome.refused == "old":
+                    # A list shows whether the run is done.
+                    self.renew_lease(0.0)
         except PlatformError as error:
             logger.bind(event="call_failed", **call.run._asdict()).warning("{}", error)
             self.post(self._on_call_failed, call)
--- a/packages/control/src/cicadabank/control/internal/target_controller.py
+++ b/packages/control/src/cicadabank/control/internal/target_controller.py
@@ -349,19 +349,24 @@
         # "late" means that the lease had expired when the start arrived, "fence" that
         # the fence has increased since; the start is retried with the present ones.
         if not local.stopping and outcome.refused not in ("late", "fence"):
-            self._on_refused(run, local, outcome.refused)
+            self._on_refused(run, local, outcome.refused, now_s)
 
-    def _on_refused(self, run: RunId, local: LocalRun, reason: str) -> None:
+    def _on_refused(
+        self, run: RunId, local: LocalRun, reason: str, now_s: float
+    ) -> None:
         """Report a run as refused, once it certainly can't start any more.
 
         An earlier call that got no reply may be carried out after one that is refused.
         The target rejects it only once the run has ended there ("old") or was stopped.
+        A run that has ended may be done, which a later list shows.
         """
-        if local.may_start_late and reason != "old":
-            local.refusal = reason
-            self._begin_stop(local)
-        else:
+        if reason != "old" and not local.may_start_late:
             self._refuse(run, reason)
+            return
+        local.refusal = reason
+        self._begin_stop(local)
+        if reason == "old":
+            local.stop_confirmed_s = now_s
 
     def on_stopped(self, run: RunId, confirmed: bool, now_s: float) -> None:
         """Process the reply to a stop; `confirmed` is False if none arrived."""
