Send nothing that is meant for one incarnation of a target to the next one

What callers may see: a run on an incarnation of a target of which the holder knows nothing, and ends that are forgotten before they are stored.

Cause: the agent ignored a list of another incarnation, and went on with starts, leases and acknowledgements of the one that it knew.

Change: once a list names another incarnation, the agent starts nothing, passes on no lease and acknowledges nothing, until a list names the known one again or a heartbeat of the other one is confirmed.

--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -301,7 +301,7 @@
         until_s = controller.take_lease_end_on_target_s(clock_s())
         return (
             controller.fence,
-            controller.recorded,
+            controller.acknowledged,
             until_s,
             controller.heartbeat.target,
         )
--- a/packages/control/src/cicadabank/control/internal/target_controller.py
+++ b/packages/control/src/cicadabank/control/internal/target_controller.py
@@ -70,6 +70,8 @@
         # Latest heartbeats of other incarnations, which the target has to confirm.
         self._unchecked: OrderedDict[tuple[str, int], TargetHeartbeat] = OrderedDict()
         self.target_terminated = False
+        # Whether the last list came from another incarnation.
+        self._is_replaced = False
         self.leaving = False
         self.recorded = 0  # highest sequence number of a stored ended run
         self._report_number = 0
@@ -134,7 +136,7 @@
 
     def _adopt(self, heartbeat: TargetHeartbeat, now_s: float) -> None:
         self._reset(now_s)
-        self.target_terminated = False
+        self.target_terminated = self._is_replaced = False
         self.heartbeat = heartbeat
         self._unchecked.clear()
 
@@ -291,7 +293,7 @@
     def take_due_calls(self, now_s: float) -> list[TargetCall]:
         """Return the calls to the target that are due, and mark them as pending."""
         due = []
-        if self.heartbeat is None or self.target_terminated:
+        if self.heartbeat is None or self.target_terminated or self._is_replaced:
             return due
         for run, local in self._runs.items():
             if local.call_pending or now_s - local.last_call_s < CALL_RETRY_INTERVAL_S:
@@ -324,7 +326,7 @@
         until_s = self._granted_until_s
         if self._is_unresponsive(now_s):
             until_s = min(until_s, self._passed_on_until_s)
-        if self._clock_sample is None or until_s <= now_s:
+        if self._clock_sample is None or self._is_replaced or until_s <= now_s:
             return None
         target_s, received_s = self._clock_sample
         self._passed_on_until_s = max(self._passed_on_until_s, until_s)
@@ -389,7 +391,10 @@
         fence : int
             With which it was requested; the target rejects calls with a lower one.
         """
-        if self.heartbeat is None or listing.started_ms != self.heartbeat.started_ms:
+        if self.heartbeat is None:
+            return False
+        self._is_replaced = listing.started_ms != self.heartbeat.started_ms
+        if self._is_replaced:
             return False
         previous = self._listing
         if previous is not None and listing.target_s < previous.target_s:
@@ -433,6 +438,11 @@
             self._not_running.add(run)
             self._close(run, "old")
 
+    @property
+    def acknowledged(self) -> int:
+        """Sequence number up to which the target may forget ended runs."""
+        return 0 if self._is_replaced else self.recorded
+
     @property
     def has_unstored_ended_runs(self) -> bool:
         """Whether the target lists ended runs that the holder hasn't stored yet."""
--- a/tests/cover/test_target_controller.py
+++ b/tests/cover/test_target_controller.py
@@ -156,6 +156,21 @@
         assert controller.incarnation == "t/5000"
         assert controller.report(11.5).observed
 
+    # Guards against starts that run on another incarnation than the holder knows, and
+    # against ends that are forgotten before they are stored.
+    def test_a_target_that_names_another_incarnation_gets_no_starts(self, controller):
+        orders = batch(controller, starts=[start()])
+        orders.recorded = 7
+        controller.on_orders(orders, 11.0)
+        assert controller.acknowledged == 7
+        assert not list_runs(controller, listing(started_ms=5), 11.0, 11.0)
+        assert controller.take_due_calls(11.1) == []
+        assert controller.acknowledged == 0
+        assert controller.take_lease_end_on_target_s(11.1) is None
+        list_runs(controller, listing(), 11.2, 11.2)
+        assert [c.kind for c in controller.take_due_calls(11.3)] == ["start"]
+        assert controller.acknowledged == 7
+
     def test_a_wrong_first_heartbeat_is_replaced(self, controller):
         controller = TargetController("a:2", "agent-2", "cell")
         assert controller.on_heartbeat(heartbeat(started_ms=10**15), 10.0)
