Stand-in of targets: late calls and heartbeats, mute, partly unhealthy, clocks set back

The stand-in knew starts with a late reply only.

Faults of the stand-in itself, found by reading the protocol: a lease was not shortened to 10 s; a start refused as "old" did not extend the lease; the sequence of heartbeats went on in the next incarnation; a lease call that acknowledges more ends than there are counted as acknowledgement of the ends to come, though the target still lists them. The checker relies on the last one, and stays as strict: an end counts as acknowledged when the target forgets it.

--- a/packages/standin/src/cicadabank/standin/internal/fleet.py
+++ b/packages/standin/src/cicadabank/standin/internal/fleet.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
-import itertools
 import threading
 import time
 from collections.abc import Callable
+from types import MappingProxyType
 from typing import NamedTuple
 
 STOP_DELAY_S = 0.1
 CHECKPOINT_INTERVAL_S = 0.5
 GANG_TIMEOUT_S = 4.0
+MAX_LEASE_S = 10.0  # a longer lease is shortened to this
 TICK_S = 0.02
 
 
@@ -82,21 +83,46 @@
 
     Attributes
     ----------
-    fails_all, hangs, unhealthy, drops_start_answers : bool
-        Runs fail at once; runs make no progress; starts are refused; starts are
-        executed, but the reply is sent after the agent's timeout.
+    fails_all, hangs, drops_start_answers, mute : bool
+        Runs fail at once; runs make no progress; starts are executed, but the reply is
+        sent after the agent's timeout; calls are neither executed nor answered.
+    unhealthy_share : float
+        Share of the starts that are refused as if the target were unhealthy.
+    late_call_share, late_heartbeat_share : float
+        Share of the calls that get no reply and are executed seconds later, and of the
+        heartbeats that are sent seconds later, by then perhaps about an earlier
+        incarnation.
     speed : float
         Seconds of work done in each second.
-    clock_rate : float
-        Rate of the target's own clock; 1 is exact. A restart resets the other faults,
-        but not this one.
+    clock_rate, set_back_s : float
+        Rate of the target's own clock; 1 is exact. Seconds by which the clock that
+        tells the time of day at a restart has been set back. A restart resets the
+        other faults, but not these.
+    late_messages : int
+        Number of late calls and heartbeats that are still to be executed or sent.
     """
 
+    HEALTHY = MappingProxyType(
+        {
+            "fails_all": False,
+            "hangs": False,
+            "drops_start_answers": False,
+            "mute": False,
+            "draining": False,
+            "unhealthy_share": 0.0,
+            "late_call_share": 0.0,
+            "late_heartbeat_share": 0.0,
+            "speed": 1.0,
+        }
+    )
+
     def __init__(self, fleet: TargetFleet, name: str, capacity: tuple[int, int, int]):
         self.fleet = fleet
         self.name = name
         self.capacity = capacity
         self.clock_rate = 1.0
+        self.set_back_s = 0.0
+        self.late_messages = 0
         self.started: list[tuple[str, int]] = []  # in all incarnations
         self.incarnation = 0
         self.restart()
@@ -107,21 +133,21 @@
             for active in list(getattr(self, "active_runs", {}).values()):
                 self.fleet.emit("lost", self, active)
             self.incarnation += 1
-            self.born_ms = int(time.time() * 1000)
+            self.born_ms = int((time.time() - self.set_back_s) * 1000)
             self._born_s = time.monotonic()
             self.active_runs: dict[tuple[str, int], ActiveRun] = {}
             self.ended: list[tuple[int, str, int, str, str]] = []
             self.acknowledged = 0
-            self.draining = False
-            self.fails_all = self.hangs = self.unhealthy = self.drops_start_answers = (
-                False
-            )
-            self.speed = 1.0
+            self.heal()
             self._fence = 0
             self._lease_until_s = 0.0
             # Highest number of a stopped or ended run, by task.
             self._last_closed: dict[str, int] = {}
-            self._sequences = itertools.count(1)
+            self._last_sequence = 0
+
+    def heal(self) -> None:
+        """End all faults, except those of the clocks."""
+        vars(self).update(self.HEALTHY)
 
     def clock_s(self) -> float:
         """Return the seconds since the incarnation began, by the target's clock."""
@@ -144,17 +170,22 @@
             if (task, run) in self.active_runs:
                 return ""
             if run <= self._last_closed.get(task, 0):
+                self._extend_lease(until_s)
                 return "old"
             if until_s <= self.clock_s():
                 return "late"
             profile = self.fleet.profile_of(task, spec)
-            self._lease_until_s = max(self._lease_until_s, until_s)
+            self._extend_lease(until_s)
             active = ActiveRun(profile, task, run, float(checkpoint or 0.0))
             self.active_runs[(task, run)] = active
             self.started.append((task, run))
             self.fleet.emit("started", self, active)
             return ""
 
+    def _extend_lease(self, until_s: float) -> None:
+        until_s = min(until_s, self.clock_s() + MAX_LEASE_S)
+        self._lease_until_s = max(self._lease_until_s, until_s)
+
     def stop(self, task: str, run: int, fence: int) -> str:
         """Stop a run; return the reason for a refusal, or an empty string."""
         with self.fleet.changed:
@@ -181,10 +212,14 @@
             if fence < self._fence:
                 return None
             self._fence = fence
-            self.acknowledged = max(self.acknowledged, acknowledged)
+            # A call to an earlier incarnation may acknowledge more ends than there are;
+            # those to come are listed all the same.
+            self.acknowledged = max(
+                self.acknowledged, min(acknowledged, self._last_sequence)
+            )
             self.fleet.emit_acknowledged(self)
             self.ended = [end for end in self.ended if end[0] > acknowledged]
-            self._lease_until_s = max(self._lease_until_s, until_s or 0.0)
+            self._extend_lease(until_s or 0.0)
             incarnation = self.incarnation
             self.fleet.changed.wait_for(
                 lambda: self.ended or self.incarnation != incarnation, timeout=wait_s
@@ -228,7 +263,8 @@
         self._last_closed[active.task] = max(
             self._last_closed.get(active.task, 0), active.run
         )
-        sequence = next(self._sequences)
+        self._last_sequence += 1
+        sequence = self._last_sequence
         self.ended.append((sequence, active.task, active.run, kind, active.checkpoint))
         self.fleet.emit(kind, self, active, sequence)
         if active.profile.gang_size > 1:
