Soak: series of overlapping faults of one target, and a trace of its events

Faults seldom met on one target, and the logs did not show what the targets ran. A series draws 3 to 5 faults of one target and its agent, at most 2.5 s apart: overload (late calls and refused starts), late calls, late heartbeats, mute for longer than a lease, restarts with the clock set back, and those there were. They are drawn after the single faults, so a seed's single faults stay as they were. The bounds in time hold only after the last late call has been executed, as the fault lasts until then.

trace.txt in the folder of a seed lists the injected faults, the starts and ends of runs and the violations; stand-ins.txt lists the calls that were executed late.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,6 +10,8 @@
 from pathlib import Path
 from typing import NamedTuple
 
+from loguru import logger
+
 from soak.checker import InvariantChecker, Violation
 from soak.deployment import CAPACITY, DOMAINS, deployment_running, wait_for
 from soak.faults import Schedule, draw_schedule
@@ -28,7 +30,9 @@
     Attributes
     ----------
     faults : int
-        Faults to draw; some of them are repeated.
+        Single faults to draw; some of them are repeated.
+    series : int
+        Series of overlapping faults of one target and its agent to draw.
     length_s : float
         Time within which the drawn faults start.
     """
@@ -37,6 +41,7 @@
     targets: int = 6
     callers: int = 6
     faults: int = 8
+    series: int = 2
     length_s: float = 20.0
 
 
@@ -67,7 +72,7 @@
     domains = {f"t{n}": DOMAINS[n % len(DOMAINS)] for n in range(options.targets)}
     checker = InvariantChecker(domains, CAPACITY)
     with deployment_running(
-        folder, checker, options.entries, options.targets
+        folder, checker, options.entries, options.targets, seed
     ) as deployment:
         deployment.store.put("op", "config", configuration(1, 0, [KEY]))
         with load_running(deployment, checker, rng, options.callers) as caller:
@@ -79,7 +84,9 @@
                 )
             schedule = Schedule(
                 deployment,
-                draw_schedule(rng, deployment, options.faults, options.length_s),
+                draw_schedule(
+                    rng, deployment, options.faults, options.series, options.length_s
+                ),
             )
             schedule.run()
             deployment.heal()
@@ -139,6 +146,7 @@
         flag = "--" + name.replace("_", "-")
         parser.add_argument(flag, type=type(default), default=default)
     parsed = parser.parse_args()
+    logger.remove()  # the stand-ins' logs are kept with those of the processes
     options = Options(**{name: getattr(parsed, name) for name in Options._fields})
     base_folder = parsed.folder or Path(tempfile.mkdtemp(prefix="soak-"))
     failed = []
@@ -147,7 +155,9 @@
     for seed in seeds:
         folder = base_folder / str(seed)
         folder.mkdir(parents=True, exist_ok=True)
+        sink = logger.add(folder / "stand-ins.txt")
         result = run_seed(seed, options, folder)
+        logger.remove(sink)
         report(result, folder)
         if result.violations or result.error_lines:
             failed.append(seed)
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -82,9 +82,10 @@
         self._capacity = capacity
         self._lock = threading.RLock()
         self._active_runs: dict[str, ActiveRun] = {}
-        self._needs_by_target: dict[str, dict[str, tuple[int, int, int]]] = defaultdict(
-            dict
-        )
+        # Needs of the active runs, by target, and by task and run number.
+        self._needs_by_target: dict[
+            str, dict[tuple[str, int], tuple[int, int, int]]
+        ] = defaultdict(dict)
         self._completed_units: set[str] = set()
         # Ends of successful runs, as (target, incarnation, sequence), by unit. An end
         # that was not acknowledged before its target's restart is lost and removed; the
@@ -160,7 +161,7 @@
             event.target, event.incarnation, event.run
         )
         needs = self._needs_by_target[event.target]
-        needs[event.task] = job.steps[int(step)].profile.need
+        needs[event.task, event.run] = job.steps[int(step)].profile.need
         for kind, limit in enumerate(self._capacity):
             if sum(need[kind] for need in needs.values()) > limit:
                 self.report_violation("a target never exceeds its capacity", str(event))
@@ -187,7 +188,7 @@
 
     def _on_end(self, event: TargetEvent) -> None:
         self.end_counts[event.kind] += 1
-        self._needs_by_target[event.target].pop(event.task, None)
+        self._needs_by_target[event.target].pop((event.task, event.run), None)
         run = ActiveRun(event.target, event.incarnation, event.run)
         if self._active_runs.get(event.task) == run:
             del self._active_runs[event.task]
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -19,7 +19,7 @@
     serving,
     target_running,
 )
-from cicadabank.standin import Proxy, TargetFleet, proxy_running
+from cicadabank.standin import Proxy, TargetEvent, TargetFleet, proxy_running
 
 from soak.checker import InvariantChecker
 
@@ -114,12 +114,25 @@
         self.checker = checker
         self.store = StoreStandIn()
         self.fleet = TargetFleet(
-            checker.profile_of, checker.on_event, checker.on_acknowledged
+            checker.profile_of, self._on_event, checker.on_acknowledged
         )
         self.processes: dict[str, Process] = {}
+        self.agents: dict[str, Process] = {}  # by target
         self.fronts: dict[str, str] = {}
         self.domains = {f"t{n}": DOMAINS[n % len(DOMAINS)] for n in range(targets)}
 
+    def trace(self, line: object) -> None:
+        """Append a line to the trace of injected faults and of the targets' events."""
+        with (self.folder / "trace.txt").open("a") as file:
+            file.write(f"{time.time():.3f} {line}\n")
+
+    def _on_event(self, event: TargetEvent) -> None:
+        known = len(self.checker.violations)
+        self.trace(event)
+        self.checker.on_event(event)
+        for violation in self.checker.violations[known:]:
+            self.trace(f"VIOLATION {violation}")
+
     def processes_with_role(self, role: str) -> list[Process]:
         """Return the processes of a role."""
         return [process for process in self.processes.values() if process.role == role]
@@ -133,7 +146,7 @@
             self.checker.on_incarnation_lost(target, incarnation)
 
     def heal(self) -> None:
-        """End all faults except slow clocks, and start the processes that are down."""
+        """End all faults except those of clocks; start the processes that are down."""
         self.store.heal()
         for process in self.processes.values():
             for link in process.links.values():
@@ -143,9 +156,7 @@
                 process.start()
         with self.fleet.changed:
             for target in self.fleet.targets.values():
-                target.fails_all = target.hangs = target.unhealthy = False
-                target.drops_start_answers = target.draining = False
-                target.speed = 1.0
+                target.heal()
 
     def error_lines(self) -> list[str]:
         """Return the log lines of unexpected errors."""
@@ -159,16 +170,16 @@
 
 @contextmanager
 def deployment_running(
-    folder: Path, checker: InvariantChecker, entries: int, targets: int
+    folder: Path, checker: InvariantChecker, entries: int, targets: int, seed: int
 ) -> Iterator[Deployment]:
-    """Run a deployment until the block ends."""
+    """Run a deployment until the block ends; the seed is that of the targets."""
     deployment, ports = Deployment(folder, checker, targets), Ports()
     with ExitStack() as stack:
         store = ports.address()
         stack.enter_context(serving(store, deployment.store.dispatch))
         stack.enter_context(fleet_running(deployment.fleet))
         for number in range(targets):
-            _add_target(deployment, stack, ports, store, number)
+            _add_target(deployment, stack, ports, store, number, seed)
         for number in range(entries):
             front = ports.address()
             deployment.fronts[f"entry-{number}"] = front
@@ -184,14 +195,19 @@
 
 
 def _add_target(
-    deployment: Deployment, stack: ExitStack, ports: Ports, store: str, number: int
+    deployment: Deployment,
+    stack: ExitStack,
+    ports: Ports,
+    store: str,
+    number: int,
+    seed: int,
 ) -> None:
     name = f"t{number}"
     domain = deployment.domains[name]
     rack = f"r-{domain}-{number // (TARGETS_PER_RACK * len(DOMAINS))}"
     address, control = ports.address(), ports.address()
     target = deployment.fleet.add(name, CAPACITY)
-    server = TargetServer(target, address, control, domain, rack)
+    server = TargetServer(target, address, control, domain, rack, seed)
     stack.enter_context(target_running(server))
     link = stack.enter_context(proxy_running(address))
     fields = {"control": control, "target": link.address}
@@ -199,6 +215,7 @@
         deployment, stack, ports, store, "agent", number, domain, fields
     )
     process.links["target"] = link
+    deployment.agents[name] = process
 
 
 def _add_process(
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -46,6 +46,39 @@
     "drain",
     "slow_clock",
 )
+# What a fault sets on its target while it lasts.
+TARGET_STATES = {
+    "fails_all": {"fails_all": True},
+    "hangs": {"hangs": True},
+    "unhealthy": {"unhealthy_share": 1.0},
+    "drops_start_answers": {"drops_start_answers": True},
+    "slow": {"speed": 0.2},
+    "drain": {"draining": True},
+    "late_calls": {"late_call_share": 0.4},
+    "overload": {"late_call_share": 0.3, "unhealthy_share": 0.4},
+    "late_heartbeats": {"late_heartbeat_share": 0.5},
+    "mute": {"mute": True},
+}
+# Added to the duration of these faults, so that a drain takes longer than a target's
+# notice, and that a mute target's lease expires.
+ADDED_DURATION_S = {"drain": 3.0, "mute": 10.0}
+# Faults of a series, which all hit one target or its agent.
+SERIES_TARGET_FAULTS = (
+    "overload",
+    "overload",
+    "late_calls",
+    "late_heartbeats",
+    "mute",
+    "power_loss",
+    "clock_back",
+    "drops_start_answers",
+    "drain",
+    "slow_clock",
+)
+SERIES_LENGTH = (3, 5)
+SERIES_INTERVAL_S = (0.2, 2.5)
+CLOCK_SET_BACK_S = 120.0
+LATE_MESSAGES_POLL_S = 0.1
 
 
 class StoreFault(NamedTuple):
@@ -73,7 +106,7 @@
 
 
 class TargetFault(NamedTuple):
-    """A fault of a target, or its restart; slow clocks stay slow."""
+    """A fault of a target, or its restart; faults of its clocks do not end."""
 
     target: str
     kind: str
@@ -113,15 +146,54 @@
     return PowerLoss(rng.uniform(0.5, 1.5))
 
 
+def draw_series(
+    rng: random.Random, deployment: Deployment, at_s: float
+) -> list[tuple[float, Fault]]:
+    """Draw faults of one target and its agent that overlap, with their start times."""
+    target = rng.choice(sorted(deployment.fleet.targets))
+    agent = deployment.agents[target]
+    schedule = []
+    for _ in range(rng.randint(*SERIES_LENGTH)):
+        duration_s = rng.uniform(0.3, MAX_DURATION_S)
+        drawn = rng.random()
+        if drawn < 0.7:
+            fault = TargetFault(target, rng.choice(SERIES_TARGET_FAULTS), duration_s)
+        elif drawn < 0.85:
+            fault = LinkFault(
+                agent.name,
+                rng.choice(sorted(agent.links)),
+                rng.choice(LINK_FAULTS),
+                duration_s,
+            )
+        else:
+            kind = rng.choice(("kill", "pause"))
+            fault = SignalFault(agent.name, kind, duration_s)
+        schedule.append((at_s, fault))
+        at_s += rng.uniform(*SERIES_INTERVAL_S)
+    return schedule
+
+
 def draw_schedule(
-    rng: random.Random, deployment: Deployment, count: int, length_s: float
+    rng: random.Random,
+    deployment: Deployment,
+    count: int,
+    series: int,
+    length_s: float,
 ) -> list[tuple[float, Fault]]:
-    """Draw faults with their start times, in order; some are repeated."""
+    """Draw faults with their start times, in order; some are repeated.
+
+    Parameters
+    ----------
+    count, series : int
+        Number of single faults, and of series of faults of one target.
+    """
     schedule = []
     for _ in range(count):
         at_s, fault = rng.uniform(0.0, length_s), draw_fault(rng, deployment)
         repeats = 3 if rng.random() < REPEATED_SHARE else 1
         schedule += [(at_s + n * REPEAT_INTERVAL_S, fault) for n in range(repeats)]
+    for _ in range(series):
+        schedule += draw_series(rng, deployment, rng.uniform(0.0, length_s))
     return sorted(schedule, key=lambda entry: entry[0])
 
 
@@ -204,22 +276,22 @@
 def _(fault: TargetFault, deployment: Deployment) -> None:
     target = deployment.fleet.targets[fault.target]
     with _disturbance(deployment):
-        if fault.kind == "power_loss":
-            deployment.restart_target(fault.target)
-        elif fault.kind == "drain":
-            target.draining = True
-            time.sleep(3.0 + fault.duration_s)
-            deployment.restart_target(fault.target)
-        elif fault.kind == "slow":
-            target.speed = 0.2
-            time.sleep(fault.duration_s)
-            target.speed = 1.0
-        elif fault.kind == "slow_clock":
+        if fault.kind == "slow_clock":
             target.clock_rate = 0.98
+            return
+        if fault.kind == "clock_back":
+            target.set_back_s += CLOCK_SET_BACK_S
+        state = TARGET_STATES.get(fault.kind, {})
+        if state:
+            vars(target).update(state)
+            time.sleep(fault.duration_s + ADDED_DURATION_S.get(fault.kind, 0.0))
+        if fault.kind in ("power_loss", "clock_back", "drain"):
+            deployment.restart_target(fault.target)
         else:
-            setattr(target, fault.kind, True)
-            time.sleep(fault.duration_s)
-            setattr(target, fault.kind, False)
+            vars(target).update({name: target.HEALTHY[name] for name in state})
+        # Late calls and heartbeats disturb until they have been executed or sent.
+        while target.late_messages:
+            time.sleep(LATE_MESSAGES_POLL_S)
 
 
 @inject.register
@@ -267,7 +339,9 @@
         for name in names:
             self._locks[name].acquire()
         try:
+            self._deployment.trace(f"begins {fault}")
             inject(fault, self._deployment)
+            self._deployment.trace(f"ended {fault}")
         finally:
             for name in names:
                 self._locks[name].release()
