Soak: check at the end that a job which needs all targets completes

A target that is lost for good after a fault (for instance one whose clock was set back) was noticed only if a drawn job happened to need all targets. Once all jobs have ended after the faults, a gang that needs each target whole is submitted; it must be accepted and end.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,7 +15,7 @@
 from soak.checker import InvariantChecker, Violation
 from soak.deployment import CAPACITY, DOMAINS, deployment_running, wait_for
 from soak.faults import Schedule, draw_schedule
-from soak.load import KEY, configuration, load_running
+from soak.load import KEY, Caller, configuration, load_running, whole_fleet_job
 from soak.regressions import REGRESSION_SEEDS
 
 READY_TIMEOUT_S = 30.0
@@ -90,12 +90,7 @@
             )
             schedule.run()
             deployment.heal()
-        all_ended = wait_for(lambda: _all_ended(checker, caller), SETTLE_TIMEOUT_S)
-        if not all_ended:
-            for job in checker.unfinished_jobs():
-                checker.report_violation(
-                    "every accepted job ends", f"{job.job} is {job.state!r}"
-                )
+        _check_end(checker, caller, options.targets)
         accepted = sum(job.accepted_s is not None for job in checker.jobs.values())
         return Result(
             seed,
@@ -107,7 +102,22 @@
         )
 
 
-def _all_ended(checker: InvariantChecker, caller) -> bool:
+def _check_end(checker: InvariantChecker, caller: Caller, targets: int) -> None:
+    """Check that all jobs end after the faults, then one that needs all targets."""
+    if wait_for(lambda: _all_ended(checker, caller), SETTLE_TIMEOUT_S):
+        job = whole_fleet_job(targets)
+        checker.record_submission(job)
+        caller.submit(job, "fast")
+        if job.accepted_s is None:
+            checker.report_violation("jobs are accepted after the faults", job.job)
+        wait_for(lambda: _all_ended(checker, caller), SETTLE_TIMEOUT_S)
+    for job in checker.unfinished_jobs():
+        checker.report_violation(
+            "every accepted job ends", f"{job.job} is {job.state!r}"
+        )
+
+
+def _all_ended(checker: InvariantChecker, caller: Caller) -> bool:
     unfinished = checker.unfinished_jobs()
     for job in unfinished:
         caller.refresh(job)
--- a/soak/load.py
+++ b/soak/load.py
@@ -12,7 +12,7 @@
 from cicadabank.standin import TaskProfile
 
 from soak.checker import MAX_ATTEMPTS, InvariantChecker, Job, Step
-from soak.deployment import DOMAINS, Deployment
+from soak.deployment import CAPACITY, DOMAINS, Deployment
 
 HOST = "h.example"
 KEY = "key-1"
@@ -86,6 +86,21 @@
     return Job(name, f"spec-{number}", steps)
 
 
+def whole_fleet_job(targets: int) -> Job:
+    """Return a job that needs all targets at once, each of them whole."""
+    name, need = f"{0:016x}", (1_000, 1_000, CAPACITY[2])
+    document = {
+        "count": targets,
+        "cpu": need[0],
+        "memMb": need[1],
+        "gpu": need[2],
+        "estimateMs": 500,
+        "gang": True,
+    }
+    profile = TaskProfile(f"{name}.0.0", 0.5, need, targets)
+    return Job(name, "spec-0", [Step(document, profile)])
+
+
 class Caller:
     """Submits one job after the other, over persistent connections."""
 
@@ -109,11 +124,12 @@
             job = draw_job(self._rng, self._number, len(self._deployment.domains))
             queue = self._rng.choice(sorted(QUEUES))
             self._checker.record_submission(job)
-            self._submit(job, queue)
+            self.submit(job, queue)
             if job.accepted_s is not None:
                 self._poll(job, queue, stopping)
 
-    def _submit(self, job: Job, queue: str) -> None:
+    def submit(self, job: Job, queue: str) -> None:
+        """Submit a job, with retries; record whether it was accepted or refused."""
         body = {"spec": job.spec, "steps": [step.document for step in job.steps]}
         deadline_s = time.monotonic() + DEADLINE_S
         unknown = False
