Soak: an end is void once its target's lease has expired; test the checker

Trace: both ended done on t1, which was mute from then on for 12 s; its lease expired, the holder gave it up and ran the tasks elsewhere; then t1 replied, and the earlier ends were acknowledged. So the checker was at fault, which only a target that is mute for longer than its lease shows.

The stand-in reports the expiry of a lease; the checker then drops the unacknowledged ends of that incarnation, as after a restart. It stays as strict otherwise: a run started before the lease has expired, or after the end was acknowledged, is still found.

--- a/packages/standin/src/cicadabank/standin/internal/fleet.py
+++ b/packages/standin/src/cicadabank/standin/internal/fleet.py
@@ -141,6 +141,7 @@
             self.heal()
             self._fence = 0
             self._lease_until_s = 0.0
+            self._lease_expired = True
             # Highest number of a stopped or ended run, by task.
             self._last_closed: dict[str, int] = {}
             self._last_sequence = 0
@@ -229,6 +230,9 @@
     def advance(self, now_s: float, step_s: float) -> None:
         """Advance all runs by `step_s`; called with the fleet's lock held."""
         lease_expired = self._lease_until_s < self.clock_s()
+        if lease_expired and not self._lease_expired:
+            self.fleet.on_lease_expired(self.name, self.incarnation)
+        self._lease_expired = lease_expired
         for active in list(self.active_runs.values()):
             if lease_expired:
                 self.end(active, "lapsed")
@@ -285,6 +289,8 @@
     on_acknowledged : callable
         Called with a target, its incarnation and the sequence up to which its ended
         runs are acknowledged.
+    on_lease_expired : callable
+        Called with a target and its incarnation, with the fleet's lock held.
     """
 
     def __init__(
@@ -292,12 +298,14 @@
         profile_of: Callable[[str, str], TaskProfile],
         on_event: Callable[[TargetEvent], None] = lambda event: None,
         on_acknowledged: Callable[[str, int, int], None] = lambda *_: None,
+        on_lease_expired: Callable[[str, int], None] = lambda *_: None,
     ):
         self.changed = threading.Condition(threading.RLock())
         self.targets: dict[str, FleetTarget] = {}
         self.profile_of = profile_of
         self._on_event = on_event
         self._on_acknowledged = on_acknowledged
+        self.on_lease_expired = on_lease_expired
         self._stopping = threading.Event()
 
     def add(self, name: str, capacity: tuple[int, int, int]) -> FleetTarget:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,7 +16,7 @@
 from soak.deployment import CAPACITY, DOMAINS, deployment_running, wait_for
 from soak.faults import Schedule, draw_schedule
 from soak.load import KEY, Caller, configuration, load_running, whole_fleet_job
-from soak.regressions import REGRESSION_SEEDS
+from soak.regressions import REGRESSIONS
 
 READY_TIMEOUT_S = 30.0
 # After the last fault, a lease of 8 s must expire, takeovers must end, and the pending
@@ -161,17 +161,19 @@
     base_folder = parsed.folder or Path(tempfile.mkdtemp(prefix="soak-"))
     failed = []
     requested = range(parsed.first, parsed.first + parsed.seeds)
-    seeds = list(REGRESSION_SEEDS) if parsed.kept else list(requested)
-    for seed in seeds:
+    runs = [(seed, options) for seed in requested]
+    if parsed.kept:
+        runs = [(kept.seed, Options(**kept.options)) for kept in REGRESSIONS]
+    for seed, seed_options in runs:
         folder = base_folder / str(seed)
         folder.mkdir(parents=True, exist_ok=True)
         sink = logger.add(folder / "stand-ins.txt")
-        result = run_seed(seed, options, folder)
+        result = run_seed(seed, seed_options, folder)
         logger.remove(sink)
         report(result, folder)
         if result.violations or result.error_lines:
             failed.append(seed)
-    print(f"{len(seeds)} seeds, {len(failed)} failed: {failed}")
+    print(f"{len(runs)} seeds, {len(failed)} failed: {failed}")
     sys.exit(1 if failed else 0)
 
 
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -88,8 +88,8 @@
         ] = defaultdict(dict)
         self._completed_units: set[str] = set()
         # Ends of successful runs, as (target, incarnation, sequence), by unit. An end
-        # that was not acknowledged before its target's restart is lost and removed; the
-        # task may then run again.
+        # that was not acknowledged before its target's restart, or before the target's
+        # lease expired, is removed; the task may then run again.
         self._done_ends: dict[str, set[tuple[str, int, int]]] = defaultdict(set)
         self._acknowledged: dict[tuple[str, int], int] = defaultdict(int)
         # Numbers of the failed runs, by unit.
@@ -221,17 +221,21 @@
                     self._restarts_before_acknowledgement.remove((task, end))
                     self.report_violation("a task that is done never runs again", task)
 
-    def on_incarnation_lost(self, target: str, incarnation: int) -> None:
-        """Record that an incarnation is lost, with its unacknowledged ended runs."""
+    def on_ends_void(self, target: str, incarnation: int) -> None:
+        """Record that an incarnation was lost, or that its lease has expired.
+
+        Tasks whose runs have ended there may run again from now on, unless the ends are
+        acknowledged.
+        """
         with self._lock:
             acknowledged = self._acknowledged[(target, incarnation)]
             for ends in self._done_ends.values():
-                lost_ends = {
+                void_ends = {
                     end
                     for end in ends
                     if end[:2] == (target, incarnation) and end[2] > acknowledged
                 }
-                ends -= lost_ends
+                ends -= void_ends
 
     def on_state_shown(self, job: Job, status: int, state: str) -> None:
         """Record and check the state that a caller was told of a job."""
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -114,7 +114,10 @@
         self.checker = checker
         self.store = StoreStandIn()
         self.fleet = TargetFleet(
-            checker.profile_of, self._on_event, checker.on_acknowledged
+            checker.profile_of,
+            self._on_event,
+            checker.on_acknowledged,
+            self._on_lease_expired,
         )
         self.processes: dict[str, Process] = {}
         self.agents: dict[str, Process] = {}  # by target
@@ -133,6 +136,10 @@
         for violation in self.checker.violations[known:]:
             self.trace(f"VIOLATION {violation}")
 
+    def _on_lease_expired(self, target: str, incarnation: int) -> None:
+        self.trace(f"lease expired: {target}, incarnation {incarnation}")
+        self.checker.on_ends_void(target, incarnation)
+
     def processes_with_role(self, role: str) -> list[Process]:
         """Return the processes of a role."""
         return [process for process in self.processes.values() if process.role == role]
@@ -143,7 +150,7 @@
             restarted = self.fleet.targets[target]
             incarnation = restarted.incarnation
             restarted.restart()
-            self.checker.on_incarnation_lost(target, incarnation)
+            self.checker.on_ends_void(target, incarnation)
 
     def heal(self) -> None:
         """End all faults except those of clocks; start the processes that are down."""
