--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -33,6 +33,8 @@
         Single faults to draw; some of them are repeated.
     series : int
         Series of overlapping faults of one target and its agent to draw.
+    longest_s : float
+        Longest work of a run.
     length_s : float
         Time within which the drawn faults start.
     """
@@ -42,6 +44,7 @@
     callers: int = 6
     faults: int = 8
     series: int = 2
+    longest_s: float = 4.0
     length_s: float = 20.0
 
 
@@ -75,7 +78,9 @@
         folder, checker, options.entries, options.targets, seed
     ) as deployment:
         deployment.store.put("op", "config", configuration(1, 0, [KEY]))
-        with load_running(deployment, checker, rng, options.callers) as caller:
+        with load_running(
+            deployment, checker, rng, options.callers, options.longest_s
+        ) as caller:
             if not wait_for(
                 lambda: sum(checker.end_counts.values()) > 0, READY_TIMEOUT_S
             ):
--- a/soak/load.py
+++ b/soak/load.py
@@ -50,7 +50,7 @@
     }
 
 
-def draw_job(rng: random.Random, number: int, targets: int) -> Job:
+def draw_job(rng: random.Random, number: int, targets: int, longest_s: float) -> Job:
     """Draw a job of one to three steps at random."""
     name = f"{number:016x}"
     steps = []
@@ -59,7 +59,7 @@
         accelerators = rng.choice((1, 1, 2, 4, 8))
         count = rng.randint(2, min(4, targets)) if gang else rng.randint(1, 6)
         need = (rng.choice((500, 3_000, 13_000)), 1_000, accelerators)
-        work_s = rng.uniform(0.2, 4.0)
+        work_s = rng.uniform(0.2, longest_s)
         checkpointable = rng.random() < 0.4
         fails = rng.random() < 0.03
         document = {
@@ -110,18 +110,21 @@
         checker: InvariantChecker,
         rng: random.Random,
         first_number: int,
+        longest_s: float,
     ):
         self._deployment = deployment
         self._checker = checker
         self._rng = rng
         self._number = first_number
+        self._longest_s = longest_s
         self._client = httpx.Client(trust_env=False, timeout=DEADLINE_S)
 
     def run(self, stopping: threading.Event) -> None:
         """Submit jobs one by one, and poll each, until told to stop."""
         while not stopping.is_set():
             self._number += 1
-            job = draw_job(self._rng, self._number, len(self._deployment.domains))
+            targets = len(self._deployment.domains)
+            job = draw_job(self._rng, self._number, targets, self._longest_s)
             queue = self._rng.choice(sorted(QUEUES))
             self._checker.record_submission(job)
             self.submit(job, queue)
@@ -296,14 +299,23 @@
 
 @contextmanager
 def load_running(
-    deployment: Deployment, checker: InvariantChecker, rng: random.Random, callers: int
+    deployment: Deployment,
+    checker: InvariantChecker,
+    rng: random.Random,
+    callers: int,
+    longest_s: float,
 ) -> Iterator[Caller]:
-    """Run callers, an operator and a prober until the block ends; yield a caller."""
+    """Run callers, an operator and a prober until the block ends; yield a caller.
+
+    The work of a run takes at most `longest_s`.
+    """
     stopping = threading.Event()
     operator = Operator(deployment, checker, random.Random(rng.random()))
     clients = [operator, Prober(deployment, checker, operator)]
     clients += [
-        Caller(deployment, checker, random.Random(rng.random()), (n + 1) << 32)
+        Caller(
+            deployment, checker, random.Random(rng.random()), (n + 1) << 32, longest_s
+        )
         for n in range(callers)
     ]
     threads = [
@@ -312,7 +324,7 @@
     for thread in threads:
         thread.start()
     try:
-        yield Caller(deployment, checker, random.Random(rng.random()), 0)
+        yield Caller(deployment, checker, random.Random(rng.random()), 0, longest_s)
     finally:
         stopping.set()
         for thread in threads:
