Stand-in of targets: an unhealthy target refuses the repetitions of a late start

As long as some starts are refused as unhealthy, repetitions of a late start now are, like those of a start that waits in the target's queue. Overload makes 0.4 of the calls late and refuses 0.2 of the other starts.

Trace: the start of run 1 on t2 was executed without a reply, a repetition was refused with 503, the holder started run 2 on t1, and gave the room on t2 to others. tests/cover/test_stand_ins.py: 24 passed; the new test fails without the change (the repetition is accepted).

--- a/packages/standin/src/cicadabank/standin/internal/fleet.py
+++ b/packages/standin/src/cicadabank/standin/internal/fleet.py
@@ -87,7 +87,8 @@
         Runs fail at once; runs make no progress; starts are executed, but the reply is
         sent after the agent's timeout; calls are neither executed nor answered.
     unhealthy_share : float
-        Share of the starts that are refused as if the target were unhealthy.
+        Share of the starts that are refused as if the target were unhealthy. Unless it
+        is 0, repetitions of a late start are refused too.
     late_call_share, late_heartbeat_share : float
         Share of the calls that get no reply and are executed seconds later, and of the
         heartbeats that are sent seconds later, by then perhaps about an earlier
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -55,7 +55,7 @@
     "slow": {"speed": 0.2},
     "drain": {"draining": True},
     "late_calls": {"late_call_share": 0.4},
-    "overload": {"late_call_share": 0.3, "unhealthy_share": 0.7},
+    "overload": {"late_call_share": 0.4, "unhealthy_share": 0.2},
     "late_heartbeats": {"late_heartbeat_share": 0.5},
     "mute": {"mute": True},
 }
--- a/tests/cover/test_stand_ins.py
+++ b/tests/cover/test_stand_ins.py
@@ -272,6 +272,17 @@
         assert len(client.target.started) == statuses.count(200)
         assert client.hold()[0] == 200
 
+    def test_an_unhealthy_target_refuses_the_repetition_of_a_late_start(
+        self, client, late_delay_s
+    ):
+        client.target.unhealthy_share = 1e-9
+        client.target.late_call_share = 1.0
+        assert client.start()[0] == 0
+        client.target.late_call_share = 0.0
+        assert client.start()[0] == 503
+        assert client.start("b.0.0.0")[0] == 200
+        wait_until(lambda: len(client.target.started) == 2)
+
     def test_a_mute_target_neither_replies_nor_executes(self, client):
         client.target.mute = True
         assert client.start()[0] == 0
