--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -1,4 +1,7 @@
-"""Seeds that have failed before, each with its cause; ``--kept`` runs them."""
+"""Seeds that have failed before, each with its cause; ``--kept`` runs them.
+
+The order of events differs from run to run, so that a seed need not fail each time.
+"""
 
 from __future__ import annotations
 
@@ -20,14 +23,51 @@
 
 
 SMALL = {"entries": 2, "targets": 4, "callers": 4, "faults": 0, "series": 1}
+SHORT = {**SMALL, "faults": 4, "longest_s": 1.0, "length_s": 8.0}
 
 REGRESSIONS = (
     Regression(
-        4, "a delayed hold call acknowledged ends of the target's next incarnation", {}
+        4,
+        "a delayed hold call acknowledged ends of the target's next incarnation",
+        {"series": 0},
+    ),
+    Regression(
+        1,
+        "a start was executed by the target's next incarnation, after the holder had "
+        "released the run because that incarnation had reported",
+        {**SMALL, "callers": 3, "faults": 3, "series": 0, "length_s": 5.0},
     ),
     Regression(
-        144,
-        "a start without a reply was executed after a repeated one was refused",
+        342,
+        "a start without a reply was executed after its repetition had been refused as "
+        "unhealthy and the task had been started elsewhere",
+        SHORT,
+    ),
+    Regression(
+        2112,
+        "as 342; in addition, the room of the run was given to others",
+        {
+            **SMALL,
+            "targets": 3,
+            "callers": 8,
+            "longest_s": 1.0,
+            "length_s": 2.0,
+        },
+    ),
+    Regression(
+        335,
+        "a run was executed and done without a reply, its repetition was refused as "
+        "old, and the task was started elsewhere",
+        SHORT,
+    ),
+    Regression(
+        126,
+        "an agent ignored the next incarnation of its target, whose clock was set back",
         {**SMALL, "length_s": 4.0},
     ),
+    Regression(
+        399,
+        "a gang that needs all targets was failed while one of them was away",
+        SHORT,
+    ),
 )
