--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -24,6 +24,12 @@
 
 SMALL = {"entries": 2, "targets": 4, "callers": 4, "faults": 0, "series": 1}
 SHORT = {**SMALL, "faults": 4, "longest_s": 1.0, "length_s": 8.0}
+CROWDED = {**SMALL, "targets": 3, "callers": 8, "longest_s": 1.0, "length_s": 2.0}
+
+LATE_START = (
+    "a start without a reply was executed after its repetition had been refused as "
+    "unhealthy and the task had been started elsewhere"
+)
 
 REGRESSIONS = (
     Regression(
@@ -37,22 +43,14 @@
         "released the run because that incarnation had reported",
         {**SMALL, "callers": 3, "faults": 3, "series": 0, "length_s": 5.0},
     ),
-    Regression(
-        342,
-        "a start without a reply was executed after its repetition had been refused as "
-        "unhealthy and the task had been started elsewhere",
-        SHORT,
-    ),
+    Regression(101, LATE_START, SHORT),
+    Regression(342, LATE_START, SHORT),
+    Regression(1279, LATE_START, CROWDED),
     Regression(
         2112,
-        "as 342; in addition, the room of the run was given to others",
-        {
-            **SMALL,
-            "targets": 3,
-            "callers": 8,
-            "longest_s": 1.0,
-            "length_s": 2.0,
-        },
+        "a start was executed, but its repetition was refused as unhealthy; the task "
+        "was started elsewhere, and the room of the run was given to others",
+        CROWDED,
     ),
     Regression(
         335,
