--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -27,8 +27,8 @@
 CROWDED = {**SMALL, "targets": 3, "callers": 8, "longest_s": 1.0, "length_s": 2.0}
 
 NEXT_INCARNATION = (
-    "a start was executed by the target's next incarnation, whose first report made the "
-    "holder start the task elsewhere"
+    "a start was executed by the target's next incarnation, whose first report made "
+    "the holder start the task elsewhere"
 )
 LATE_START = (
     "a start without a reply was executed after its repetition had been refused as "
