--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,11 +10,13 @@
 from pathlib import Path
 from typing import NamedTuple
 
+from loguru import logger
+
 from soak.checker import InvariantChecker, Violation
 from soak.deployment import CAPACITY, DOMAINS, deployment_running, wait_for
 from soak.faults import Schedule, draw_schedule
-from soak.load import KEY, configuration, load_running
-from soak.regressions import REGRESSION_SEEDS
+from soak.load import KEY, Caller, configuration, load_running, whole_fleet_job
+from soak.regressions import REGRESSIONS
 
 READY_TIMEOUT_S = 30.0
 # After the last fault, a lease of 8 s must expire, takeovers must end, and the pending
@@ -28,7 +30,11 @@
     Attributes
     ----------
     faults : int
-        Faults to draw; some of them are repeated.
+        Single faults to draw; some of them are repeated.
+    series : int
+        Series of overlapping faults of one target and its agent to draw.
+    longest_s : float
+        Longest work of a run.
     length_s : float
         Time within which the drawn faults start.
     """
@@ -37,6 +43,8 @@
     targets: int = 6
     callers: int = 6
     faults: int = 8
+    series: int = 2
+    longest_s: float = 4.0
     length_s: float = 20.0
 
 
@@ -67,10 +75,12 @@
     domains = {f"t{n}": DOMAINS[n % len(DOMAINS)] for n in range(options.targets)}
     checker = InvariantChecker(domains, CAPACITY)
     with deployment_running(
-        folder, checker, options.entries, options.targets
+        folder, checker, options.entries, options.targets, seed
     ) as deployment:
         deployment.store.put("op", "config", configuration(1, 0, [KEY]))
-        with load_running(deployment, checker, rng, options.callers) as caller:
+        with load_running(
+            deployment, checker, rng, options.callers, options.longest_s
+        ) as caller:
             if not wait_for(
                 lambda: sum(checker.end_counts.values()) > 0, READY_TIMEOUT_S
             ):
@@ -79,16 +89,13 @@
                 )
             schedule = Schedule(
                 deployment,
-                draw_schedule(rng, deployment, options.faults, options.length_s),
+                draw_schedule(
+                    rng, deployment, options.faults, options.series, options.length_s
+                ),
             )
             schedule.run()
             deployment.heal()
-        all_ended = wait_for(lambda: _all_ended(checker, caller), SETTLE_TIMEOUT_S)
-        if not all_ended:
-            for job in checker.unfinished_jobs():
-                checker.report_violation(
-                    "every accepted job ends", f"{job.job} is {job.state!r}"
-                )
+        _check_end(checker, caller, options.targets)
         accepted = sum(job.accepted_s is not None for job in checker.jobs.values())
         return Result(
             seed,
@@ -100,7 +107,22 @@
         )
 
 
-def _all_ended(checker: InvariantChecker, caller) -> bool:
+def _check_end(checker: InvariantChecker, caller: Caller, targets: int) -> None:
+    """Check that all jobs end after the faults, then one that needs all targets."""
+    if wait_for(lambda: _all_ended(checker, caller), SETTLE_TIMEOUT_S):
+        job = whole_fleet_job(targets)
+        checker.record_submission(job)
+        caller.submit(job, "fast")
+        if job.accepted_s is None:
+            checker.report_violation("jobs are accepted after the faults", job.job)
+        wait_for(lambda: _all_ended(checker, caller), SETTLE_TIMEOUT_S)
+    for job in checker.unfinished_jobs():
+        checker.report_violation(
+            "every accepted job ends", f"{job.job} is {job.state!r}"
+        )
+
+
+def _all_ended(checker: InvariantChecker, caller: Caller) -> bool:
     unfinished = checker.unfinished_jobs()
     for job in unfinished:
         caller.refresh(job)
@@ -139,19 +161,24 @@
         flag = "--" + name.replace("_", "-")
         parser.add_argument(flag, type=type(default), default=default)
     parsed = parser.parse_args()
+    logger.remove()  # the stand-ins' logs are kept with those of the processes
     options = Options(**{name: getattr(parsed, name) for name in Options._fields})
     base_folder = parsed.folder or Path(tempfile.mkdtemp(prefix="soak-"))
     failed = []
     requested = range(parsed.first, parsed.first + parsed.seeds)
-    seeds = list(REGRESSION_SEEDS) if parsed.kept else list(requested)
-    for seed in seeds:
+    runs = [(seed, options) for seed in requested]
+    if parsed.kept:
+        runs = [(kept.seed, Options(**kept.options)) for kept in REGRESSIONS]
+    for seed, seed_options in runs:
         folder = base_folder / str(seed)
         folder.mkdir(parents=True, exist_ok=True)
-        result = run_seed(seed, options, folder)
+        sink = logger.add(folder / "stand-ins.txt")
+        result = run_seed(seed, seed_options, folder)
+        logger.remove(sink)
         report(result, folder)
         if result.violations or result.error_lines:
             failed.append(seed)
-    print(f"{len(seeds)} seeds, {len(failed)} failed: {failed}")
+    print(f"{len(runs)} seeds, {len(failed)} failed: {failed}")
     sys.exit(1 if failed else 0)
 
 
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -82,13 +82,14 @@
         self._capacity = capacity
         self._lock = threading.RLock()
         self._active_runs: dict[str, ActiveRun] = {}
-        self._needs_by_target: dict[str, dict[str, tuple[int, int, int]]] = defaultdict(
-            dict
-        )
+        # Needs of the active runs, by target, and by task and run number.
+        self._needs_by_target: dict[
+            str, dict[tuple[str, int], tuple[int, int, int]]
+        ] = defaultdict(dict)
         self._completed_units: set[str] = set()
         # Ends of successful runs, as (target, incarnation, sequence), by unit. An end
-        # that was not acknowledged before its target's restart is lost and removed; the
-        # task may then run again.
+        # that was not acknowledged before its target's restart, or before the target's
+        # lease expired, is removed; the task may then run again.
         self._done_ends: dict[str, set[tuple[str, int, int]]] = defaultdict(set)
         self._acknowledged: dict[tuple[str, int], int] = defaultdict(int)
         # Numbers of the failed runs, by unit.
@@ -160,7 +161,7 @@
             event.target, event.incarnation, event.run
         )
         needs = self._needs_by_target[event.target]
-        needs[event.task] = job.steps[int(step)].profile.need
+        needs[event.task, event.run] = job.steps[int(step)].profile.need
         for kind, limit in enumerate(self._capacity):
             if sum(need[kind] for need in needs.values()) > limit:
                 self.report_violation("a target never exceeds its capacity", str(event))
@@ -187,7 +188,7 @@
 
     def _on_end(self, event: TargetEvent) -> None:
         self.end_counts[event.kind] += 1
-        self._needs_by_target[event.target].pop(event.task, None)
+        self._needs_by_target[event.target].pop((event.task, event.run), None)
         run = ActiveRun(event.target, event.incarnation, event.run)
         if self._active_runs.get(event.task) == run:
             del self._active_runs[event.task]
@@ -220,17 +221,21 @@
                     self._restarts_before_acknowledgement.remove((task, end))
                     self.report_violation("a task that is done never runs again", task)
 
-    def on_incarnation_lost(self, target: str, incarnation: int) -> None:
-        """Record that an incarnation is lost, with its unacknowledged ended runs."""
+    def on_ends_void(self, target: str, incarnation: int) -> None:
+        """Record that an incarnation was lost, or that its lease has expired.
+
+        Tasks whose runs have ended there may run again from now on, unless the ends are
+        acknowledged.
+        """
         with self._lock:
             acknowledged = self._acknowledged[(target, incarnation)]
             for ends in self._done_ends.values():
-                lost_ends = {
+                void_ends = {
                     end
                     for end in ends
                     if end[:2] == (target, incarnation) and end[2] > acknowledged
                 }
-                ends -= lost_ends
+                ends -= void_ends
 
     def on_state_shown(self, job: Job, status: int, state: str) -> None:
         """Record and check the state that a caller was told of a job."""
