Believe a target's notice of its end only while it drains

The notice (DELETE) names the target, not its incarnation.

A notice now counts only if the target drains and a list has confirmed the incarnation. Otherwise the target counts as lost once its lease has expired.

--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -209,6 +209,12 @@
         if self.controller.on_target_terminated(target):
             log_event("target_left", target=target)
             self.report_due.set()
+        else:
+            log_event(
+                "target_notice_ignored",
+                target=target,
+                incarnation=self.controller.incarnation,
+            )
 
     def on_orders(self, batch: fleet_pb2.OrderBatch) -> fleet_pb2.OrderReply:
         """Process orders of a holder and return the reply."""
--- a/packages/control/src/cicadabank/control/internal/target_controller.py
+++ b/packages/control/src/cicadabank/control/internal/target_controller.py
@@ -169,10 +169,18 @@
         return True
 
     def on_target_terminated(self, target: str) -> bool:
-        """Record that the target announced its end; return whether that is new."""
+        """Record that the target announced its end; return whether that is new.
+
+        The notice doesn't tell incarnations that have the same name apart, and may be
+        late. A target drains before it ends by itself, so a notice about one that
+        doesn't, or that no list has confirmed, is ignored: if the target has ended,
+        it counts as lost once its lease has expired.
+        """
         if (
             self.heartbeat is None
             or self.heartbeat.target != target
+            or not self.heartbeat.draining
+            or self._listing is None
             or self.target_terminated
         ):
             return False
--- a/tests/cover/test_target_controller.py
+++ b/tests/cover/test_target_controller.py
@@ -180,6 +180,28 @@
         assert [h.started_ms for h in due] == list(range(192, 200))
 
 
+# Guards against two runs of a task, and against an agent that ignores its target for
+# good: the holder starts the tasks of a target that is reported as ended elsewhere.
+class TestNoticesOfTermination:
+    def test_a_target_that_drains_has_ended_with_its_notice(self, controller):
+        controller.on_heartbeat(heartbeat(sequence=2, draining=True), 10.1)
+        assert controller.on_target_terminated("t")
+        assert controller.report(10.2).incarnation == "t/1/ended"
+
+    @pytest.mark.parametrize("target", ["t", "other"])
+    def test_a_late_notice_of_an_earlier_incarnation_is_ignored(
+        self, controller, target
+    ):
+        assert not controller.on_target_terminated(target)
+        assert controller.report(10.2).incarnation == "t/1"
+
+    def test_a_notice_is_ignored_before_a_list_confirms_the_incarnation(self):
+        controller = TargetController("a:2", "agent-2", "cell")
+        controller.on_heartbeat(heartbeat(draining=True), 10.0)
+        assert not controller.on_target_terminated("t")
+        assert not controller.report(10.1).observed
+
+
 class TestStarts:
     def test_a_start_without_a_reply_is_retried(self, controller):
         controller.on_orders(batch(controller, starts=[start()]), 11.0)
