Assume the longest lease for the first incarnation that a list confirms

An agent assumes that its earlier process renewed the lease of the first target that it sees. If the first heartbeat was a late one, the running incarnation replaced it without that assumption: when the target then stopped replying, the agent reported it as ended after 1.2 s, and the holder released its tasks up to 8 s before their lease expired (TWICE, LIMIT).

The assumption now lasts until a list has confirmed an incarnation.

Evidence: test_a_new_agent_assumes_that_lease_for_the_first_confirmed_incarnation fails with the sources before (1 failed, 64 passed) and passes with the change (65 passed).

--- a/packages/control/src/cicadabank/control/internal/target_controller.py
+++ b/packages/control/src/cicadabank/control/internal/target_controller.py
@@ -192,16 +192,15 @@
         self._refused.clear()
         self._not_running.clear()
         self._closed.clear()
-        self._listing = None
-        self._listed_fence = -1
         self._clock_sample = None
         self.recorded = 0
-        # An earlier incarnation of this agent may have renewed the lease of the first
-        # target that this one sees.
-        first_target = self.heartbeat is None
+        # An earlier process of this agent may have renewed the lease of the first
+        # target that this one sees, which an unconfirmed heartbeat doesn't name.
         self._passed_on_until_s = (
-            now_s + MAX_TARGET_LEASE_S if first_target else float("-inf")
+            now_s + MAX_TARGET_LEASE_S if self._listing is None else float("-inf")
         )
+        self._listing = None
+        self._listed_fence = -1
         self._last_reply_s = now_s
 
     def on_orders(self, batch: fleet_pb2.OrderBatch, now_s: float) -> bool:
--- a/tests/cover/test_target_controller.py
+++ b/tests/cover/test_target_controller.py
@@ -532,6 +532,16 @@
         assert not controller.is_target_lost(19.0)
         assert controller.is_target_lost(21.0)
 
+    # Guards against two runs of a task: a target that stops replying right after it
+    # replaced a late first heartbeat is reported as ended while its runs go on.
+    def test_a_new_agent_assumes_that_lease_for_the_first_confirmed_incarnation(self):
+        controller = TargetController("a:2", "agent-2", "cell")
+        controller.on_heartbeat(heartbeat(), 10.0)
+        controller.on_orders(batch(controller, incarnation=""), 10.0)
+        adopt(controller, heartbeat(started_ms=2), 10.5)
+        assert not controller.is_target_lost(20.0)
+        assert controller.is_target_lost(21.0)
+
     def test_a_target_that_does_not_reply_is_unhealthy(self, controller):
         assert not controller.report(10.5).unhealthy
         assert controller.report(12.0).unhealthy
