Don't expect a unit's earlier run on targets that it claims

A unit that waits for targets it has claimed still has the number of its run before.

Evidence: test_run_before_a_claim_is_not_expected_on_the_claimed_target fails with the sources before (2 failed, 48 passed) and passes with the change (50 passed).

--- a/packages/scheduling/src/cicadabank/scheduling/internal/state.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/state.py
@@ -296,12 +296,15 @@
         -------
         tuple of (Unit, int) or None
             None if the run is outdated, its member has been released, or the member is
-            assigned to another incarnation.
+            assigned to another incarnation. A unit that claims targets for its next run
+            has no members of the run before.
         """
         job = self.jobs.get(run.job)
         unit = job.unit_of(run.step, run.index) if job else None
         if unit is None or unit.run != run.run or not unit.members:
             return None
+        if unit.phase is Phase.CLAIMING:
+            return None  # the members are those of the next run
         member_index = run.index - unit.first_index
         member = unit.members[member_index]
         if member.released or member.target_incarnation != target_incarnation:
--- a/tests/cover/test_scheduler.py
+++ b/tests/cover/test_scheduler.py
@@ -258,6 +258,31 @@
         (unit,) = cell.scheduler.state.jobs["j"].units
         assert unit.phase is Phase.WAITING
 
+    # Guards against two runs of a task: its unit waits on a target for another one to
+    # stop, and the run before appears there.
+    @pytest.mark.parametrize("kind", ["running", "pending"])
+    def test_run_before_a_claim_is_not_expected_on_the_claimed_target(self, kind):
+        cell = ModelCell([ModelTarget("t00", "d0", "r0")], QUEUES)
+        cell.run(1.0)
+        cell.submit("j", "batch", [tasks(1)])
+        cell.run(0.2)
+        (target,) = cell.targets.values()
+        (run,) = target.active_runs
+        target.active_runs.clear()
+        self.report_with(cell, refused=((run, "room"),))
+        found = {
+            "running": (RunningRun(run, "", 10),),
+            "pending": (run,),
+        }[kind]
+        (unit,) = cell.scheduler.state.jobs["j"].units
+        (incarnation,) = cell.scheduler.state.targets_by_incarnation
+        cell.scheduler.state.assign_members(unit, [incarnation])
+        unit.phase = Phase.CLAIMING
+        reply, orders = self.report_with(cell, **{kind: found})
+        assert [order.stops for order in orders] == [[run]]
+        assert run in cell.scheduler.state.targets["agent-t00"].unexpected
+        assert (reply.lease_s == 0) == (kind == "pending")
+
     # Guards against a target over its capacity: a new holder does not know the runs of
     # units that are done, and what is being stopped still uses resources.
     @pytest.mark.parametrize("kind", ["running", "pending"])
