Count a registration only under the epoch in which it was given

Each holder numbers registrations from 1. A report with a number of the holder before, sent again because the reply to the first one was lost, passed as registered with a list requested under the earlier epoch's fence, and got a lease. A start order of the earlier holder that reached the agent between this report and its reply was then carried out, though its task may run elsewhere.

Evidence: test_a_number_counts_only_under_the_epoch_in_which_it_was_given fails with the sources before (1 failed, 5 passed) and passes with the change; test_cell_holder.py and test_cell_takeover.py: 23 passed.

--- a/packages/control/src/cicadabank/control/internal/cell_holder.py
+++ b/packages/control/src/cicadabank/control/internal/cell_holder.py
@@ -167,6 +167,9 @@
         if message.epoch > self.epoch:
             self._fence("an agent has seen a newer epoch")
             return fleet_pb2.ReportReply(accepted=False)
+        if message.registration and message.epoch < self.epoch:
+            # An earlier holder gave the number; this one may have given the same.
+            message.registration = 0
         reply = self.scheduler.on_report(
             report_from_message(message), now_s, self._may_renew_leases(now_s)
         )
--- a/tests/cover/test_cell_holder.py
+++ b/tests/cover/test_cell_holder.py
@@ -177,3 +177,26 @@
         stack.enter_context(serve(address, [service], 2))
         holder.actor.ask(holder.actor.on_row, "agent", address)
         assert agent.told.wait(0.3)
+
+
+# Guards against two runs of a task: each holder numbers registrations from 1, and a
+# list that was requested under an earlier epoch says nothing about this one's fence.
+class TestRegistrationsOfEarlierHolders:
+    def test_a_number_counts_only_under_the_epoch_in_which_it_was_given(self, stack):
+        actor = Holder(MemoryTable(), 2, stack).actor
+        message = fleet_pb2.TargetReport(
+            cell="cell",
+            agent="a:2",
+            agent_run="1",
+            target="t",
+            incarnation="t/1",
+            observed=True,
+        )
+        for number in (1, 2):
+            message.number, message.epoch, message.registration = number, 1, 1
+            reply = actor.ask(actor.on_report, message)
+            assert (reply.registration, reply.lease_s) == (1, 0.0)
+        message.number, message.epoch = 3, 2
+        message.registration = reply.registration
+        reply = actor.ask(actor.on_report, message)
+        assert (reply.registration, reply.lease_s) == (0, TIMINGS.lease_s)
