Stop runs that late calls started on a target's next incarnation

A target may start again under the name that it had, and calls name only that. A start call to the incarnation before, repeated or carried out late, then starts its run on the new one, which has seen no fence; the end of its lease, a time on the earlier clock, is cut only to the longest lease. The agent left such a run alone unless the holder ordered a stop, so an agent without contact to the holder let it run for up to 10 s, while the holder started the task elsewhere once the lease that it knew of had expired (TWICE).

An agent whose target replaced a confirmed incarnation knows each start that can be meant for the new one, and stops every other run that the target lists.

Evidence: test_a_run_that_was_not_ordered_on_this_incarnation_is_stopped fails with the sources before (1 failed, 66 passed) and passes with the change (67 passed).

--- a/packages/control/src/cicadabank/control/internal/target_controller.py
+++ b/packages/control/src/cicadabank/control/internal/target_controller.py
@@ -80,6 +80,9 @@
         # The target's clock, and this process's clock when it was received.
         self._clock_sample: tuple[float, float] | None = None
         self._last_reply_s = float("-inf")
+        # Whether this process has seen the incarnation from its start, since it
+        # replaced one that a list had confirmed.
+        self._seen_from_start = False
         self._unhealthy_until_s = float("-inf")
         self._listing: Listing | None = None
         self._listed_fence = -1  # with which the list was requested
@@ -199,6 +202,7 @@
         self._passed_on_until_s = (
             now_s + MAX_TARGET_LEASE_S if self._listing is None else float("-inf")
         )
+        self._seen_from_start = self._listing is not None
         self._listing = None
         self._listed_fence = -1
         self._last_reply_s = now_s
@@ -403,8 +407,7 @@
         self._last_reply_s = now_s
         running = {run.id for run in listing.running}
         ended = {end.id for end in listing.ended}
-        for run in running & self._closed.keys():
-            self._reopen(run)
+        self._stop_unknown_runs(running)
         for run, local in list(self._runs.items()):
             if run in running:
                 local.known_on_target_since_s = min(
@@ -427,6 +430,15 @@
             or self.has_unsettled_runs()
         )
 
+    def _stop_unknown_runs(self, running: set[RunId]) -> None:
+        """Stop runs that were taken for ended or that nobody can have ordered."""
+        for run in running & self._closed.keys():
+            self._reopen(run)
+        if self._seen_from_start:
+            # Started by a late call to the incarnation before, which had the same name.
+            for run in running - self._runs.keys():
+                self._accept_stop(run)
+
     def _on_stop_completed(self, run: RunId, local: LocalRun) -> None:
         """Record that a stopped run neither runs nor can start any more."""
         if local.refusal:
--- a/tests/cover/test_target_controller.py
+++ b/tests/cover/test_target_controller.py
@@ -390,6 +390,27 @@
         assert controller.take_lease_end_on_target_s(18.5) is None
 
 
+# Guards against two runs of a task: a call to an incarnation that had the same name is
+# carried out late, and the agent has no contact with the holder.
+class TestRunsOfTheIncarnationBefore:
+    def test_a_run_that_was_not_ordered_on_this_incarnation_is_stopped(
+        self, controller
+    ):
+        adopt(controller, heartbeat(started_ms=2), 11.0)
+        late = listing([RUN], started_ms=2, target_s=51.0)
+        list_runs(controller, late, 11.5, 11.5)
+        assert [c.kind for c in controller.take_due_calls(11.5)] == ["stop"]
+        assert [r.id.job for r in controller.report(11.5).running] == [RUN.job]
+
+    def test_runs_go_on_if_the_agent_restarts_or_its_first_heartbeat_was_wrong(self):
+        controller = TargetController("a:2", "agent-2", "cell")
+        controller.on_heartbeat(heartbeat(), 10.0)
+        controller.on_orders(batch(controller, incarnation=""), 10.0)
+        adopt(controller, heartbeat(started_ms=2), 10.1)
+        list_runs(controller, listing([RUN], started_ms=2), 10.2, 10.2)
+        assert not controller.take_due_calls(10.2)
+
+
 class TestRegistration:
     """The holder counts only reports that carry the number that it has given."""
 
