Make no calls for an incarnation once a list names another one

A target that starts again under the same name carries out calls meant for the incarnation before: starts, leases that end on the earlier clock, and the number up to which it may forget ended runs. The agent ignored lists of another incarnation, and went on with its calls until a heartbeat had been confirmed.

Such a list now suspends starts, stops, leases and acknowledgements until the known incarnation replies again or another one is confirmed.

--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -304,7 +304,7 @@
         until_s = controller.take_lease_end_on_target_s(clock_s())
         return (
             controller.fence,
-            controller.recorded,
+            controller.recorded_on_target,
             until_s,
             controller.heartbeat.target,
         )
--- a/packages/control/src/cicadabank/control/internal/target_controller.py
+++ b/packages/control/src/cicadabank/control/internal/target_controller.py
@@ -83,6 +83,10 @@
         # Whether this process has seen the incarnation from its start, since it
         # replaced one that a list had confirmed.
         self._seen_from_start = False
+        self._adopted_s = float("-inf")
+        # When the latest list was requested that named another incarnation, unless the
+        # known one has replied since.
+        self._replaced_s = float("-inf")
         self._unhealthy_until_s = float("-inf")
         self._listing: Listing | None = None
         self._listed_fence = -1  # with which the list was requested
@@ -205,7 +209,8 @@
         self._seen_from_start = self._listing is not None
         self._listing = None
         self._listed_fence = -1
-        self._last_reply_s = now_s
+        self._last_reply_s = self._adopted_s = now_s
+        self._replaced_s = float("-inf")
 
     def on_orders(self, batch: fleet_pb2.OrderBatch, now_s: float) -> bool:
         """Process a batch of orders; return whether it was accepted."""
@@ -302,7 +307,7 @@
     def take_due_calls(self, now_s: float) -> list[TargetCall]:
         """Return the calls to the target that are due, and mark them as pending."""
         due = []
-        if self.heartbeat is None or self.target_terminated:
+        if self.heartbeat is None or self.target_terminated or self._is_replaced:
             return due
         for run, local in self._runs.items():
             if local.call_pending or now_s - local.last_call_s < CALL_RETRY_INTERVAL_S:
@@ -335,7 +340,7 @@
         until_s = self._granted_until_s
         if self._is_unresponsive(now_s):
             until_s = min(until_s, self._passed_on_until_s)
-        if self._clock_sample is None or until_s <= now_s:
+        if self._clock_sample is None or until_s <= now_s or self._is_replaced:
             return None
         target_s, received_s = self._clock_sample
         self._passed_on_until_s = max(self._passed_on_until_s, until_s)
@@ -395,7 +400,7 @@
         fence : int
             With which it was requested; the target rejects calls with a lower one.
         """
-        if self.heartbeat is None or listing.started_ms != self.heartbeat.started_ms:
+        if not self._names_incarnation(listing, asked_s):
             return False
         previous = self._listing
         if previous is not None and listing.target_s < previous.target_s:
@@ -430,6 +435,33 @@
             or self.has_unsettled_runs()
         )
 
+    def _names_incarnation(self, listing: Listing, asked_s: float) -> bool:
+        """Return whether a list is of the known incarnation, and note another one.
+
+        Another one has the same name, so it would carry out the calls to the known one.
+        """
+        if self.heartbeat is None:
+            return False
+        if listing.started_ms != self.heartbeat.started_ms:
+            if asked_s > self._adopted_s:
+                self._replaced_s = max(self._replaced_s, asked_s)
+            return False
+        if asked_s > self._replaced_s:
+            self._replaced_s = float("-inf")
+        return True
+
+    @property
+    def _is_replaced(self) -> bool:
+        return self._replaced_s > float("-inf")
+
+    @property
+    def recorded_on_target(self) -> int:
+        """Up to which sequence number the target may forget its ended runs.
+
+        Each incarnation counts from 1, so a number is valid only on its own.
+        """
+        return 0 if self._is_replaced else self.recorded
+
     def _stop_unknown_runs(self, running: set[RunId]) -> None:
         """Stop runs that were taken for ended or that nobody can have ordered."""
         for run in running & self._closed.keys():
--- a/tests/cover/test_target_controller.py
+++ b/tests/cover/test_target_controller.py
@@ -411,6 +411,37 @@
         assert not controller.take_due_calls(10.2)
 
 
+# Guards against tasks that run again after they are done: another incarnation with the
+# same name would carry out calls to the known one and forget ends that aren't stored.
+class TestListsOfOtherIncarnations:
+    @pytest.fixture
+    def busy(self, controller):
+        batch_with_start = batch(controller, starts=[start()])
+        batch_with_start.recorded = 5
+        controller.on_orders(batch_with_start, 10.5)
+        assert controller.recorded_on_target == 5
+        return controller
+
+    def test_nothing_is_called_once_a_list_names_another_incarnation(self, busy):
+        assert not list_runs(busy, listing(started_ms=2), 10.6, 10.7)
+        assert busy.take_due_calls(10.7) == []
+        assert busy.take_lease_end_on_target_s(10.7) is None
+        assert busy.recorded_on_target == 0
+
+    def test_calls_go_on_once_the_known_incarnation_replies(self, busy):
+        list_runs(busy, listing(started_ms=2), 10.6, 10.7)
+        list_runs(busy, listing(target_s=50.5), 10.5, 10.8)
+        assert busy.take_due_calls(10.8) == []
+        list_runs(busy, listing(target_s=50.9), 10.9, 11.0)
+        assert [c.kind for c in busy.take_due_calls(11.0)] == ["start"]
+        assert busy.recorded_on_target == 5
+
+    def test_a_late_list_of_the_incarnation_before_has_no_effect(self, busy):
+        adopt(busy, heartbeat(started_ms=2), 11.0)
+        list_runs(busy, listing(), 10.9, 11.1)
+        assert busy.take_lease_end_on_target_s(11.1) is not None
+
+
 class TestRegistration:
     """The holder counts only reports that carry the number that it has given."""
 
