Count no reports of an earlier build while its successor is registered

An agent of a build without registrations reported its target as ended; the report arrived 4 s late, after the agent had restarted with this build and registered. The holder counted it, since it carries no number, and released the tasks of the running target (TWICE).

While a target is known from a process that registers, reports without registrations don't count. After a downgrade they do once the successor's lease has expired.

Evidence: test_report_of_an_earlier_process_without_registrations_has_no_effect fails with the sources before (1 failed, 51 passed; the test of the downgrade passes before and after) and passes with the change (52 passed).

--- a/packages/scheduling/src/cicadabank/scheduling/internal/registrations.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/registrations.py
@@ -42,7 +42,10 @@
     target has then seen the new fencing token, and this incarnation is running.
     """
     if report.registration is None:
-        # An agent that doesn't register.
+        # An agent that doesn't register. While the target is known from one that does,
+        # it is an earlier process, of a build that has been replaced.
+        if known is not None and known.registration is not None:
+            return False
         return report.observed or (
             known is not None and known.target_incarnation == report.target_incarnation
         )
--- a/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
@@ -58,7 +58,8 @@
         )
         return ReportReply(0.0, 0, ())
     if not is_registered(state, known, report):
-        return ReportReply(0.0, 0, (), register(state, report))
+        registers = report.registration is not None
+        return ReportReply(0.0, 0, (), register(state, report) if registers else 0)
     if known is not None and known.target_incarnation != report.target_incarnation:
         remove_target(
             state,
--- a/tests/cover/test_scheduler.py
+++ b/tests/cover/test_scheduler.py
@@ -356,6 +356,29 @@
         late = late._replace(target_incarnation=ended, report_number=99, running=())
         self.deliver(cell, late)
 
+    # During a rolling update, the earlier process is of a build that doesn't register.
+    def test_report_of_an_earlier_process_without_registrations_has_no_effect(
+        self, cell
+    ):
+        target = self.start_job(cell)
+        ended = target.target_incarnation._replace(incarnation="t/1/ended")
+        late = target.report()._replace(
+            agent_run="0", registration=None, running=(), target_incarnation=ended
+        )
+        self.deliver(cell, late)
+
+    # Guards against an agent that a downgrade leaves without effect for good.
+    def test_agent_without_registrations_counts_once_its_successor_is_silent(
+        self, cell
+    ):
+        target = self.start_job(cell, duration_s=5.0)
+        target.silent = True
+        for _ in range(100):
+            cell.run(0.1)
+            report = target.report()._replace(agent_run="0", registration=None)
+            reply = cell.scheduler.on_report(report, cell.now_s, True)
+        assert reply.lease_s > 0
+
     @pytest.mark.parametrize("registration", [0, 1, 2, 3])
     def test_report_of_an_unknown_process_has_no_effect(self, cell, registration):
         target = self.start_job(cell)
