Allow for the longest lease on an incarnation that has just been found

A target that starts again under the same name carries out a hold call meant for the incarnation before. Its clock starts anew, so it cuts the end of that lease only to the longest lease, 10 s, which the holder and the agent did not know of: they released the tasks of the new incarnation 8.2 s after its last report, or 1.2 s after its last reply, while a late start could still begin (TWICE).

Both now count a lease of 10 s from when the incarnation is found. The lease that a new holder assumes until an agent reports is replaced by it, as all leases granted before the report end within 8 s of it.

--- a/packages/control/src/cicadabank/control/internal/target_controller.py
+++ b/packages/control/src/cicadabank/control/internal/target_controller.py
@@ -77,6 +77,8 @@
         # latest one that may have been passed to the target.
         self._granted_until_s = float("-inf")
         self._passed_on_until_s = float("-inf")
+        # End of a lease that a call meant for the incarnation before may have set.
+        self._stray_lease_until_s = float("-inf")
         # The target's clock, and this process's clock when it was received.
         self._clock_sample: tuple[float, float] | None = None
         self._last_reply_s = float("-inf")
@@ -140,6 +142,11 @@
         return heartbeat.draining and not previous.draining
 
     def _adopt(self, heartbeat: TargetHeartbeat, now_s: float) -> None:
+        previous = self.heartbeat
+        same_name = previous is not None and heartbeat.target == previous.target
+        self._stray_lease_until_s = (
+            now_s + MAX_TARGET_LEASE_S if same_name else float("-inf")
+        )
         self._reset(now_s)
         self.target_terminated = False
         self.heartbeat = heartbeat
@@ -499,7 +506,8 @@
         None of its runs can still be running then.
         """
         silent_s = now_s - self._last_reply_s
-        lease_left_s = max(0.0, self._passed_on_until_s - self._last_reply_s)
+        until_s = max(self._passed_on_until_s, self._stray_lease_until_s)
+        lease_left_s = max(0.0, until_s - self._last_reply_s)
         lease_expired = silent_s > lease_left_s * (1 + MAX_CLOCK_DRIFT)
         return self._is_unresponsive(now_s) and lease_expired
 
--- a/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
@@ -84,7 +84,7 @@
     renews = may_renew and not _holds_withdrawn_start(state, report)
     lease_s = state.timings.lease_s if renews else 0.0
     if lease_s:
-        target.lease_until_s = state.now_s + lease_s
+        target.lease_until_s = max(target.lease_until_s, state.now_s + lease_s)
     # Ended runs are acknowledged only once every row that they have changed is stored.
     if not state.dirty and state.in_flight is None:
         target.stored_sequence = target.processed_sequence
@@ -115,9 +115,10 @@
     target = Target(report.target_incarnation, report.agent)
     state.targets[report.agent] = target
     state.targets_by_incarnation[report.target_incarnation] = target
-    target.lease_until_s = state.unreported_lease_until_s.pop(
-        report.target_incarnation, float("-inf")
-    )
+    # Leases granted by earlier holders end sooner, but a call meant for the incarnation
+    # before may have set the longest one.
+    state.unreported_lease_until_s.pop(report.target_incarnation, None)
+    target.lease_until_s = state.now_s + state.timings.max_lease_s
     for target_incarnation in list(state.members_by_incarnation):
         if (
             target_incarnation.agent == report.agent
--- a/packages/scheduling/src/cicadabank/scheduling/internal/state.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/state.py
@@ -38,7 +38,9 @@
     Attributes
     ----------
     lease_s : float
-        Lease granted in reply to a report; below the 10 s that targets allow.
+        Lease granted in reply to a report; below `max_lease_s`.
+    max_lease_s : float
+        Longest lease that targets allow.
     clock_drift : float
         Relative rate by which a target's clock may run slow.
     outage_s : float
@@ -65,6 +67,7 @@
     """
 
     lease_s: float = 8.0
+    max_lease_s: float = 10.0
     clock_drift: float = 0.02
     outage_s: float = 16.0
     silent_after_s: float = 2.5
--- a/tests/cover/test_scheduler.py
+++ b/tests/cover/test_scheduler.py
@@ -423,6 +423,17 @@
         assert target.registration > before
         cell.check()
 
+    # Guards against two runs of a task: a call meant for the incarnation before sets a
+    # lease that the holder has not granted.
+    def test_a_new_incarnation_may_have_the_longest_lease(self, cell):
+        target = cell.targets["agent-t00"]
+        target.restart()
+        cell._report(target)
+        found_s, longest_s = cell.now_s, cell.scheduler.state.timings.max_lease_s
+        target.silent = True
+        cell.run_until(lambda: target.agent not in cell.scheduler.state.targets)
+        assert cell.now_s > found_s + longest_s
+
     def test_restarted_agent_keeps_its_target_s_runs(self, cell):
         target = self.start_job(cell, duration_s=5.0)
         target.restart_agent()
