--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -209,6 +209,12 @@
         if self.controller.on_target_terminated(target):
             log_event("target_left", target=target)
             self.report_due.set()
+        else:
+            log_event(
+                "target_notice_ignored",
+                target=target,
+                incarnation=self.controller.incarnation,
+            )
 
     def on_orders(self, batch: fleet_pb2.OrderBatch) -> fleet_pb2.OrderReply:
         """Process orders of a holder and return the reply."""
@@ -301,7 +307,7 @@
         until_s = controller.take_lease_end_on_target_s(clock_s())
         return (
             controller.fence,
-            controller.acknowledged,
+            controller.recorded_on_target,
             until_s,
             controller.heartbeat.target,
         )
--- a/packages/control/src/cicadabank/control/internal/target_controller.py
+++ b/packages/control/src/cicadabank/control/internal/target_controller.py
@@ -70,8 +70,6 @@
         # Latest heartbeats of other incarnations, which the target has to confirm.
         self._unchecked: OrderedDict[tuple[str, int], TargetHeartbeat] = OrderedDict()
         self.target_terminated = False
-        # Whether the last list came from another incarnation.
-        self._is_replaced = False
         self.leaving = False
         self.recorded = 0  # highest sequence number of a stored ended run
         self._report_number = 0
@@ -79,9 +77,18 @@
         # latest one that may have been passed to the target.
         self._granted_until_s = float("-inf")
         self._passed_on_until_s = float("-inf")
+        # End of a lease that a call meant for the incarnation before may have set.
+        self._stray_lease_until_s = float("-inf")
         # The target's clock, and this process's clock when it was received.
         self._clock_sample: tuple[float, float] | None = None
         self._last_reply_s = float("-inf")
+        # Whether this process has seen the incarnation from its start, since it
+        # replaced one that a list had confirmed.
+        self._seen_from_start = False
+        self._adopted_s = float("-inf")
+        # When the latest list was requested that named another incarnation, unless the
+        # known one has replied since.
+        self._replaced_s = float("-inf")
         self._unhealthy_until_s = float("-inf")
         self._listing: Listing | None = None
         self._listed_fence = -1  # with which the list was requested
@@ -135,8 +142,13 @@
         return heartbeat.draining and not previous.draining
 
     def _adopt(self, heartbeat: TargetHeartbeat, now_s: float) -> None:
+        previous = self.heartbeat
+        same_name = previous is not None and heartbeat.target == previous.target
+        self._stray_lease_until_s = (
+            now_s + MAX_TARGET_LEASE_S if same_name else float("-inf")
+        )
         self._reset(now_s)
-        self.target_terminated = self._is_replaced = False
+        self.target_terminated = False
         self.heartbeat = heartbeat
         self._unchecked.clear()
 
@@ -171,10 +183,18 @@
         return True
 
     def on_target_terminated(self, target: str) -> bool:
-        """Record that the target announced its end; return whether that is new."""
+        """Record that the target announced its end; return whether that is new.
+
+        The notice doesn't tell incarnations that have the same name apart, and may be
+        late. A target drains before it ends by itself, so a notice about one that
+        doesn't, or that no list has confirmed, is ignored: if the target has ended,
+        it counts as lost once its lease has expired.
+        """
         if (
             self.heartbeat is None
             or self.heartbeat.target != target
+            or not self.heartbeat.draining
+            or self._listing is None
             or self.target_terminated
         ):
             return False
@@ -186,17 +206,18 @@
         self._refused.clear()
         self._not_running.clear()
         self._closed.clear()
-        self._listing = None
-        self._listed_fence = -1
         self._clock_sample = None
         self.recorded = 0
-        # An earlier incarnation of this agent may have renewed the lease of the first
-        # target that this one sees.
-        first_target = self.heartbeat is None
+        # An earlier process of this agent may have renewed the lease of the first
+        # target that this one sees, which an unconfirmed heartbeat doesn't name.
         self._passed_on_until_s = (
-            now_s + MAX_TARGET_LEASE_S if first_target else float("-inf")
+            now_s + MAX_TARGET_LEASE_S if self._listing is None else float("-inf")
         )
-        self._last_reply_s = now_s
+        self._seen_from_start = self._listing is not None
+        self._listing = None
+        self._listed_fence = -1
+        self._last_reply_s = self._adopted_s = now_s
+        self._replaced_s = float("-inf")
 
     def on_orders(self, batch: fleet_pb2.OrderBatch, now_s: float) -> bool:
         """Process a batch of orders; return whether it was accepted."""
@@ -326,7 +347,7 @@
         until_s = self._granted_until_s
         if self._is_unresponsive(now_s):
             until_s = min(until_s, self._passed_on_until_s)
-        if self._clock_sample is None or self._is_replaced or until_s <= now_s:
+        if self._clock_sample is None or until_s <= now_s or self._is_replaced:
             return None
         target_s, received_s = self._clock_sample
         self._passed_on_until_s = max(self._passed_on_until_s, until_s)
@@ -391,10 +412,7 @@
         fence : int
             With which it was requested; the target rejects calls with a lower one.
         """
-        if self.heartbeat is None:
-            return False
-        self._is_replaced = listing.started_ms != self.heartbeat.started_ms
-        if self._is_replaced:
+        if not self._names_incarnation(listing, asked_s):
             return False
         previous = self._listing
         if previous is not None and listing.target_s < previous.target_s:
@@ -406,8 +424,7 @@
         self._last_reply_s = now_s
         running = {run.id for run in listing.running}
         ended = {end.id for end in listing.ended}
-        for run in running & self._closed.keys():
-            self._reopen(run)
+        self._stop_unknown_runs(running)
         for run, local in list(self._runs.items()):
             if run in running:
                 local.known_on_target_since_s = min(
@@ -430,6 +447,42 @@
             or self.has_unsettled_runs()
         )
 
+    def _names_incarnation(self, listing: Listing, asked_s: float) -> bool:
+        """Return whether a list is of the known incarnation, and note another one.
+
+        Another one has the same name, so it would carry out the calls to the known one.
+        """
+        if self.heartbeat is None:
+            return False
+        if listing.started_ms != self.heartbeat.started_ms:
+            if asked_s > self._adopted_s:
+                self._replaced_s = max(self._replaced_s, asked_s)
+            return False
+        if asked_s > self._replaced_s:
+            self._replaced_s = float("-inf")
+        return True
+
+    @property
+    def _is_replaced(self) -> bool:
+        return self._replaced_s > float("-inf")
+
+    @property
+    def recorded_on_target(self) -> int:
+        """Up to which sequence number the target may forget its ended runs.
+
+        Each incarnation counts from 1, so a number is valid only on its own.
+        """
+        return 0 if self._is_replaced else self.recorded
+
+    def _stop_unknown_runs(self, running: set[RunId]) -> None:
+        """Stop runs that were taken for ended or that nobody can have ordered."""
+        for run in running & self._closed.keys():
+            self._reopen(run)
+        if self._seen_from_start:
+            # Started by a late call to the incarnation before, which had the same name.
+            for run in running - self._runs.keys():
+                self._accept_stop(run)
+
     def _on_stop_completed(self, run: RunId, local: LocalRun) -> None:
         """Record that a stopped run neither runs nor can start any more."""
         if local.refusal:
@@ -438,11 +491,6 @@
             self._not_running.add(run)
             self._close(run, "old")
 
-    @property
-    def acknowledged(self) -> int:
-        """Sequence number up to which the target may forget ended runs."""
-        return 0 if self._is_replaced else self.recorded
-
     @property
     def has_unstored_ended_runs(self) -> bool:
         """Whether the target lists ended runs that the holder hasn't stored yet."""
@@ -463,7 +511,8 @@
         None of its runs can still be running then.
         """
         silent_s = now_s - self._last_reply_s
-        lease_left_s = max(0.0, self._passed_on_until_s - self._last_reply_s)
+        until_s = max(self._passed_on_until_s, self._stray_lease_until_s)
+        lease_left_s = max(0.0, until_s - self._last_reply_s)
         lease_expired = silent_s > lease_left_s * (1 + MAX_CLOCK_DRIFT)
         return self._is_unresponsive(now_s) and lease_expired
 
--- a/packages/scheduling/src/cicadabank/scheduling/internal/state.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/state.py
@@ -38,7 +38,9 @@
     Attributes
     ----------
     lease_s : float
-        Lease granted in reply to a report; below the 10 s that targets allow.
+        Lease granted in reply to a report; below `max_lease_s`.
+    max_lease_s : float
+        Longest lease that targets allow.
     clock_drift : float
         Relative rate by which a target's clock may run slow.
     outage_s : float
@@ -65,6 +67,7 @@
     """
 
     lease_s: float = 8.0
+    max_lease_s: float = 10.0
     clock_drift: float = 0.02
     outage_s: float = 16.0
     silent_after_s: float = 2.5
@@ -298,12 +301,15 @@
         -------
         tuple of (Unit, int) or None
             None if the run is outdated, its member has been released, or the member is
-            assigned to another incarnation.
+            assigned to another incarnation. A unit that claims targets for its next run
+            has no members of the run before.
         """
         job = self.jobs.get(run.job)
         unit = job.unit_of(run.step, run.index) if job else None
         if unit is None or unit.run != run.run or not unit.members:
             return None
+        if unit.phase is Phase.CLAIMING:
+            return None  # the members are those of the next run
         member_index = run.index - unit.first_index
         member = unit.members[member_index]
         if member.released or member.target_incarnation != target_incarnation:
--- a/tests/cover/test_scheduler.py
+++ b/tests/cover/test_scheduler.py
@@ -329,6 +329,31 @@
         (unit,) = cell.scheduler.state.jobs["j"].units
         assert unit.phase is Phase.WAITING
 
+    # Guards against two runs of a task: its unit waits on a target for another one to
+    # stop, and the run before appears there.
+    @pytest.mark.parametrize("kind", ["running", "pending"])
+    def test_run_before_a_claim_is_not_expected_on_the_claimed_target(self, kind):
+        cell = ModelCell([ModelTarget("t00", "d0", "r0")], QUEUES)
+        cell.run(1.0)
+        cell.submit("j", "batch", [tasks(1)])
+        cell.run(0.2)
+        (target,) = cell.targets.values()
+        (run,) = target.active_runs
+        target.active_runs.clear()
+        self.report_with(cell, refused=((run, "room"),))
+        found = {
+            "running": (RunningRun(run, "", 10),),
+            "pending": (run,),
+        }[kind]
+        (unit,) = cell.scheduler.state.jobs["j"].units
+        (incarnation,) = cell.scheduler.state.targets_by_incarnation
+        cell.scheduler.state.assign_members(unit, [incarnation])
+        unit.phase = Phase.CLAIMING
+        reply, orders = self.report_with(cell, **{kind: found})
+        assert [order.stops for order in orders] == [[run]]
+        assert run in cell.scheduler.state.targets["agent-t00"].unexpected
+        assert (reply.lease_s == 0) == (kind == "pending")
+
     # Guards against a target over its capacity: a new holder does not know the runs of
     # units that are done, and what is being stopped still uses resources.
     @pytest.mark.parametrize("kind", ["running", "pending"])
@@ -402,6 +427,29 @@
         late = late._replace(target_incarnation=ended, report_number=99, running=())
         self.deliver(cell, late)
 
+    # During a rolling update, the earlier process is of a build that doesn't register.
+    def test_report_of_an_earlier_process_without_registrations_has_no_effect(
+        self, cell
+    ):
+        target = self.start_job(cell)
+        ended = target.target_incarnation._replace(incarnation="t/1/ended")
+        late = target.report()._replace(
+            agent_run="0", registration=None, running=(), target_incarnation=ended
+        )
+        self.deliver(cell, late)
+
+    # Guards against an agent that a downgrade leaves without effect for good.
+    def test_agent_without_registrations_counts_once_its_successor_is_silent(
+        self, cell
+    ):
+        target = self.start_job(cell, duration_s=5.0)
+        target.silent = True
+        for _ in range(100):
+            cell.run(0.1)
+            report = target.report()._replace(agent_run="0", registration=None)
+            reply = cell.scheduler.on_report(report, cell.now_s, True)
+        assert reply.lease_s > 0
+
     @pytest.mark.parametrize("registration", [0, 1, 2, 3])
     def test_report_of_an_unknown_process_has_no_effect(self, cell, registration):
         target = self.start_job(cell)
@@ -446,6 +494,17 @@
         assert target.registration > before
         cell.check()
 
+    # Guards against two runs of a task: a call meant for the incarnation before sets a
+    # lease that the holder has not granted.
+    def test_a_new_incarnation_may_have_the_longest_lease(self, cell):
+        target = cell.targets["agent-t00"]
+        target.restart()
+        cell._report(target)
+        found_s, longest_s = cell.now_s, cell.scheduler.state.timings.max_lease_s
+        target.silent = True
+        cell.run_until(lambda: target.agent not in cell.scheduler.state.targets)
+        assert cell.now_s > found_s + longest_s
+
     def test_restarted_agent_keeps_its_target_s_runs(self, cell):
         target = self.start_job(cell, duration_s=5.0)
         target.restart_agent()
--- a/tests/cover/test_target_controller.py
+++ b/tests/cover/test_target_controller.py
@@ -156,21 +156,6 @@
         assert controller.incarnation == "t/5000"
         assert controller.report(11.5).observed
 
-    # Guards against starts that run on another incarnation than the holder knows, and
-    # against ends that are forgotten before they are stored.
-    def test_a_target_that_names_another_incarnation_gets_no_starts(self, controller):
-        orders = batch(controller, starts=[start()])
-        orders.recorded = 7
-        controller.on_orders(orders, 11.0)
-        assert controller.acknowledged == 7
-        assert not list_runs(controller, listing(started_ms=5), 11.0, 11.0)
-        assert controller.take_due_calls(11.1) == []
-        assert controller.acknowledged == 0
-        assert controller.take_lease_end_on_target_s(11.1) is None
-        list_runs(controller, listing(), 11.2, 11.2)
-        assert [c.kind for c in controller.take_due_calls(11.3)] == ["start"]
-        assert controller.acknowledged == 7
-
     def test_a_wrong_first_heartbeat_is_replaced(self, controller):
         controller = TargetController("a:2", "agent-2", "cell")
         assert controller.on_heartbeat(heartbeat(started_ms=10**15), 10.0)
@@ -195,6 +180,28 @@
         assert [h.started_ms for h in due] == list(range(192, 200))
 
 
+# Guards against two runs of a task, and against an agent that ignores its target for
+# good: the holder starts the tasks of a target that is reported as ended elsewhere.
+class TestNoticesOfTermination:
+    def test_a_target_that_drains_has_ended_with_its_notice(self, controller):
+        controller.on_heartbeat(heartbeat(sequence=2, draining=True), 10.1)
+        assert controller.on_target_terminated("t")
+        assert controller.report(10.2).incarnation == "t/1/ended"
+
+    @pytest.mark.parametrize("target", ["t", "other"])
+    def test_a_late_notice_of_an_earlier_incarnation_is_ignored(
+        self, controller, target
+    ):
+        assert not controller.on_target_terminated(target)
+        assert controller.report(10.2).incarnation == "t/1"
+
+    def test_a_notice_is_ignored_before_a_list_confirms_the_incarnation(self):
+        controller = TargetController("a:2", "agent-2", "cell")
+        controller.on_heartbeat(heartbeat(draining=True), 10.0)
+        assert not controller.on_target_terminated("t")
+        assert not controller.report(10.1).observed
+
+
 class TestStarts:
     def test_a_start_without_a_reply_is_retried(self, controller):
         controller.on_orders(batch(controller, starts=[start()]), 11.0)
@@ -395,6 +402,58 @@
         assert controller.take_lease_end_on_target_s(18.5) is None
 
 
+# Guards against two runs of a task: a call to an incarnation that had the same name is
+# carried out late, and the agent has no contact with the holder.
+class TestRunsOfTheIncarnationBefore:
+    def test_a_run_that_was_not_ordered_on_this_incarnation_is_stopped(
+        self, controller
+    ):
+        adopt(controller, heartbeat(started_ms=2), 11.0)
+        late = listing([RUN], started_ms=2, target_s=51.0)
+        list_runs(controller, late, 11.5, 11.5)
+        assert [c.kind for c in controller.take_due_calls(11.5)] == ["stop"]
+        assert [r.id.job for r in controller.report(11.5).running] == [RUN.job]
+
+    def test_runs_go_on_if_the_agent_restarts_or_its_first_heartbeat_was_wrong(self):
+        controller = TargetController("a:2", "agent-2", "cell")
+        controller.on_heartbeat(heartbeat(), 10.0)
+        controller.on_orders(batch(controller, incarnation=""), 10.0)
+        adopt(controller, heartbeat(started_ms=2), 10.1)
+        list_runs(controller, listing([RUN], started_ms=2), 10.2, 10.2)
+        assert not controller.take_due_calls(10.2)
+
+
+# Guards against tasks that run again after they are done: another incarnation with the
+# same name would carry out calls to the known one and forget ends that aren't stored.
+class TestListsOfOtherIncarnations:
+    @pytest.fixture
+    def busy(self, controller):
+        batch_with_start = batch(controller, starts=[start()])
+        batch_with_start.recorded = 5
+        controller.on_orders(batch_with_start, 10.5)
+        assert controller.recorded_on_target == 5
+        return controller
+
+    def test_nothing_is_called_once_a_list_names_another_incarnation(self, busy):
+        assert not list_runs(busy, listing(started_ms=2), 10.6, 10.7)
+        assert busy.take_due_calls(10.7) == []
+        assert busy.take_lease_end_on_target_s(10.7) is None
+        assert busy.recorded_on_target == 0
+
+    def test_calls_go_on_once_the_known_incarnation_replies(self, busy):
+        list_runs(busy, listing(started_ms=2), 10.6, 10.7)
+        list_runs(busy, listing(target_s=50.5), 10.5, 10.8)
+        assert busy.take_due_calls(10.8) == []
+        list_runs(busy, listing(target_s=50.9), 10.9, 11.0)
+        assert [c.kind for c in busy.take_due_calls(11.0)] == ["start"]
+        assert busy.recorded_on_target == 5
+
+    def test_a_late_list_of_the_incarnation_before_has_no_effect(self, busy):
+        adopt(busy, heartbeat(started_ms=2), 11.0)
+        list_runs(busy, listing(), 10.9, 11.1)
+        assert busy.take_lease_end_on_target_s(11.1) is not None
+
+
 class TestRegistration:
     """The holder counts only reports that carry the number that it has given."""
 
@@ -480,7 +539,7 @@
         assert controller.take_lease_end_on_target_s(18.5) is None
 
     def test_a_target_silent_beyond_its_lease_is_reported_as_ended(self, controller):
-        adopt(controller, heartbeat(started_ms=2), 10.0)
+        adopt(controller, heartbeat(started_ms=2, target="other"), 10.0)
         list_runs(controller, listing(started_ms=2), 10.0, 10.0)
         controller.take_lease_end_on_target_s(11.0)
         assert not controller.is_target_lost(17.0)
@@ -490,7 +549,7 @@
     # Guards against tasks that never run again because the lease of a target that has
     # crashed was extended with each failed attempt to renew it.
     def test_a_lease_is_not_extended_while_the_target_does_not_reply(self, controller):
-        adopt(controller, heartbeat(started_ms=2), 10.0)
+        adopt(controller, heartbeat(started_ms=2, target="other"), 10.0)
         list_runs(controller, listing(started_ms=2), 10.0, 10.0)
         now_s, lease_s = 10.0, 8.0
         while not controller.is_target_lost(now_s) and now_s < 40.0:
@@ -537,6 +596,27 @@
         assert not controller.is_target_lost(19.0)
         assert controller.is_target_lost(21.0)
 
+    # Guards against two runs of a task: a call to an incarnation that had the same name
+    # is carried out by the new one, whose clock cuts the lease only to the longest.
+    @pytest.mark.parametrize(("target", "lease_s"), [("t", 10.0), ("other", 0.0)])
+    def test_a_new_incarnation_with_the_same_name_may_have_the_longest_lease(
+        self, controller, target, lease_s
+    ):
+        adopt(controller, heartbeat(started_ms=2, target=target), 11.0)
+        lost_s = 11.0 + max(lease_s * (1 + MAX_CLOCK_DRIFT), UNRESPONSIVE_AFTER_S)
+        assert not controller.is_target_lost(lost_s - 0.01)
+        assert controller.is_target_lost(lost_s + 0.01)
+
+    # Guards against two runs of a task: a target that stops replying right after it
+    # replaced a late first heartbeat is reported as ended while its runs go on.
+    def test_a_new_agent_assumes_that_lease_for_the_first_confirmed_incarnation(self):
+        controller = TargetController("a:2", "agent-2", "cell")
+        controller.on_heartbeat(heartbeat(), 10.0)
+        controller.on_orders(batch(controller, incarnation=""), 10.0)
+        adopt(controller, heartbeat(started_ms=2), 10.5)
+        assert not controller.is_target_lost(20.0)
+        assert controller.is_target_lost(21.0)
+
     def test_a_target_that_does_not_reply_is_unhealthy(self, controller):
         assert not controller.report(10.5).unhealthy
         assert controller.report(12.0).unhealthy
