Renew a target's lease while a withdrawn start is being stopped there

What callers may see: runs that lapse on a target that replies.

Cause: a target gets no lease while its agent may hold back a start that is no longer wanted. A report didn't tell such a start from a run that the agent is stopping already: if the target refused each stop, for example as unhealthy, its other runs lost their lease.

Change: a report names the pending runs that are being stopped, which the agent starts no more. They don't keep the lease back.

Both cases of the new test failed before.

--- a/packages/control/src/cicadabank/control/internal/conversion.py
+++ b/packages/control/src/cicadabank/control/internal/conversion.py
@@ -58,6 +58,7 @@
             (run_id_from_message(run.id), run.reason) for run in message.refused
         ),
         not_running=tuple(run_id_from_message(run) for run in message.gone),
+        stopping=tuple(run_id_from_message(run) for run in message.stopping),
         registration=(
             message.registration if message.HasField("registration") else None
         ),
--- a/packages/control/src/cicadabank/control/internal/target_controller.py
+++ b/packages/control/src/cicadabank/control/internal/target_controller.py
@@ -596,6 +596,8 @@
                 message.running.add(id=run_id_to_message(run))
             else:
                 message.pending.append(run_id_to_message(run))
+                if local.stopping:
+                    message.stopping.append(run_id_to_message(run))
         for run, reason in self._refused.items():
             message.refused.add(id=run_id_to_message(run), reason=reason)
         message.gone.extend(run_id_to_message(run) for run in self._not_running)
--- a/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
@@ -96,11 +96,11 @@
 
     It would carry out the start with the next lease, so it must drop the start first.
     """
+    held_back = set(report.pending).difference(report.stopping)
     if not state.loaded:
-        return bool(report.pending)
+        return bool(held_back)
     return any(
-        state.find_member(run, report.target_incarnation) is None
-        for run in report.pending
+        state.find_member(run, report.target_incarnation) is None for run in held_back
     )
 
 
--- a/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
@@ -67,7 +67,10 @@
         Whether the agent's process is shutting down. The agents of
         ``cicadabank.control`` don't set it.
     pending : tuple of RunId
-        Starts that the agent has accepted and that have no outcome yet.
+        Starts that the agent has accepted and that have no outcome yet, and runs that
+        it is stopping.
+    stopping : tuple of RunId
+        Those of `pending` that the agent is stopping and will not start any more.
     refused : tuple of (RunId, str)
         Starts that the target has refused, with the reason.
     not_running : tuple of RunId
@@ -94,6 +97,7 @@
     refused: tuple[tuple[RunId, str], ...] = ()
     not_running: tuple[RunId, ...] = ()
     registration: int | None = None
+    stopping: tuple[RunId, ...] = ()
 
 
 class Target:
--- a/tests/cover/test_scheduler.py
+++ b/tests/cover/test_scheduler.py
@@ -291,6 +291,18 @@
         reply, _ = self.report_with(cell, not_running=(self.UNKNOWN_RUN,))
         assert reply.lease_s > 0
 
+    # Guards against runs that lapse because the stop of another run on their target is
+    # not confirmed.
+    @pytest.mark.parametrize("loaded", [True, False])
+    def test_target_gets_a_lease_while_a_withdrawn_start_is_being_stopped(
+        self, cell, loaded
+    ):
+        cell.submit("j", "batch", [tasks(1)])
+        cell.scheduler.state.loaded = loaded
+        pending = (self.UNKNOWN_RUN,)
+        reply, _ = self.report_with(cell, pending=pending, stopping=pending)
+        assert reply.lease_s > 0
+
     def test_new_holder_renews_no_lease_for_pending_starts_before_it_has_loaded(
         self, cell
     ):
--- a/tests/cover/test_target_controller.py
+++ b/tests/cover/test_target_controller.py
@@ -328,6 +328,13 @@
         list_runs(controller, listing(), 11.15, 11.3)
         assert [r.job for r in controller.report(11.3).gone] == ["j"]
 
+    def test_a_run_that_is_being_stopped_is_reported_as_such(self, controller):
+        controller.on_orders(batch(controller, starts=[start()]), 11.0)
+        assert not controller.report(11.0).stopping
+        controller.on_orders(batch(controller, stops=[RUN]), 11.1)
+        report = report_from_message(controller.report(11.1))
+        assert report.pending == report.stopping == (RUN,)
+
     def test_a_stop_without_a_reply_is_retried(self, controller):
         controller.on_orders(batch(controller, stops=[RUN]), 11.0)
         controller.take_due_calls(11.0)
