Ignore a confirmation of an incarnation that a later list has replaced

Found by the review, by reading: a check of a heartbeat that was asked before the last adoption could make the agent follow an earlier incarnation again. The new test failed before.

--- a/packages/control/src/cicadabank/control/internal/target_controller.py
+++ b/packages/control/src/cicadabank/control/internal/target_controller.py
@@ -176,7 +176,8 @@
         The parameters after the heartbeat are those of `on_listing`.
         """
         confirmed = listing.started_ms == heartbeat.started_ms
-        if not confirmed or heartbeat[:2] == self.heartbeat[:2]:
+        is_known = heartbeat[:2] == self.heartbeat[:2]
+        if not confirmed or is_known or asked_s < self._adopted_s:
             return False
         self._adopt(heartbeat, now_s)
         self.on_listing(listing, asked_s, now_s, fence)
--- a/tests/cover/test_target_controller.py
+++ b/tests/cover/test_target_controller.py
@@ -145,6 +145,16 @@
             heartbeat(started_ms=3, sequence=2, draining=True), 12.0
         )
 
+    def test_a_list_from_before_the_last_one_confirmed_has_no_effect(self, controller):
+        controller.on_heartbeat(heartbeat(started_ms=2), 11.0)
+        (earlier,) = controller.take_due_checks()
+        adopt(controller, heartbeat(started_ms=3), 11.2)
+        listed = listing(started_ms=2)
+        assert not controller.on_check_reply(
+            earlier, listed, 11.1, 11.3, controller.fence
+        )
+        assert controller.incarnation == "t/3"
+
     # Guards against an agent that ignores its target for good.
     def test_an_incarnation_born_after_the_clock_was_set_back_is_followed(
         self, controller
