Wait for targets that a new holder has not heard of before a job counts as infeasible

Cause: as before, whether a job can ever be placed was decided by the targets of the moment. A new holder knows of no targets but those that report, and one that an agent reports as ended counted as present, without any capacity.

Change: for 30 s after a takeover, a target that has not reported counts as being as large as the largest present one, with any label of those. A target without capacity is not present. A job that doesn't fit even so, or asks for a label that no target has, fails at once as before.

Both cases of the new test failed before.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -7,7 +7,11 @@
 
 from cicadabank.scheduling.internal import lifecycle
 from cicadabank.scheduling.internal.headroom import Headroom
-from cicadabank.scheduling.internal.jobs import StepSpec, core_equivalents
+from cicadabank.scheduling.internal.jobs import (
+    Resources,
+    StepSpec,
+    core_equivalents,
+)
 from cicadabank.scheduling.internal.placement import (
     Placement,
     Victim,
@@ -18,7 +22,12 @@
 from cicadabank.scheduling.internal.reservations import Reservations
 from cicadabank.scheduling.internal.state import CellState
 from cicadabank.scheduling.internal.targets import Target, max_tasks
-from cicadabank.scheduling.internal.units import Job, Phase, Unit
+from cicadabank.scheduling.internal.units import (
+    Job,
+    Phase,
+    TargetIncarnation,
+    Unit,
+)
 
 # Value of a job that ends on time, by the priority of its queue.
 VALUE_BY_PRIORITY = {0: 4.0, 1: 3.0, 2: 1.0}
@@ -64,9 +73,9 @@
 # While a smaller share of the cell's resources is in use, a job of which nothing runs
 # is not held back for urgent jobs.
 IDLE_CELL_SHARE = 0.5
-# A target that was removed this short ago is likely to come back, so a job that only
-# lacks it is not infeasible.
-REMOVED_TARGET_RETENTION_S = 30.0
+# A target that is away for no longer than this is likely to come back, so a job that
+# only lacks it is not infeasible.
+ABSENT_TARGET_RETENTION_S = 30.0
 
 
 def plan(state: CellState) -> None:
@@ -496,21 +505,40 @@
     state.mark_dirty(job)
 
 
-def _recently_removed_targets(state: CellState) -> list[Target]:
-    """Return the targets that were removed recently and have not come back."""
-    for agent, (_, removed_s) in list(state.removed_targets.items()):
-        present = state.targets.get(agent)
-        is_back = present is not None and any(present.capacity)
-        if is_back or state.now_s - removed_s > REMOVED_TARGET_RETENTION_S:
-            del state.removed_targets[agent]
-    return [target for target, _ in state.removed_targets.values()]
+def _absent_targets(state: CellState, present: list[Target]) -> list[Target]:
+    """Return the targets that are away, and that may be back soon.
+
+    After a takeover, nothing is known of targets that have not reported: each may be as
+    large as the present ones, and have any of their labels.
+    """
+    since_load_s = state.now_s - state.loaded_s
+    absent = []
+    for agent in state.last_contact_attempt_s.keys() - {t.agent for t in present}:
+        target, removed_s = state.removed_targets.get(agent, (None, float("-inf")))
+        if target is not None:
+            if state.now_s - removed_s <= ABSENT_TARGET_RETENTION_S:
+                absent.append(target)
+        elif since_load_s <= ABSENT_TARGET_RETENTION_S:
+            absent.append(_assumed_target(agent, present))
+    return absent
+
+
+def _assumed_target(agent: str, present: list[Target]) -> Target:
+    """Return a target as large as the largest of others, with all their labels."""
+    assumed = Target(TargetIncarnation("", "", agent), agent)
+    capacities = [target.capacity for target in present]
+    assumed.capacity = Resources(*map(max, zip(*capacities, strict=True)))
+    assumed.labels = frozenset().union(*(target.labels for target in present))
+    return assumed
 
 
 def _fail_infeasible_jobs(state: CellState) -> None:
     """Fail pending jobs that none of the targets could ever run."""
-    if not state.targets or len(state.targets) < len(state.last_contact_attempt_s) / 2:
+    # An ended target is known without capacity until its next incarnation reports.
+    present = [target for target in state.targets.values() if any(target.capacity)]
+    if not present or len(present) < len(state.last_contact_attempt_s) / 2:
         return
-    targets = [*state.targets.values(), *_recently_removed_targets(state)]
+    targets = [*present, *_absent_targets(state, present)]
     for job in list(state.open_jobs.values()):
         if job.cancelled or job.reason or job.state != "pending":
             continue
--- a/tests/cover/test_scheduler.py
+++ b/tests/cover/test_scheduler.py
@@ -110,6 +110,40 @@
         away.silent = False
         cell.run_until(lambda: cell.state("j") == "completed")
 
+    # Guards against a job that a new holder shows as failed, since it has heard of few
+    # targets, or only that the others have ended.
+    @pytest.mark.parametrize("ended", [False, True])
+    def test_gang_waits_for_targets_that_a_new_holder_has_not_heard_of(
+        self, cell, ended
+    ):
+        away = list(cell.targets.values())[:2]
+        for target in away:
+            target.silent = True
+        cell.take_over()
+        for target in away:
+            if ended:
+                self.report_end(cell, target)
+        cell.run(10.0)
+        cell.submit("j", "batch", [gang(self.ALL_TARGETS, 8)])
+        cell.submit("k", "batch", [gang(self.ALL_TARGETS + 1, 8)])
+        cell.run(1.0)
+        assert (cell.state("j"), cell.state("k")) == ("pending", "failed")
+        for target in away:
+            target.silent = False
+        cell.run_until(lambda: cell.state("j") == "completed")
+
+    def report_end(self, cell, target):
+        report = target.report()
+        ended = report.target_incarnation._replace(incarnation="t/ended")
+        report = report._replace(
+            target_incarnation=ended, capacity=Resources(0, 0, 0), running=()
+        )
+        number = cell.scheduler.on_report(report, cell.now_s, True).registration
+        repeated = report._replace(
+            registration=number, report_number=report.report_number + 1
+        )
+        cell.scheduler.on_report(repeated, cell.now_s, True)
+
     def test_job_that_no_target_could_run_fails_while_one_is_away(self, cell):
         cell.run(8.0)
         cell.targets["agent-t00"].silent = True
