Scan for unexpected runs once a commit, and for absent targets only for pending jobs

Found on reading the change again; behaviour stays as it is.

- Each unit of a commit scanned all targets for unexpected runs before it started.
The set is the same for the whole commit, so it is made once.
- Each planning round made one assumed target for each agent that a new holder had not heard of, with a scan of all present targets each, also without a job to check.
The assumed targets are equal, so one is made, and only if a job is pending.

Tried and not kept: to decide whether the cell is idle only where a unit would be held back.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
@@ -265,10 +265,13 @@
             if target is not None and sequence > target.stored_sequence:
                 target.stored_sequence = sequence
                 state.orders_for(target).recorded = sequence
+        tasks_with_unexpected_runs = state.tasks_with_unexpected_runs()
         for unit in commit.starting:
-            self._start(unit)
+            self._start(unit, tasks_with_unexpected_runs)
 
-    def _start(self, unit: Unit) -> None:
+    def _start(
+        self, unit: Unit, tasks_with_unexpected_runs: set[tuple[str, int, int]]
+    ) -> None:
         state = self.state
         job = state.jobs[unit.job]
         if unit.phase is not Phase.COMMITTING:
@@ -278,7 +281,7 @@
         unit.is_timed = True
         unit.progress = None
         lost = any(member.released for member in unit.members)
-        unexpected = not unit.tasks().isdisjoint(state.tasks_with_unexpected_runs())
+        unexpected = not unit.tasks().isdisjoint(tasks_with_unexpected_runs)
         if unit.stop_reason or lost or unexpected or job.cancelled or job.reason:
             # No start was ordered for this run, so there is nothing to stop.
             unit.stop_reason = unit.stop_reason or "withdrawn before start"
--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -512,20 +512,22 @@
     large as the present ones, and have any of their labels.
     """
     since_load_s = state.now_s - state.loaded_s
-    absent = []
+    absent, unheard_of = [], 0
     for agent in state.last_contact_attempt_s.keys() - {t.agent for t in present}:
         target, removed_s = state.removed_targets.get(agent, (None, float("-inf")))
         if target is not None:
             if state.now_s - removed_s <= ABSENT_TARGET_RETENTION_S:
                 absent.append(target)
         elif since_load_s <= ABSENT_TARGET_RETENTION_S:
-            absent.append(_assumed_target(agent, present))
+            unheard_of += 1
+    if unheard_of:
+        absent += [_assumed_target(present)] * unheard_of
     return absent
 
 
-def _assumed_target(agent: str, present: list[Target]) -> Target:
+def _assumed_target(present: list[Target]) -> Target:
     """Return a target as large as the largest of others, with all their labels."""
-    assumed = Target(TargetIncarnation("", "", agent), agent)
+    assumed = Target(TargetIncarnation("", "", ""), "")
     capacities = [target.capacity for target in present]
     assumed.capacity = Resources(*map(max, zip(*capacities, strict=True)))
     assumed.labels = frozenset().union(*(target.labels for target in present))
@@ -538,10 +540,15 @@
     present = [target for target in state.targets.values() if any(target.capacity)]
     if not present or len(present) < len(state.last_contact_attempt_s) / 2:
         return
+    pending = [
+        job
+        for job in state.open_jobs.values()
+        if job.state == "pending" and not (job.cancelled or job.reason)
+    ]
+    if not pending:
+        return
     targets = [*present, *_absent_targets(state, present)]
-    for job in list(state.open_jobs.values()):
-        if job.cancelled or job.reason or job.state != "pending":
-            continue
+    for job in pending:
         for index, step in enumerate(job.record.steps):
             reason = infeasible_reason(step, targets)
             if reason:
