Report the crashes of a target that its agent has seen

Callers and operators saw only that a target was lost: a crash, a loss of power, a cut and a replacement looked the same (hypothesis 2 of docs/incidents/crashing-tasks.md).

An agent that lists an incarnation of its target and later confirms another one, without a notice of the end in between, logs target_crashed and reports the incarnation with the runs that it may have had: those that it has called the target to start, also without a reply, and those that the target listed. Nothing decides on it yet.

Tests: TestCrashes in tests/cover/test_target_controller.py (new behaviour).

--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -22,7 +22,7 @@
     TargetHeartbeat,
 )
 from cicadabank.model import new_id
-from cicadabank.scheduling import AGENT_PREFIX, AgentRow, RunId, pack
+from cicadabank.scheduling import AGENT_PREFIX, AgentRow, RunId, TargetCrash, pack
 from cicadabank.store import PartitionedTable, PlatformError
 from cicadabank.tasks import (
     FLUSH_TIMEOUT_S,
@@ -156,6 +156,8 @@
 
     def _on_new_heartbeat(self, previous_incarnation: str) -> None:
         heartbeat = self.controller.heartbeat
+        if self.controller.crashes:
+            self._log_crash(self.controller.crashes[-1], previous_incarnation)
         log_event(
             "target_beat",
             target=heartbeat.target,
@@ -166,6 +168,16 @@
         )
         self.report_due.set()
 
+    def _log_crash(self, crash: TargetCrash, previous_incarnation: str) -> None:
+        """Log the latest crash if it ended the previous incarnation."""
+        if crash.incarnation == previous_incarnation:
+            log_event(
+                "target_crashed",
+                target=crash.target,
+                incarnation=crash.incarnation,
+                runs=[[*run.id, run.age_s] for run in crash.runs],
+            )
+
     def _make_due_checks(self) -> None:
         for heartbeat in self.controller.take_due_checks():
             self._call_threads.submit(self._check, heartbeat, self.controller.fence)
--- a/packages/control/src/cicadabank/control/internal/conversion.py
+++ b/packages/control/src/cicadabank/control/internal/conversion.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from cicadabank.scheduling import (
+    CrashedRun,
     EndedRun,
     Report,
     Resources,
     RunId,
     RunningRun,
     Start,
+    TargetCrash,
     TargetIncarnation,
 )
 from cicadabank.wire import fleet_pb2
@@ -62,9 +64,31 @@
         registration=(
             message.registration if message.HasField("registration") else None
         ),
+        crashes=tuple(_crash_from_message(crash) for crash in message.crashes),
     )
 
 
+def _crash_from_message(message: fleet_pb2.TargetCrash) -> TargetCrash:
+    runs = (
+        CrashedRun(
+            run_id_from_message(run.id),
+            run.age_s if run.HasField("age_s") else float("inf"),
+        )
+        for run in message.runs
+    )
+    return TargetCrash(message.target, message.incarnation, tuple(runs))
+
+
+def crash_to_message(crash: TargetCrash) -> fleet_pb2.TargetCrash:
+    """Return the message for a crash of a target."""
+    message = fleet_pb2.TargetCrash(target=crash.target, incarnation=crash.incarnation)
+    for run in crash.runs:
+        added = message.runs.add(id=run_id_to_message(run.id))
+        if run.age_s < float("inf"):
+            added.age_s = run.age_s
+    return message
+
+
 def start_to_message(start: Start) -> fleet_pb2.StartRun:
     """Return the message for an order to start a run."""
     cpu_millicores, memory_mb, accelerators = start.need
--- a/packages/control/src/cicadabank/control/internal/target_controller.py
+++ b/packages/control/src/cicadabank/control/internal/target_controller.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 
 from cicadabank.control.internal.conversion import (
+    crash_to_message,
     run_id_from_message,
     run_id_to_message,
 )
@@ -20,7 +21,7 @@
     TargetCall,
     TargetHeartbeat,
 )
-from cicadabank.scheduling import Resources, RunId
+from cicadabank.scheduling import CrashedRun, Resources, RunId, TargetCrash
 from cicadabank.wire import fleet_pb2
 
 # Least time between two attempts of a call to which the target did not reply.
@@ -46,6 +47,8 @@
 NO_RESOURCES = Resources(0, 0, 0)
 # Heartbeats of other incarnations that wait to be checked; the oldest are forgotten.
 MAX_UNCHECKED_HEARTBEATS = 8
+# Crashes of the target that are reported; the oldest are forgotten first.
+MAX_REPORTED_CRASHES = 4
 
 
 class TargetController:
@@ -98,6 +101,7 @@
             set()
         )  # stopped, and confirmed not to run any more
         self._closed: OrderedDict[RunId, ClosedRun] = OrderedDict()
+        self.crashes: deque[TargetCrash] = deque(maxlen=MAX_REPORTED_CRASHES)
 
     @property
     def incarnation(self) -> str:
@@ -144,6 +148,8 @@
     def _adopt(self, heartbeat: TargetHeartbeat, now_s: float) -> None:
         previous = self.heartbeat
         same_name = previous is not None and heartbeat.target == previous.target
+        if self._has_crashed():
+            self.crashes.append(self._crash())
         self._stray_lease_until_s = (
             now_s + MAX_TARGET_LEASE_S if same_name else float("-inf")
         )
@@ -152,6 +158,30 @@
         self.heartbeat = heartbeat
         self._unchecked.clear()
 
+    def _has_crashed(self) -> bool:
+        """Return whether the known incarnation, now replaced, ended without notice.
+
+        Only one that this process has seen running counts.
+        """
+        return (
+            self.heartbeat is not None
+            and self._listing is not None
+            and not self.heartbeat.draining
+            and not self.target_terminated
+        )
+
+    def _crash(self) -> TargetCrash:
+        """Return the crash of the known incarnation, with the runs it may have had."""
+        listed = {run.id for run in self._listing.running}
+        runs = [
+            CrashedRun(run, max(0.0, self._last_reply_s - local.first_start_call_s))
+            for run, local in self._runs.items()
+            if local.first_start_call_s < float("inf")
+        ]
+        known = {run.id for run in runs} | self._closed.keys()
+        runs += [CrashedRun(run, float("inf")) for run in sorted(listed - known)]
+        return TargetCrash(self.heartbeat.target, self.incarnation, tuple(runs))
+
     def take_due_checks(self) -> list[TargetHeartbeat]:
         """Return the heartbeats for which the target's list of runs is to be requested.
 
@@ -328,6 +358,7 @@
                 and self.take_lease_end_on_target_s(now_s) is not None
             ):
                 start_order = local.start_order
+                local.first_start_call_s = min(local.first_start_call_s, now_s)
                 due.append(
                     TargetCall("start", run, start_order.spec, start_order.checkpoint)
                 )
@@ -539,6 +570,7 @@
             address=heartbeat.address,
             leaving=self.leaving,
             registration=self.registration,
+            crashes=[crash_to_message(crash) for crash in self.crashes],
         )
         if self.has_target_ended(now_s):
             self._give_up_runs()
--- a/packages/control/src/cicadabank/control/internal/target_messages.py
+++ b/packages/control/src/cicadabank/control/internal/target_messages.py
@@ -87,6 +87,7 @@
 
     __slots__ = (
         "call_pending",
+        "first_start_call_s",
         "known_on_target_since_s",
         "last_call_s",
         "may_start_late",
@@ -102,6 +103,7 @@
         self.need = need  # zero if unknown
         self.call_pending = False
         self.last_call_s = float("-inf")
+        self.first_start_call_s = float("inf")
         # Since when the target is known to have the run.
         self.known_on_target_since_s = float("inf")
         # Whether a start call got no reply and may still be carried out.
--- a/packages/scheduling/src/cicadabank/scheduling/__init__.py
+++ b/packages/scheduling/src/cicadabank/scheduling/__init__.py
@@ -37,7 +37,13 @@
     unpack,
 )
 from cicadabank.scheduling.internal.state import AgentOrders, Commit, Start, Timings
-from cicadabank.scheduling.internal.targets import EndedRun, Report, RunningRun
+from cicadabank.scheduling.internal.targets import (
+    CrashedRun,
+    EndedRun,
+    Report,
+    RunningRun,
+    TargetCrash,
+)
 from cicadabank.scheduling.internal.units import ENDED_STATES, TargetIncarnation
 
 __all__ = [
@@ -56,6 +62,7 @@
     "CellScheduler",
     "Commit",
     "Configuration",
+    "CrashedRun",
     "EarlierLeasesRow",
     "EndedRun",
     "HolderRow",
@@ -71,6 +78,7 @@
     "RunningRun",
     "Start",
     "StepSpec",
+    "TargetCrash",
     "TargetIncarnation",
     "Timings",
     "WorkspaceConfig",
--- a/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
@@ -39,6 +39,32 @@
     checkpoint: str
 
 
+class CrashedRun(NamedTuple):
+    """A run that may have been on a target when it crashed.
+
+    Attributes
+    ----------
+    age_s : float
+        Time from the first call that started it to the target's last reply. Infinite if
+        an earlier process of the agent made that call.
+    """
+
+    id: RunId
+    age_s: float
+
+
+class TargetCrash(NamedTuple):
+    """A crash of a target, as seen by an agent process that went on meanwhile.
+
+    The incarnation ended without notice, and another one replaced it. A loss of power
+    also ends the agent's process, so it is not seen as a crash.
+    """
+
+    target: str
+    incarnation: str
+    runs: tuple[CrashedRun, ...]
+
+
 class Report(NamedTuple):
     """An agent's report on its target.
 
@@ -75,6 +101,8 @@
         Starts that the target has refused, with the reason.
     not_running : tuple of RunId
         Runs that have certainly been stopped: they neither run nor can start.
+    crashes : tuple of TargetCrash
+        Latest crashes of the agent's target, repeated in each report.
     """
 
     agent: str
@@ -98,6 +126,7 @@
     not_running: tuple[RunId, ...] = ()
     registration: int | None = None
     stopping: tuple[RunId, ...] = ()
+    crashes: tuple[TargetCrash, ...] = ()
 
 
 class Target:
--- a/tests/cover/test_target_controller.py
+++ b/tests/cover/test_target_controller.py
@@ -15,7 +15,15 @@
     StartOutcome,
     TargetHeartbeat,
 )
-from cicadabank.scheduling import CellScheduler, EndedRun, Resources, RunId, RunningRun
+from cicadabank.scheduling import (
+    CellScheduler,
+    CrashedRun,
+    EndedRun,
+    Resources,
+    RunId,
+    RunningRun,
+    TargetCrash,
+)
 from cicadabank.wire import fleet_pb2
 
 RUN = RunId("j", 0, 0, 1)
@@ -675,3 +683,65 @@
     def test_a_list_of_another_incarnation_is_ignored(self, controller):
         assert not list_runs(controller, listing([RUN], started_ms=2), 11.0, 11.0)
         assert not controller.report(11.0).running
+
+
+def crashes(controller, now_s=15.0) -> tuple[TargetCrash, ...]:
+    """Return the crashes in the controller's next report, as the holder reads them."""
+    return report_from_message(controller.report(now_s)).crashes
+
+
+class TestCrashes:
+    # Guards against a crash that can't be told from a loss of power or a replacement.
+    def test_an_incarnation_that_ended_without_notice_is_reported_with_its_runs(
+        self, controller
+    ):
+        controller.on_orders(
+            batch(controller, starts=[start(), start(OTHER_RUN)]), 10.5
+        )
+        controller.take_due_calls(10.5)
+        controller.on_started(RUN, StartOutcome(True), 10.6)
+        incarnation = controller.incarnation
+        list_runs(controller, listing([RUN], target_s=51.5), 12.0, 12.0)
+        adopt(controller, heartbeat(started_ms=2), 15.0)
+        runs = (CrashedRun(RUN, 1.5), CrashedRun(OTHER_RUN, 1.5))
+        assert crashes(controller) == (TargetCrash("t", incarnation, runs),)
+
+    # Guards against a start whose reply the crash took away and that nobody counts.
+    def test_a_start_without_a_reply_counts_as_begun_with_the_crash(self, controller):
+        controller.on_orders(batch(controller, starts=[start()]), 10.5)
+        controller.take_due_calls(10.5)
+        controller.on_started(RUN, StartOutcome(False), 11.0)
+        adopt(controller, heartbeat(started_ms=2), 15.0)
+        assert crashes(controller)[0].runs == (CrashedRun(RUN, 0.0),)
+
+    def test_a_start_that_was_never_called_is_not_blamed(self, controller):
+        controller.on_orders(batch(controller, starts=[start()]), 30.0)
+        assert controller.take_due_calls(30.0) == []  # its lease has expired
+        adopt(controller, heartbeat(started_ms=2), 31.0)
+        assert crashes(controller)[0].runs == ()
+
+    def test_runs_of_an_earlier_process_have_no_age(self, controller):
+        list_runs(controller, listing([RUN], target_s=51.0), 11.0, 11.0)
+        adopt(controller, heartbeat(started_ms=2), 15.0)
+        assert crashes(controller)[0].runs == (CrashedRun(RUN, float("inf")),)
+
+    def test_an_ended_run_is_not_blamed(self, controller):
+        controller.on_orders(batch(controller, starts=[start()]), 10.5)
+        controller.take_due_calls(10.5)
+        list_runs(controller, listing(ended=[(1, RUN)], target_s=51.0), 11.0, 11.0)
+        adopt(controller, heartbeat(started_ms=2), 15.0)
+        assert crashes(controller)[0].runs == ()
+
+    def test_a_replaced_target_that_had_announced_its_end_has_not_crashed(
+        self, controller
+    ):
+        controller.on_heartbeat(heartbeat(sequence=2, draining=True), 11.0)
+        adopt(controller, heartbeat(started_ms=2), 15.0)
+        assert crashes(controller) == ()
+
+    def test_an_incarnation_that_was_never_listed_has_not_crashed(self):
+        fresh = TargetController("a:2", "agent-2", "cell")
+        fresh.on_heartbeat(heartbeat(), 10.0)
+        fresh.on_orders(batch(fresh, incarnation=""), 10.0)
+        adopt(fresh, heartbeat(started_ms=2), 15.0)
+        assert crashes(fresh) == ()
