Give up tasks that crash their targets, and run suspects alone

Operators saw lost targets only.

Cause: nothing counted a crash. A lost target requeued its units without a trace, and only an end `failed` counts as an attempt. The class: an outcome that never arrives is counted as no outcome, so that no bound on attempts can take effect.

Change: the crashes that agents report are counted under each unit that was on the target, once for a run, and stored in the unit's progress before its next start, so that they outlast takeovers, restarts and starts without a reply. A unit that had started within 2 s before a crash, or was on the target with none that had, is a suspect: it starts only on an empty target, which nothing else shares until it has been listed there for 2 s. Suspects take a tenth of the targets at a time, at least one, and one of each job; the other tasks of its step wait meanwhile. A crash soon after a start with nothing else on the target is clear: it clears the units that shared earlier crashes with the suspect, and the second one fails the job, with a reason that names the targets. Without two of these, four crashes do, one of them alone. A loss of power ends the agent as well, and a drain or a replacement is announced; none of them counts.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
@@ -4,7 +4,13 @@
 
 from collections.abc import Iterable
 
-from cicadabank.scheduling.internal import drains, lifecycle, planner, reports
+from cicadabank.scheduling.internal import (
+    crashes,
+    drains,
+    lifecycle,
+    planner,
+    reports,
+)
 from cicadabank.scheduling.internal.jobs import Configuration, JobRecord
 from cicadabank.scheduling.internal.reports import ReportReply
 from cicadabank.scheduling.internal.rows import (
@@ -88,6 +94,9 @@
             job = restore_job(record, row, version, now_s)
             self._add_job(job)
             for unit in job.units:
+                if unit.members and crashes.is_suspect(unit):
+                    unit.isolated = True
+                    state.isolated_units.append(unit)
                 for member_index, member in enumerate(unit.members):
                     state.allocate(unit, member_index, member)
         lease_expiry_s = (
@@ -181,9 +190,10 @@
         self.state.last_contact_attempt_s.pop(agent, None)
 
     def tick(self, now_s: float) -> None:
-        """Expire leases, stop work on draining targets, and place ready units."""
+        """Expire leases and probations, move work off draining targets, and plan."""
         self.state.now_s = now_s
         reports.expire_leases(self.state)
+        crashes.end_probations(self.state)
         drains.stop_work_on_draining_targets(self.state)
         planner.plan(self.state)
 
--- /dev/null
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/crashes.py
@@ -0,0 +1,257 @@
+"""Crashes of targets under a unit, and the isolation of suspected units.
+
+A task may crash each target that starts it. If several units were on the target, it is
+unknown which one crashed it. A suspect therefore runs alone on its target: there a
+crash is evidence against it and harms no other unit, and a start without a crash is
+evidence for it.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from cicadabank.scheduling.internal import lifecycle
+from cicadabank.scheduling.internal.state import CellState
+from cicadabank.scheduling.internal.targets import CrashedRun, Target, TargetCrash
+from cicadabank.scheduling.internal.units import Crash, Phase, Unit
+
+# A run that began within this time before a crash is a suspect. Its age is counted up
+# to the target's last reply, which may be one second older than the crash.
+RECENT_START_S = 2.0
+# A suspect that its target has listed for this long shares the target again.
+PROBATION_S = 2.0
+# A unit is given up after this many crashes soon after its start, with no other unit on
+# the target. Targets that crash for other causes seldom do so at such a moment.
+MAX_CLEAR_CRASHES = 2
+# A unit is given up after this many crashes of any kind, one of them without another
+# unit on the target.
+MAX_CRASHES = 4
+# After this many crashes, a unit runs alone until it ends, also if others had started
+# later each time: it may crash its targets late.
+CRASHES_TO_ISOLATE = 3
+# Share of the usable targets that suspects may occupy at a time, but at least one
+# target. The larger share holds while the cell is mostly idle.
+MAX_ISOLATED_SHARE = 0.1
+MAX_ISOLATED_SHARE_IDLE = 0.5
+
+
+def is_suspect(unit: Unit) -> bool:
+    """Return whether a unit may start only on a target that runs nothing else."""
+    if len(unit.crashes) >= CRASHES_TO_ISOLATE:
+        return True
+    return any(crash.suspected for crash in unit.crashes)
+
+
+def is_given_up(unit: Unit) -> bool:
+    """Return whether enough targets have crashed under a unit to start it no more."""
+    if sum(crash.alone and crash.recent for crash in unit.crashes) >= MAX_CLEAR_CRASHES:
+        return True
+    if len(unit.crashes) < MAX_CRASHES:
+        return False
+    return any(crash.alone for crash in unit.crashes)
+
+
+class _Suspect(NamedTuple):
+    """A unit with its run on a target that crashed."""
+
+    unit: Unit
+    run: CrashedRun
+
+
+def record_crashes(state: CellState, crashes: tuple[TargetCrash, ...]) -> None:
+    """Count crashes of targets under the units that were on them.
+
+    Agents repeat their reports of crashes, and report them to a new holder too; each
+    run counts once. Fails the job of a unit that is given up.
+    """
+    for crash in crashes:
+        suspects = _suspects(state, crash)
+        alone = len(_distinct_units(state, crash)) == 1
+        any_recent = any(run.age_s <= RECENT_START_S for run in crash.runs)
+        for unit, run in suspects:
+            recent = run.age_s <= RECENT_START_S
+            _record(
+                state,
+                unit,
+                Crash(
+                    run.id.run,
+                    crash.target,
+                    crash.incarnation,
+                    alone,
+                    recent,
+                    recent or not any_recent,
+                ),
+            )
+
+
+def _distinct_units(state: CellState, crash: TargetCrash) -> set[tuple[str, int, int]]:
+    """Return the job, step and first index of the units that a target had."""
+    units = set()
+    for run in crash.runs:
+        unit = _unit_of(state, run)
+        first_index = run.id.index if unit is None else unit.first_index
+        units.add((run.id.job, run.id.step, first_index))
+    return units
+
+
+def _unit_of(state: CellState, run: CrashedRun) -> Unit | None:
+    job = state.jobs.get(run.id.job)
+    return job.unit_of(run.id.step, run.id.index) if job else None
+
+
+def _suspects(state: CellState, crash: TargetCrash) -> list[_Suspect]:
+    """Return the units for which a crash has not been counted yet."""
+    found: dict[int, _Suspect] = {}
+    for run in crash.runs:
+        unit = _unit_of(state, run)
+        if unit is None or state.jobs[unit.job].ended or unit.phase is Phase.DONE:
+            continue
+        is_counted = any(known.run == run.id.run for known in unit.crashes)
+        if not is_counted and run.id.run <= unit.run:
+            found.setdefault(id(unit), _Suspect(unit, run))
+    return list(found.values())
+
+
+def _record(state: CellState, unit: Unit, crash: Crash) -> None:
+    job = state.jobs[unit.job]
+    unit.crashes += (crash,)
+    unit.avoided_targets.add(crash.target)
+    state.mark_dirty(job)
+    state.log(
+        "crash_counted",
+        job=unit.job,
+        step=unit.step,
+        first=unit.first_index,
+        run=crash.run,
+        target=crash.target,
+        incarnation=crash.incarnation,
+        alone=crash.alone,
+        recent=crash.recent,
+        crashes=len(unit.crashes),
+    )
+    if crash.alone and crash.recent:
+        _exonerate_others(state, unit)
+    if is_given_up(unit) and not job.reason:
+        targets = ", ".join(known.target for known in unit.crashes)
+        lifecycle.fail_job(
+            state,
+            job,
+            f"step {unit.step}: task {unit.first_index} crashed the targets {targets}",
+        )
+
+
+def _exonerate_others(state: CellState, culprit: Unit) -> None:
+    """Drop the crashes of other units that a unit now explains."""
+    explained = {crash.incarnation for crash in culprit.crashes}
+    for job in state.open_jobs.values():
+        for unit in job.units:
+            if unit is culprit or not unit.crashes:
+                continue
+            kept = tuple(c for c in unit.crashes if c.incarnation not in explained)
+            if kept != unit.crashes:
+                unit.crashes = kept
+                state.mark_dirty(job)
+                state.log(
+                    "crash_explained",
+                    job=unit.job,
+                    step=unit.step,
+                    first=unit.first_index,
+                    by=f"{culprit.job}/{culprit.step}/{culprit.first_index}",
+                )
+
+
+def end_probations(state: CellState) -> None:
+    """Let units that have run alone for long enough share their targets again."""
+    for unit in isolated_units(state):
+        if len(unit.crashes) >= CRASHES_TO_ISOLATE or not _has_survived(state, unit):
+            continue
+        unit.isolated = False
+        for member_index, member in enumerate(unit.members):
+            target = state.targets_by_incarnation.get(member.target_incarnation)
+            if target is not None:
+                target.share(unit.run_id(member_index)[:3])
+        state.log(
+            "probation_ended",
+            job=unit.job,
+            step=unit.step,
+            first=unit.first_index,
+            run=unit.run,
+        )
+
+
+def _has_survived(state: CellState, unit: Unit) -> bool:
+    """Return whether a unit's targets have listed its run for `PROBATION_S`.
+
+    The agent of a target that has crashed goes on reporting the run as running until
+    another incarnation replaces the target.
+    """
+    if unit.phase is not Phase.RUNNING:
+        return False
+    for member in unit.members:
+        target = state.targets_by_incarnation.get(member.target_incarnation)
+        if target is None or not member.running or member.released:
+            return False
+        if target.listed_s - unit.started_s < PROBATION_S:
+            return False
+    return True
+
+
+def isolated_units(state: CellState) -> list[Unit]:
+    """Return the units that run, or are about to run, alone on their targets."""
+    state.isolated_units = [
+        unit
+        for unit in state.isolated_units
+        if unit.isolated and unit.phase not in (Phase.WAITING, Phase.DONE)
+    ]
+    return list(state.isolated_units)
+
+
+class Isolation:
+    """Room for suspects in one planning round.
+
+    Parameters
+    ----------
+    state : CellState
+    targets : list of Target
+        Targets that currently accept new tasks.
+    is_idle : bool
+        Whether the cell is mostly idle.
+    """
+
+    def __init__(self, state: CellState, targets: list[Target], is_idle: bool):
+        share = MAX_ISOLATED_SHARE_IDLE if is_idle else MAX_ISOLATED_SHARE
+        self._limit = max(1, int(share * len(targets)))
+        self._isolated_targets = 0
+        self._jobs: set[str] = set()
+        self._steps: set[tuple[str, int]] = set()
+        for unit in isolated_units(state):
+            self.add(unit)
+
+    def add(self, unit: Unit) -> None:
+        """Count a unit that runs alone on its targets, or has one reserved."""
+        used = {member.target_incarnation for member in unit.members}
+        self._isolated_targets += max(1, len(used))
+        self._jobs.add(unit.job)
+        self._steps.add((unit.job, unit.step))
+
+    def admits(self, unit: Unit) -> bool:
+        """Return whether another suspect may start now; one of each job at a time."""
+        if unit.job in self._jobs:
+            return False
+        return self._isolated_targets < self._limit
+
+    def hold_back_step(self, suspect: Unit) -> None:
+        """Hold back the other units of a suspect's step until its probation ends."""
+        self._steps.add((suspect.job, suspect.step))
+
+    def holds_back(self, unit: Unit) -> bool:
+        """Return whether a unit waits since another one of its step is a suspect.
+
+        The tasks of a step run the same program, so they may all crash their targets.
+        """
+        return (unit.job, unit.step) in self._steps
+
+
+def empty_targets(targets: list[Target]) -> list[Target]:
+    """Return the targets that have no task and no unexpected run."""
+    return [t for t in targets if not t.allocations and not t.unexpected]
--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -4,8 +4,9 @@
 
 import math
 from collections import defaultdict
+from typing import NamedTuple
 
-from cicadabank.scheduling.internal import lifecycle
+from cicadabank.scheduling.internal import crashes, lifecycle
 from cicadabank.scheduling.internal.headroom import Headroom
 from cicadabank.scheduling.internal.jobs import (
     Resources,
@@ -78,6 +79,34 @@
 ABSENT_TARGET_RETENTION_S = 30.0
 
 
+class _PlanningRound(NamedTuple):
+    """State of one planning round.
+
+    Attributes
+    ----------
+    targets : list of Target
+        Targets that currently accept new tasks.
+    guaranteed : set of int
+        Identities of the units covered by a guarantee.
+    is_idle : bool
+        Whether the cell is mostly idle.
+    """
+
+    state: CellState
+    targets: list[Target]
+    guaranteed: set[int]
+    reservations: Reservations
+    headroom: Headroom
+    isolation: crashes.Isolation
+    is_idle: bool
+
+    def may_start(self, unit: Unit) -> bool:
+        """Return whether a unit may start now, and need not wait for urgent jobs."""
+        if self.is_idle and _has_nothing_started(self.state.jobs[unit.job]):
+            return True
+        return _may_start(self.state, unit, self.guaranteed, self.headroom)
+
+
 def plan(state: CellState) -> None:
     """Place ready units, most urgent first, and commit claims that can start."""
     if state.fenced or state.stopping or not state.loaded or _awaiting_reports(state):
@@ -99,35 +128,77 @@
         )
     )
     targets = usable_targets(state)
-    reservations = Reservations(state)
-    headroom = Headroom(state, targets)
     is_idle = _is_cell_idle(state)
+    planning = _PlanningRound(
+        state,
+        targets,
+        guaranteed,
+        Reservations(state),
+        Headroom(state, targets),
+        crashes.Isolation(state, targets, is_idle),
+        is_idle,
+    )
+    _place_suspects(planning, [u for u in waiting if crashes.is_suspect(u)])
+    _place_units(planning, [u for u in waiting if not planning.isolation.holds_back(u)])
+
+
+def _place_suspects(planning: _PlanningRound, suspects: list[Unit]) -> None:
+    """Place suspects alone on targets, or reserve targets that will be empty."""
+    for unit in suspects:
+        planning.isolation.hold_back_step(unit)
+    for unit in suspects:
+        if planning.isolation.admits(unit) and planning.may_start(unit):
+            _place_alone(planning, unit)
+            planning.isolation.add(unit)
+
+
+def _place_units(planning: _PlanningRound, waiting: list[Unit]) -> None:
+    """Place units beside others, most urgent first."""
+    state, reservations = planning.state, planning.reservations
     blocked: set[tuple[str, int, bool]] = set()
     for unit in waiting:
         # The tasks of a step are interchangeable: if one cannot start in this round,
         # none of the others can.
-        task_group = (unit.job, unit.step, id(unit) in guaranteed)
+        is_guaranteed = id(unit) in planning.guaranteed
+        task_group = (unit.job, unit.step, is_guaranteed)
         if task_group in blocked:
             continue
-        is_admitted = is_idle and _has_nothing_started(state.jobs[unit.job])
-        if not (is_admitted or _may_start(state, unit, guaranteed, headroom)):
+        if not planning.may_start(unit):
             blocked.add(task_group)
-            _log_held_back(state, unit, headroom)
+            _log_held_back(state, unit, planning.headroom)
             continue
         placement = _choose_targets(
             state,
             unit,
-            reservations.available_to(unit, targets),
-            guaranteed,
+            reservations.available_to(unit, planning.targets),
+            planning.guaranteed,
             reservations,
         )
         if placement is not None:
-            headroom.record_placement(unit)
-            _claim(state, unit, placement, id(unit) in guaranteed)
+            planning.headroom.record_placement(unit)
+            _claim(state, unit, placement, is_guaranteed)
             continue
         blocked.add(task_group)
-        if reservations.can_reserve(targets):
-            reservations.reserve(unit, targets)
+        if reservations.can_reserve(planning.targets):
+            reservations.reserve(unit, planning.targets)
+
+
+def _place_alone(planning: _PlanningRound, unit: Unit) -> None:
+    """Place a suspect on empty targets, or reserve those that will be empty first."""
+    state, reservations = planning.state, planning.reservations
+    tasks_by_target = _step_tasks_by_target(unit, state.jobs[unit.job])
+    empty = crashes.empty_targets(reservations.available_to(unit, planning.targets))
+    preferred = [
+        t for t in empty if t.target_incarnation.target not in unit.avoided_targets
+    ]
+    placement = find_placement(
+        unit, preferred, tasks_by_target, False
+    ) or find_placement(unit, empty, tasks_by_target, False)
+    if placement is None and not reservations.reserve_empty(unit, planning.targets):
+        placement = find_placement(unit, empty, tasks_by_target, True)
+    if placement is not None:
+        planning.headroom.record_placement(unit)
+        _claim(state, unit, placement, False, isolated=True)
 
 
 def _is_cell_idle(state: CellState) -> bool:
@@ -449,11 +520,15 @@
 
 
 def _claim(
-    state: CellState, unit: Unit, placement: Placement, guaranteed: bool
+    state: CellState,
+    unit: Unit,
+    placement: Placement,
+    guaranteed: bool,
+    isolated: bool = False,
 ) -> None:
     """Claim targets for a unit; it starts once its victims have stopped."""
     state.assign_members(
-        unit, [target.target_incarnation for target in placement.targets]
+        unit, [target.target_incarnation for target in placement.targets], isolated
     )
     unit.phase = Phase.CLAIMING
     job = state.jobs[unit.job]
@@ -467,6 +542,7 @@
         targets=[t.target_incarnation.target for t in placement.targets],
         near=placement.local,
         entitled=guaranteed,
+        alone=isolated,
         waited_s=round(age_s(state, job), 3),
         victims=[f"{v.job}/{v.step}/{v.first_index}" for v in placement.victims],
         config_version=state.config.version,
--- a/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from cicadabank.scheduling.internal import lifecycle
+from cicadabank.scheduling.internal import crashes, lifecycle
 from cicadabank.scheduling.internal.jobs import RunId
 from cicadabank.scheduling.internal.placement import is_local
 from cicadabank.scheduling.internal.progress import RunProgress
@@ -60,11 +60,14 @@
     if not is_registered(state, known, report):
         registers = report.registration is not None
         return ReportReply(0.0, 0, (), register(state, report) if registers else 0)
+    if state.loaded:
+        crashes.record_crashes(state, report.crashes)
     if known is not None and known.target_incarnation != report.target_incarnation:
         remove_target(
             state,
             known,
             "a new incarnation of the target has reported",
+            _loss_reason(report, known.target_incarnation),
             reported_by=report.agent_run,
             reported=report.target_incarnation.incarnation,
         )
@@ -124,11 +127,13 @@
             target_incarnation.agent == report.agent
             and target_incarnation != report.target_incarnation
         ):
-            release_incarnation(state, target_incarnation)
+            release_incarnation(
+                state, target_incarnation, _loss_reason(report, target_incarnation)
+            )
     for (job, step, index), unit in state.members_by_incarnation.get(
         report.target_incarnation, {}
     ).items():
-        target.allocate((job, step, index), unit.spec.need)
+        target.allocate((job, step, index), unit.spec.need, unit.isolated)
     state.log(
         "target_found",
         target=report.target_incarnation.target,
@@ -145,12 +150,22 @@
     return target
 
 
+def _loss_reason(report: Report, lost: TargetIncarnation) -> str:
+    """Return why the units on an incarnation are requeued that another one replaces."""
+    has_crashed = any(crash.incarnation == lost.incarnation for crash in report.crashes)
+    return "target crashed" if has_crashed else "target lost"
+
+
 def remove_target(
-    state: CellState, target: Target, reason: str, **evidence: object
+    state: CellState,
+    target: Target,
+    reason: str,
+    loss_reason: str = "target lost",
+    **evidence: object,
 ) -> None:
     """Remove an incarnation of a target, on which nothing runs any more.
 
-    `evidence` is logged beside the reason.
+    `evidence` is logged beside the reason; `loss_reason` for each of its units.
     """
     state.log(
         "target_lost",
@@ -169,11 +184,11 @@
     state.targets_by_incarnation.pop(target.target_incarnation, None)
     state.orders.pop(target.agent, None)
     void_registration(state, target.agent)
-    release_incarnation(state, target.target_incarnation)
+    release_incarnation(state, target.target_incarnation, loss_reason)
 
 
 def release_incarnation(
-    state: CellState, target_incarnation: TargetIncarnation
+    state: CellState, target_incarnation: TargetIncarnation, reason: str = "target lost"
 ) -> None:
     """Release all members on an incarnation, and stop or requeue their units."""
     for (_, _, index), unit in list(
@@ -184,7 +199,7 @@
         if unit.phase is Phase.CLAIMING:
             lifecycle.release_claim(state, unit)
         else:
-            lifecycle.stop_unit(state, unit, "target lost")
+            lifecycle.stop_unit(state, unit, reason)
         lifecycle.requeue_if_idle(state, job, unit)
     state.unreported_lease_until_s.pop(target_incarnation, None)
 
--- a/packages/scheduling/src/cicadabank/scheduling/internal/reservations.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/reservations.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from cicadabank.scheduling.internal.jobs import Resources
 from cicadabank.scheduling.internal.placement import local_groups, targets_with_label
 from cicadabank.scheduling.internal.state import CellState
@@ -13,6 +15,7 @@
 # Units per planning round for which a reservation is sought; the search dominates the
 # cost of a round.
 MAX_RESERVATION_SEARCHES = 4
+SlotTimes = Callable[[Unit, Target], list[float]]
 
 
 class Reservations:
@@ -47,41 +50,52 @@
     def reserve(self, unit: Unit, targets: list[Target]) -> None:
         """Reserve the targets on which a unit can start soonest."""
         self._reservation_searches += 1
-        best = self._earliest_start(unit, targets)
+        best = self._earliest_start(unit, targets, self._slot_times)
         if best is not None:
             for target in best[1]:
                 self._needed_at_s[target.agent] = best[0]
 
+    def reserve_empty(self, unit: Unit, targets: list[Target]) -> bool:
+        """Reserve the targets that can soonest be empty for a unit.
+
+        Returns False if there are no such targets.
+        """
+        best = self._earliest_start(unit, targets, self._empty_slot_times)
+        for target in best[1] if best is not None else ():
+            self._needed_at_s[target.agent] = best[0]
+        return best is not None
+
     def wait_s(self, unit: Unit, targets: list[Target]) -> float:
         """Return how long a unit waits if nothing is preempted.
 
         Infinite if it does not fit even after all expected releases.
         """
-        best = self._earliest_start(unit, targets)
+        best = self._earliest_start(unit, targets, self._slot_times)
         return best[0] - self._state.now_s if best is not None else float("inf")
 
     def _earliest_start(
-        self, unit: Unit, targets: list[Target]
+        self, unit: Unit, targets: list[Target], slot_times: SlotTimes
     ) -> tuple[float, list[Target]] | None:
-        """Return the earliest start time of a unit, and the targets for it."""
+        """Return the earliest start time of a unit, and the targets for it.
+
+        `slot_times` returns when a target has room for one more of its members each.
+        """
         candidates = targets_with_label(unit.spec, targets)
         candidates = [t for t in candidates if t.agent not in self._needed_at_s]
         best: tuple[float, list[Target]] | None = None
         for group in local_groups(unit, candidates):
-            found = self._earliest_in_group(unit, group)
+            found = self._earliest_in_group(unit, group, slot_times)
             if found is not None and (best is None or found[0] < best[0]):
                 best = found
         return best
 
     def _earliest_in_group(
-        self, unit: Unit, group: list[Target]
+        self, unit: Unit, group: list[Target], slot_times: SlotTimes
     ) -> tuple[float, list[Target]] | None:
         """Return when all members fit into a group of targets, and which targets."""
         slots: list[tuple[float, int, Target]] = []
         for target_index, target in enumerate(group):
-            slots += [
-                (at_s, target_index, target) for at_s in self._slot_times(unit, target)
-            ]
+            slots += [(at_s, target_index, target) for at_s in slot_times(unit, target)]
         slots.sort(key=lambda slot: slot[:2])
         if len(slots) < unit.size:
             return None
@@ -103,6 +117,13 @@
         limit = unit.spec.per_target
         return slots[:limit] if limit else slots
 
+    def _empty_slot_times(self, unit: Unit, target: Target) -> list[float]:
+        """Return when a target is empty, once for each member that fits then."""
+        releases = self._expected_releases(target) if target.allocations else []
+        empty_at_s = releases[-1][0] if releases else self._state.now_s
+        count = min(max_tasks(unit.spec.need, target.capacity), unit.size)
+        return [empty_at_s] * min(count, unit.spec.per_target or count)
+
     def _expected_releases(self, target: Target) -> list[tuple[float, Resources]]:
         """Return when resources of a target are expected to be released."""
         if self._releases is None:
--- a/packages/scheduling/src/cicadabank/scheduling/internal/rows.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/rows.py
@@ -6,7 +6,14 @@
 
 import msgspec
 from cicadabank.scheduling.internal.jobs import JobRecord
-from cicadabank.scheduling.internal.units import Job, Member, Phase, TargetIncarnation
+from cicadabank.scheduling.internal.units import (
+    Crash,
+    Job,
+    Member,
+    Phase,
+    TargetIncarnation,
+    Unit,
+)
 
 TABLE = "cells"
 # Prefixes of keys, each followed by the id of a job or an agent.
@@ -36,6 +43,8 @@
         be running the unit.
     failed : bool
         Whether the current run has failed; it is then counted in `failed_runs`.
+    crashes : tuple of Crash
+        Crashes of targets under the unit.
     """
 
     run: int
@@ -44,6 +53,7 @@
     checkpoint: str = ""
     target_incarnations: tuple[TargetIncarnation, ...] = ()
     failed: bool = False
+    crashes: tuple[Crash, ...] = ()
 
 
 class JobProgressRow(NamedTuple):
@@ -136,11 +146,27 @@
     return JobProgressRow(job.state, job.reason, job.ended_s, units, started)
 
 
-def _unit_row(unit) -> UnitRow:
+def _unit_row(unit: Unit) -> tuple:
+    """Return the row of a unit.
+
+    Without crashes, the field for them is left out, so that entries of builds that
+    don't know it can decode the row.
+    """
+    row = _complete_unit_row(unit)
+    return row if row.crashes else row[:-1]
+
+
+def _complete_unit_row(unit: Unit) -> UnitRow:
     if unit.phase is Phase.DONE:
         return UnitRow(unit.run, unit.failed_runs, "done")
     if not unit.may_be_running:
-        return UnitRow(unit.run, unit.failed_runs, "waiting", unit.checkpoint)
+        return UnitRow(
+            unit.run,
+            unit.failed_runs,
+            "waiting",
+            unit.checkpoint,
+            crashes=unit.crashes,
+        )
     target_incarnations = tuple(member.target_incarnation for member in unit.members)
     failed = unit.stop_reason == "failed"
     return UnitRow(
@@ -150,6 +176,7 @@
         unit.checkpoint,
         target_incarnations,
         failed,
+        unit.crashes,
     )
 
 
@@ -168,7 +195,7 @@
     job.state, job.reason, job.ended_s = row.state, row.reason, row.ended_s
     for unit, stored in zip(job.units, row.units, strict=False):
         unit.run, unit.failed_runs = stored.run, stored.failed_runs
-        unit.checkpoint = stored.checkpoint
+        unit.checkpoint, unit.crashes = stored.checkpoint, stored.crashes
         if stored.phase == "done":
             unit.phase = Phase.DONE
         elif stored.phase == "running":
--- a/packages/scheduling/src/cicadabank/scheduling/internal/state.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/state.py
@@ -203,6 +203,7 @@
         self.in_flight: Commit | None = None
         self.orders: dict[str, AgentOrders] = {}
         self.forecast = Forecast()
+        self.isolated_units: list[Unit] = []  # see `crashes.isolated_units`
         self.urgent_sizes: deque[int] = deque(maxlen=URGENT_SIZE_HISTORY)
         # By queue: number of jobs and their mean work in core-seconds.
         self.mean_work: dict[str, tuple[int, float]] = {}
@@ -257,9 +258,18 @@
         return orders
 
     def assign_members(
-        self, unit: Unit, target_incarnations: list[TargetIncarnation]
+        self,
+        unit: Unit,
+        target_incarnations: list[TargetIncarnation],
+        isolated: bool = False,
     ) -> None:
-        """Assign a unit's members to target incarnations; allocate their resources."""
+        """Assign a unit's members to target incarnations; allocate their resources.
+
+        An isolated unit shares its targets with no other.
+        """
+        unit.isolated = isolated
+        if isolated:
+            self.isolated_units.append(unit)
         unit.members = [
             Member(target_incarnation) for target_incarnation in target_incarnations
         ]
@@ -274,7 +284,7 @@
         )
         target = self.targets_by_incarnation.get(member.target_incarnation)
         if target is not None:
-            target.allocate(key, unit.spec.need)
+            target.allocate(key, unit.spec.need, unit.isolated)
 
     def release_member(self, unit: Unit, member_index: int) -> None:
         """Release a member's resources: it neither runs nor can start any more."""
--- a/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
@@ -141,10 +141,12 @@
         "consecutive_failures",
         "domain",
         "draining",
+        "exclusive_tasks",
         "labels",
         "last_report_s",
         "lease_until_s",
         "leaving",
+        "listed_s",
         "observed",
         "processed_sequence",
         "quarantined_until_s",
@@ -170,9 +172,12 @@
         self.capacity = Resources(0, 0, 0)
         self.allocated = Resources(0, 0, 0)
         self.allocations: dict[tuple[str, int, int], Resources] = {}
+        # Tasks with which no other unit's task may share the target.
+        self.exclusive_tasks: set[tuple[str, int, int]] = set()
         # Reported runs that the holder does not expect there, with what they need.
         self.unexpected: dict[RunId, Resources] = {}
         self.last_report_s = float("-inf")
+        self.listed_s = float("-inf")  # when it last listed its runs
         self.lease_until_s = float("-inf")
         self.draining = False
         self.terminates_s = float("inf")  # earliest termination of a draining target
@@ -188,23 +193,34 @@
     def free(self) -> Resources:
         """Unallocated resources; negative while claims wait for units to stop.
 
-        Runs that the holder does not expect use resources until they are stopped.
+        Runs that the holder does not expect use resources until they are stopped. A
+        target with an exclusive task has nothing free.
         """
         used = [self.allocated, *self.unexpected.values()]
-        return Resources(
+        free = Resources(
             *(c - sum(u) for c, *u in zip(self.capacity, *used, strict=True))
         )
+        return Resources(*(min(0, f) for f in free)) if self.exclusive_tasks else free
 
-    def allocate(self, task: tuple[str, int, int], need: Resources) -> None:
+    def allocate(
+        self, task: tuple[str, int, int], need: Resources, exclusive: bool = False
+    ) -> None:
         """Allocate resources for a task, unless it has an allocation already."""
+        if exclusive:
+            self.exclusive_tasks.add(task)
         if task not in self.allocations:
             self.allocations[task] = need
             self.allocated = Resources(
                 *(u + n for u, n in zip(self.allocated, need, strict=True))
             )
 
+    def share(self, task: tuple[str, int, int]) -> None:
+        """Let other units share the target with a task."""
+        self.exclusive_tasks.discard(task)
+
     def release(self, task: tuple[str, int, int]) -> None:
         """Release the resources of a task, if it has any."""
+        self.share(task)
         need = self.allocations.pop(task, None)
         if need is not None:
             self.allocated = Resources(
@@ -233,6 +249,8 @@
         self.rack = report.rack
         self.last_report_s = now_s
         self.observed = self.observed or report.observed
+        if report.observed:
+            self.listed_s = now_s - report.listed_age_s
         self.unhealthy = report.unhealthy
         self.leaving = report.leaving
         if report.draining:
--- a/packages/scheduling/src/cicadabank/scheduling/internal/units.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/units.py
@@ -38,6 +38,30 @@
     agent: str
 
 
+class Crash(NamedTuple):
+    """A crash of a target under a run of a unit.
+
+    Attributes
+    ----------
+    run : int
+        Number of the run.
+    target, incarnation : str
+    alone : bool
+        Whether the target ran no other unit.
+    recent : bool
+        Whether the run had begun shortly before.
+    suspected : bool
+        Whether the run was among the latest that had begun on the target.
+    """
+
+    run: int
+    target: str
+    incarnation: str
+    alone: bool
+    recent: bool
+    suspected: bool
+
+
 class Member:
     """One task of a unit in its current run."""
 
@@ -80,11 +104,13 @@
         "checkpoint",
         "checkpoint_stored_s",
         "checkpointed_s",
+        "crashes",
         "done_s",
         "duration_s",
         "failed_runs",
         "first_index",
         "is_timed",
+        "isolated",
         "job",
         "members",
         "phase",
@@ -124,7 +150,11 @@
         self.checkpoint_stored_s = 0.0  # when its checkpoint was last stored in a row
         self.done_s = float("-inf")
         self.stop_reason = ""
-        self.avoided_targets: set[str] = set()  # on which a run of the unit failed
+        # On which a run of the unit failed, or which crashed under it.
+        self.avoided_targets: set[str] = set()
+        self.crashes: tuple[Crash, ...] = ()
+        # Whether its current run shares its targets with no other unit.
+        self.isolated = False
 
     @property
     def accelerators(self) -> int:
--- a/tests/support/in_memory_cell.py
+++ b/tests/support/in_memory_cell.py
@@ -11,6 +11,7 @@
 from cicadabank.scheduling import (
     CellScheduler,
     Configuration,
+    CrashedRun,
     EndedRun,
     JobProgressRow,
     JobRecord,
@@ -21,6 +22,7 @@
     RunId,
     RunningRun,
     StepSpec,
+    TargetCrash,
     TargetIncarnation,
     WorkspaceConfig,
     unpack,
@@ -31,6 +33,11 @@
 STOP_DURATION_S = 0.2
 CHECKPOINT_INTERVAL_S = 1.0
 REMOTE_SLOWDOWN = 3.0
+# How long a target is away after a crash.
+CRASH_DURATION_S = 3.0
+# A task may start this often after MAX_CRASHES targets have crashed under it.
+MAX_CRASHES = 3
+MAX_STARTS_AFTER_CRASHES = 2
 TARGET_CAPACITY = Resources(32_000, 131_072, 8)
 
 
@@ -119,6 +126,8 @@
         self.lease_until_s = float("inf")
         self.overcommits = 0
         self.recorded = 0
+        self.crashes: list[TargetCrash] = []  # seen by the present agent process
+        self.down_until_s = float("-inf")
 
     @property
     def agent(self) -> str:
@@ -147,10 +156,25 @@
         self.registration = self.report_number = self.recorded = 0
         self.refused.clear()
         self.not_running.clear()
+        self.crashes.clear()
+
+    def crash(self, now_s: float) -> None:
+        """End the incarnation without notice; its agent's process goes on."""
+        runs = tuple(
+            CrashedRun(run, now_s - active.started_s)
+            for run, active in self.active_runs.items()
+        )
+        incarnation = self.target_incarnation.incarnation
+        self.crashes.append(TargetCrash(self.name, incarnation, runs))
+        self.down_until_s = now_s + CRASH_DURATION_S
+        self._forget_runs()
 
     def restart(self) -> None:
         """Restart the target as a new incarnation, and its agent, without any state."""
         self.restart_agent()
+        self._forget_runs()
+
+    def _forget_runs(self) -> None:
         self.incarnation += 1
         self.sequence = 0
         for collection in (
@@ -185,6 +209,7 @@
             refused=tuple(self.refused.items()),
             not_running=tuple(self.not_running),
             registration=self.registration,
+            crashes=tuple(self.crashes),
         )
 
 
@@ -202,6 +227,8 @@
     seed : int
     fails_at : callable, optional
         Returns the share of its work at which a run fails through a fault of the job.
+    crashes_after_s : callable, optional
+        Returns the time after its start at which a run crashes its target.
     """
 
     def __init__(
@@ -212,6 +239,7 @@
         duration_s: Callable[[RunId, StepSpec], float] | None = None,
         seed: int = 0,
         fails_at: Callable[[RunId], float] | None = None,
+        crashes_after_s: Callable[[RunId], float] | None = None,
     ):
         self.now_s = 100.0
         self.random = random.Random(seed)
@@ -223,6 +251,10 @@
         )
         self.duration_s = duration_s or (lambda run, spec: spec.estimate_s)
         self.fails_at = fails_at or (lambda run: float("inf"))
+        self.crashes_after_s = crashes_after_s or (lambda run: float("inf"))
+        self.starts: Counter[tuple[str, int, int]] = Counter()
+        self.crashes: Counter[tuple[str, int, int]] = Counter()
+        self.starts_after_crashes: Counter[tuple[str, int, int]] = Counter()
         self.records: dict[str, JobRecord] = {}
         self.cancelled: set[str] = set()
         self.rows: dict[str, tuple[JobProgressRow, int]] = {}
@@ -292,6 +324,7 @@
         """Advance time by one step."""
         self.now_s += TIME_STEP_S
         for target in self.targets.values():
+            self._crash_if_due(target)
             self._advance_runs(target)
         for target in self.targets.values():
             due_s = self._last_report_s.get(target.agent, 0.0) + REPORT_INTERVAL_S
@@ -300,12 +333,19 @@
                 or target.not_running
                 or target.sequence != target.recorded
             )
-            if not target.silent and (has_changes or self.now_s >= due_s):
+            is_up = not target.silent and self.now_s >= target.down_until_s
+            if is_up and (has_changes or self.now_s >= due_s):
                 self._report(target)
         self.scheduler.tick(self.now_s)
         self._commit()
         self._deliver_orders()
 
+    def _crash_if_due(self, target: ModelTarget) -> None:
+        for run_id, active in target.active_runs.items():
+            if self.now_s - active.started_s >= self.crashes_after_s(run_id):
+                self.crash(target, run_id)
+                return
+
     def _advance_runs(self, target: ModelTarget) -> None:
         if self.now_s > target.lease_until_s:
             for active in list(target.active_runs.values()):
@@ -337,6 +377,14 @@
                     self._record_end(target, active, "done")
                     self._end_gang(active, "done")
 
+    def crash(self, target: ModelTarget, culprit: RunId | None = None) -> None:
+        """Crash a target, by one of its runs if `culprit` is given."""
+        if culprit is not None:
+            self.crashes[culprit[:3]] += 1
+        for active in target.active_runs.values():
+            self._record_end(target, active, "crashed")
+        target.crash(self.now_s)
+
     def _slowdown(self, target: ModelTarget, active: ActiveRun) -> float:
         """Return the slowdown of a run off its data rack, or in a gang across racks."""
         spec = active.spec
@@ -429,7 +477,8 @@
         for orders in self.scheduler.take_orders():
             target = self.targets[orders.agent]
             addressee = (orders.target_incarnation, orders.registration)
-            if target.silent or addressee != (
+            is_down = target.silent or self.now_s < target.down_until_s
+            if is_down or addressee != (
                 target.target_incarnation,
                 target.registration,
             ):
@@ -455,6 +504,8 @@
             return
         if run_id in target.active_runs:
             return
+        self.starts[run_id[:3]] += 1
+        self.starts_after_crashes[run_id[:3]] += self.crashes[run_id[:3]] >= MAX_CRASHES
         spec = self.records[run_id.job].steps[run_id.step]
         duration_s = self.duration_s(run_id, spec)
         remaining_s = float(start.checkpoint or duration_s)
@@ -470,9 +521,13 @@
     def check(self) -> None:
         """Assert the invariants that hold for every history of runs.
 
-        No target is overcommitted, the runs of a task do not overlap, and no task runs
-        again after it is done.
+        No target is overcommitted, the runs of a task do not overlap, no task runs
+        again after it is done, and none crashes target after target.
         """
+        assert all(
+            starts <= MAX_STARTS_AFTER_CRASHES
+            for starts in self.starts_after_crashes.values()
+        )
         assert not any(t.overcommits for t in self.targets.values())
         runs_by_task: dict[tuple, list[FinishedRun]] = {}
         for run in self.history:
