Keep crashes that another unit explains, so that they aren't counted again

Cause: a crash that a clear one explained was dropped from the unit, and with it the mark that the run has been counted; agents repeat their crashes. Explained crashes are now kept and marked. Also, a suspect avoids the VM whose target crashed under it: the name of the target that runs there now is avoided too, since it differs from the old one.

Tests: the two new ones of TestSoundTasks fail on the code before.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/crashes.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/crashes.py
@@ -37,18 +37,18 @@
 
 def is_suspect(unit: Unit) -> bool:
     """Return whether a unit may start only on a target that runs nothing else."""
-    if len(unit.crashes) >= CRASHES_TO_ISOLATE:
+    crashes = unit.unexplained_crashes
+    if len(crashes) >= CRASHES_TO_ISOLATE:
         return True
-    return any(crash.suspected for crash in unit.crashes)
+    return any(crash.suspected for crash in crashes)
 
 
 def is_given_up(unit: Unit) -> bool:
     """Return whether enough targets have crashed under a unit to start it no more."""
-    if sum(crash.alone and crash.recent for crash in unit.crashes) >= MAX_CLEAR_CRASHES:
+    crashes = unit.unexplained_crashes
+    if sum(crash.alone and crash.recent for crash in crashes) >= MAX_CLEAR_CRASHES:
         return True
-    if len(unit.crashes) < MAX_CRASHES:
-        return False
-    return any(crash.alone for crash in unit.crashes)
+    return len(crashes) >= MAX_CRASHES and any(crash.alone for crash in crashes)
 
 
 class _Suspect(NamedTuple):
@@ -58,17 +58,28 @@
     run: CrashedRun
 
 
-def record_crashes(state: CellState, crashes: tuple[TargetCrash, ...]) -> None:
+def record_crashes(
+    state: CellState, crashes: tuple[TargetCrash, ...], successor: str
+) -> None:
     """Count crashes of targets under the units that were on them.
 
     Agents repeat their reports of crashes, and report them to a new holder too; each
     run counts once. Fails the job of a unit that is given up.
+
+    Parameters
+    ----------
+    state : CellState
+    crashes : tuple of TargetCrash
+        Crashes on one VM.
+    successor : str
+        Name of the target that now runs there.
     """
     for crash in crashes:
         suspects = _suspects(state, crash)
         alone = len(_distinct_units(state, crash)) == 1
         any_recent = any(run.age_s <= RECENT_START_S for run in crash.runs)
         for unit, run in suspects:
+            unit.avoided_targets |= {crash.target, successor}
             recent = run.age_s <= RECENT_START_S
             _record(
                 state,
@@ -115,7 +126,6 @@
 def _record(state: CellState, unit: Unit, crash: Crash) -> None:
     job = state.jobs[unit.job]
     unit.crashes += (crash,)
-    unit.avoided_targets.add(crash.target)
     state.mark_dirty(job)
     state.log(
         "crash_counted",
@@ -130,7 +140,7 @@
         crashes=len(unit.crashes),
     )
     if crash.alone and crash.recent:
-        _exonerate_others(state, unit)
+        _explain_crashes(state, unit)
     if is_given_up(unit) and not job.reason:
         targets = ", ".join(known.target for known in unit.crashes)
         lifecycle.fail_job(
@@ -140,16 +150,21 @@
         )
 
 
-def _exonerate_others(state: CellState, culprit: Unit) -> None:
-    """Drop the crashes of other units that a unit now explains."""
-    explained = {crash.incarnation for crash in culprit.crashes}
+def _explain_crashes(state: CellState, culprit: Unit) -> None:
+    """Mark the crashes that other units share with a unit as explained by it."""
+    incarnations = {crash.incarnation for crash in culprit.crashes}
     for job in state.open_jobs.values():
         for unit in job.units:
-            if unit is culprit or not unit.crashes:
+            if unit is culprit or not unit.unexplained_crashes:
                 continue
-            kept = tuple(c for c in unit.crashes if c.incarnation not in explained)
-            if kept != unit.crashes:
-                unit.crashes = kept
+            marked = tuple(
+                crash._replace(explained=True)
+                if crash.incarnation in incarnations
+                else crash
+                for crash in unit.crashes
+            )
+            if marked != unit.crashes:
+                unit.crashes = marked
                 state.mark_dirty(job)
                 state.log(
                     "crash_explained",
@@ -163,7 +178,8 @@
 def end_probations(state: CellState) -> None:
     """Let units that have run alone for long enough share their targets again."""
     for unit in isolated_units(state):
-        if len(unit.crashes) >= CRASHES_TO_ISOLATE or not _has_survived(state, unit):
+        stays_alone = len(unit.unexplained_crashes) >= CRASHES_TO_ISOLATE
+        if stays_alone or not _has_survived(state, unit):
             continue
         unit.isolated = False
         for member_index, member in enumerate(unit.members):
--- a/packages/scheduling/src/cicadabank/scheduling/internal/units.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/units.py
@@ -52,6 +52,8 @@
         Whether the run had begun shortly before.
     suspected : bool
         Whether the run was among the latest that had begun on the target.
+    explained : bool
+        Whether another unit is found to have crashed the target.
     """
 
     run: int
@@ -60,6 +62,7 @@
     alone: bool
     recent: bool
     suspected: bool
+    explained: bool = False
 
 
 class Member:
@@ -171,6 +174,11 @@
         """Whether a target may be running any of its members."""
         return self.phase in (Phase.COMMITTING, Phase.RUNNING, Phase.STOPPING)
 
+    @property
+    def unexplained_crashes(self) -> list[Crash]:
+        """Crashes that the unit may have caused."""
+        return [crash for crash in self.crashes if not crash.explained]
+
     def run_id(self, member_index: int) -> RunId:
         """Return the id of a member's current run."""
         return RunId(self.job, self.step, self.first_index + member_index, self.run)
--- a/tests/cover/test_crashing_tasks.py
+++ b/tests/cover/test_crashing_tasks.py
@@ -9,6 +9,7 @@
     StepSpec,
     TargetCrash,
 )
+from cicadabank.scheduling.internal.crashes import is_suspect
 
 from tests.support.in_memory_cell import ModelCell, ModelTarget
 
@@ -155,6 +156,32 @@
         cell.run_until(lambda: cell.state("sound") == "completed")
         assert events(cell, "crash_counted") == []
 
+    # Guards against a cleared unit that becomes a suspect by the next report.
+    def test_a_task_stays_cleared_once_another_one_explains_the_crash(self):
+        cell = cell_of(4, crashes_after_s=deadly_jobs("deadly"))
+        cell.submit("sound", "batch", [step(estimate_s=40.0)])
+        cell.submit("deadly", "batch", [step()])
+        cell.run(1.0)
+        cell.run_until(lambda: events(cell, "crash_explained"))
+        counted = len(events(cell, "crash_counted"))
+        cell.take_over(9.0)
+        cell.run(1.0)
+        assert len(events(cell, "crash_counted")) == counted
+        (sound,) = cell.scheduler.state.jobs["sound"].units
+        assert not is_suspect(sound)
+
+    # Guards against giving up a task whose target crashes again and again by itself.
+    def test_a_suspect_prefers_another_target_than_the_one_that_crashed(self):
+        cell = cell_of(2)
+        cell.submit("sound", "batch", [step(estimate_s=20.0)])
+        cell.run(1.0)
+        (first,) = [t for t in cell.targets.values() if t.active_runs]
+        cell.crash(first)
+        first.name = "renamed"
+        cell.run(5.0)
+        assert not first.active_runs
+        cell.run_until(lambda: cell.state("sound") == "completed")
+
     def test_a_suspect_shares_its_target_after_a_start_without_a_crash(self):
         cell = cell_of(1)
         cell.submit("suspect", "batch", [step(estimate_s=30.0)])
