--- a/packages/control/src/cicadabank/control/internal/job_service.py
+++ b/packages/control/src/cicadabank/control/internal/job_service.py
@@ -112,6 +112,7 @@
         self._slots = slots
         self.until_s = until_s
         self.holds_slot = False
+        self.is_logged = False
 
     def call_timeout_s(self) -> float:
         """Return the timeout of a call to the store that begins now."""
@@ -327,9 +328,26 @@
                 self._read(cell, key, wait.call_timeout_s())
                 return
             except PlatformError as error:
+                self._log_wait(key, wait, error)
                 if not wait.pause(RETRY_PAUSE_S, self._sleep_until_reachable):
                     raise _store_unavailable(error, wait) from error
 
+    def _log_wait(self, key: str, wait: RequestWait, error: PlatformError) -> None:
+        """Log once that a request is held because the store did not serve it.
+
+        If this entry loses power meanwhile, it is the only line about the request.
+        """
+        if wait.is_logged:
+            return
+        wait.is_logged = True
+        logger.bind(
+            event="request_waits",
+            key=key,
+            code=error.code,
+            until_s=round(wait.until_s - clock_s(), 3),
+            store_age_s=round(min(1e6, self._replica.contact_age_s()), 3),
+        ).info("{}", error.message)
+
     def _is_in_replica(self, job: str, queue: str) -> bool:
         cell = self._replica.cell_by_job.get(job)
         record = self._replica.cells[cell].jobs.get(job) if cell else None
@@ -354,11 +372,13 @@
             except RowConflictError:
                 raise
             except UnavailableError as error:
+                self._log_wait(next(iter(puts)), wait, error)
                 if not uncertain:
                     if not wait.pause(RETRY_PAUSE_S, self._sleep_until_reachable):
                         raise _store_unavailable(error, wait) from error
                     continue
-            except UnknownOutcomeError:
+            except UnknownOutcomeError as error:
+                self._log_wait(next(iter(puts)), wait, error)
                 uncertain = True
             if clock_s() >= wait.until_s:
                 raise OutcomeUnknownError(
--- a/tests/cover/test_job_service.py
+++ b/tests/cover/test_job_service.py
@@ -453,6 +453,17 @@
 
 
 class TestLogs:
+    # Guards against a request that leaves no line if its entry loses power meanwhile.
+    def test_a_held_request_is_logged_once_while_it_waits(self, harness, log_lines):
+        harness.table.down = True
+        with pytest.raises(errors.StoreUnavailableError):
+            harness.submit(deadline_s=1.0)
+        events = [line["event"] for line in log_lines if "event" in line]
+        assert events[0] == "request_waits"
+        assert events.count("request_waits") == 1
+        assert log_lines[0]["key"] == f"job/{REQUEST.job}"
+        assert 0 < log_lines[0]["until_s"] < 0.5
+
     def test_a_refusal_shows_the_time_held_and_the_time_left(self, harness, log_lines):
         harness.table.down = True
         timing_of_request = timing(2.0)
