Count crashes that another unit explains against isolation and attempts

Callers saw a job that stayed running while its task crashed target after target (rule BUDGET), if other deadly tasks ran beside it each time and were tried first.

Cause: a crash that another unit explains counted neither for CRASHES_TO_ISOLATE nor for MAX_CRASHES. Explaining says that the other unit crashes targets, not that this one doesn't: of two deadly units on a target, the one that is tried first cleared the other, which then shared a target again. Suspects wait for one another where the cell admits one at a time.

The new test fails on the code before with a delay of 0.3 s, by ModelCell.check.

A crash now counts, explained or not, towards running alone until the end (three) and towards giving up (four, one of them alone). An explained crash still doesn't make a unit a suspect, so that a sound task beside one deadly task is not held back.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/crashes.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/crashes.py
@@ -26,8 +26,8 @@
 # A unit is given up after this many crashes of any kind, one of them without another
 # unit on the target.
 MAX_CRASHES = 4
-# After this many crashes, a unit runs alone until it ends, also if others had started
-# later each time: it may crash its targets late.
+# After this many crashes of any kind, a unit runs alone until it ends: it may crash its
+# targets late, and a unit that explains a crash need not be the only one to cause any.
 CRASHES_TO_ISOLATE = 3
 # Share of the usable targets that suspects may occupy at a time, but at least one
 # target. The larger share holds while the cell is mostly idle.
@@ -37,18 +37,26 @@
 
 def is_suspect(unit: Unit) -> bool:
     """Return whether a unit may start only on a target that runs nothing else."""
-    crashes = unit.unexplained_crashes
-    if len(crashes) >= CRASHES_TO_ISOLATE:
+    if _stays_alone(unit):
         return True
-    return any(crash.suspected for crash in crashes)
+    return any(crash.suspected and not crash.explained for crash in unit.crashes)
+
+
+def _stays_alone(unit: Unit) -> bool:
+    """Return whether a unit runs alone until it ends."""
+    return len(unit.crashes) >= CRASHES_TO_ISOLATE
 
 
 def is_given_up(unit: Unit) -> bool:
-    """Return whether enough targets have crashed under a unit to start it no more."""
-    crashes = unit.unexplained_crashes
-    if sum(crash.alone and crash.recent for crash in crashes) >= MAX_CLEAR_CRASHES:
+    """Return whether enough targets have crashed under a unit to start it no more.
+
+    Crashes that another unit explains count too: both may crash their targets.
+    """
+    clear = sum(crash.alone and crash.recent for crash in unit.crashes)
+    if clear >= MAX_CLEAR_CRASHES:
         return True
-    return len(crashes) >= MAX_CRASHES and any(crash.alone for crash in crashes)
+    is_any_alone = any(crash.alone for crash in unit.crashes)
+    return len(unit.crashes) >= MAX_CRASHES and is_any_alone
 
 
 class _Suspect(NamedTuple):
@@ -155,7 +163,7 @@
     incarnations = {crash.incarnation for crash in culprit.crashes}
     for job in state.open_jobs.values():
         for unit in job.units:
-            if unit is culprit or not unit.unexplained_crashes:
+            if unit is culprit or not unit.crashes:
                 continue
             marked = tuple(
                 crash._replace(explained=True)
@@ -178,8 +186,7 @@
 def end_probations(state: CellState) -> None:
     """Let units that have run alone for long enough share their targets again."""
     for unit in isolated_units(state):
-        stays_alone = len(unit.unexplained_crashes) >= CRASHES_TO_ISOLATE
-        if stays_alone or not _has_survived(state, unit):
+        if _stays_alone(unit) or not _has_survived(state, unit):
             continue
         unit.isolated = False
         for member_index, member in enumerate(unit.members):
--- a/packages/scheduling/src/cicadabank/scheduling/internal/units.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/units.py
@@ -174,11 +174,6 @@
         """Whether a target may be running any of its members."""
         return self.phase in (Phase.COMMITTING, Phase.RUNNING, Phase.STOPPING)
 
-    @property
-    def unexplained_crashes(self) -> list[Crash]:
-        """Crashes that the unit may have caused."""
-        return [crash for crash in self.crashes if not crash.explained]
-
     def run_id(self, member_index: int) -> RunId:
         """Return the id of a member's current run."""
         return RunId(self.job, self.step, self.first_index + member_index, self.run)
--- a/tests/cover/test_crashing_tasks.py
+++ b/tests/cover/test_crashing_tasks.py
@@ -109,6 +109,27 @@
         cell.run(20.0)
         assert cell.state("deadly") == "cancelled"
 
+    # Guards against a deadly task whose crashes are explained by other deadly tasks,
+    # one after the other, so that none counts (rule BUDGET).
+    @pytest.mark.parametrize("delay_s", [CRASH_DELAY_S, 7.0])
+    def test_a_task_is_given_up_although_others_explain_its_crashes(self, delay_s):
+        cell = cell_of(
+            1, crashes_after_s=lambda run: delay_s if run.job == "deadly" else 0.3
+        )
+        cell.submit("deadly", "batch", [step(estimate_s=40.0)])
+        for n in range(12):
+            cell.run_until(
+                lambda: (
+                    cell.state("deadly") == "failed"
+                    or not is_suspect(cell.scheduler.state.jobs["deadly"].units[0])
+                )
+            )
+            cell.submit(f"other{n}", "urgent", [step()])
+            cell.run_until(lambda n=n: cell.state(f"other{n}") == "failed")
+        cell.run(LONG_S)
+        assert cell.state("deadly") == "failed"
+        cell.check()
+
 
 class TestSoundTasks:
     # Guards against giving up a task that only ran beside one that crashes targets.
