Let a unit that preempts a suspect start only once the suspect has stopped

Callers lost the run of a job that preempted a suspect, if the suspect then crashed the target.

Cause: a target with an exclusive task has nothing free, but its `free` isn't negative either, and a claim waits only while it is. A unit that preempts a suspect on a target with room for both was therefore committed in the same round, and started beside the suspect while that was being stopped. A crash at that moment also counted as one that the suspect shared.

Evidence: the new test fails on the code before: the urgent run starts at 111.3 s, the suspect's run ends at 111.5 s.

A claim now also waits while any target has an exclusive task of another unit.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -561,7 +561,9 @@
 
 
 def _commit_claim_if_ready(state: CellState, unit: Unit) -> None:
-    """Commit a claimed unit once its targets have enough free resources.
+    """Commit a claimed unit once its targets have enough free resources for it.
+
+    A target with another unit's exclusive task has none.
 
     Releases the claim if a target was lost, is draining, or is in a domain that
     receives no new tasks.
@@ -571,7 +573,7 @@
         if target is None or target.draining or target.domain in state.domains_out:
             lifecycle.release_claim(state, unit)
             return
-        if min(target.free) < 0:
+        if min(target.free) < 0 or not target.exclusive_tasks <= unit.tasks():
             return
     unit.phase = Phase.COMMITTING
     unit.run += 1
--- a/tests/cover/test_crashing_tasks.py
+++ b/tests/cover/test_crashing_tasks.py
@@ -8,6 +8,7 @@
     RunId,
     StepSpec,
     TargetCrash,
+    WorkspaceConfig,
 )
 from cicadabank.scheduling.internal.crashes import is_suspect
 
@@ -262,6 +263,22 @@
         first = min(run.ended_s for run in lost_beside)
         assert all(run.id.job == "deadly" for run in lost_beside if run.ended_s > first)
 
+    # Guards against a unit that starts beside the suspect that it preempts.
+    def test_a_preempting_unit_waits_until_the_suspect_has_stopped(self):
+        cell = cell_of(1, workspaces=[WorkspaceConfig("w", frozenset(), 8)])
+        (target,) = cell.targets.values()
+        cell.submit("suspect", "batch", [step(estimate_s=30.0)])
+        cell.run(1.0)
+        cell.crash(target)
+        cell.run_until(lambda: target.active_runs)
+        cell.submit("urgent", "urgent", [step(estimate_s=2.0)])
+        cell.run(LONG_S)
+        assert cell.state("suspect") == cell.state("urgent") == "completed"
+        stopped = next(run for run in cell.history if run.outcome == "stopped")
+        started = next(run for run in cell.history if run.id.job == "urgent")
+        assert stopped.id.job == "suspect"
+        assert started.started_s >= stopped.ended_s
+
 
 class TestReports:
     def test_runs_of_unknown_jobs_in_a_crash_are_ignored(self):
