Let guaranteed jobs preempt a suspect for all of its target

Callers with a guarantee waited until a suspect had ended, or its probation had (rule RECLAIM), if their job needed more of the target than the suspect uses.

Cause: a target with an exclusive task has nothing free, and stopping the suspect was taken to free only what the suspect itself needs. So no preemption made enough room for a task of half a target, although the target is otherwise empty. A suspect with three crashes runs alone until it ends.

A target now says what it withholds because of an exclusive task, and stopping the isolated unit counts as freeing that too. A claim still waits until the exclusive task has gone.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/placement.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/placement.py
@@ -16,6 +16,8 @@
 from cicadabank.scheduling.internal.targets import Target, fits, max_tasks
 from cicadabank.scheduling.internal.units import TargetIncarnation, Unit
 
+NO_RESOURCES = Resources(0, 0, 0)
+
 
 class Victim(NamedTuple):
     """A unit that may be preempted.
@@ -231,6 +233,7 @@
     """Place the members one by one, each where preemption wastes the least work."""
     stopped: dict[int, Victim] = {}
     free = {t.target_incarnation.target: t.free for t in group}
+    withheld = {t.target_incarnation.target: t.withheld for t in group}
     counts = dict(tasks_by_target)
     chosen: list[Target] = []
     need, limit = unit.spec.need, unit.spec.per_target
@@ -241,7 +244,11 @@
             if limit and counts.get(name, 0) >= limit:
                 continue
             victims = _cheapest_victims(
-                need, free[name], victims_by_target.get(name, []), stopped
+                need,
+                free[name],
+                withheld[name],
+                victims_by_target.get(name, []),
+                stopped,
             )
             if victims is None:
                 continue
@@ -254,7 +261,7 @@
         _, target, victims = best
         for victim in victims:
             stopped[id(victim.unit)] = victim
-            _add_released(victim.unit, free)
+            _add_released(victim.unit, free, withheld)
         name = target.target_incarnation.target
         free[name] = _subtract(free[name], need)
         counts[name] = counts.get(name, 0) + 1
@@ -264,9 +271,16 @@
 
 
 def _cheapest_victims(
-    need: Resources, free: Resources, victims: list[Victim], stopped: dict[int, Victim]
+    need: Resources,
+    free: Resources,
+    withheld: Resources,
+    victims: list[Victim],
+    stopped: dict[int, Victim],
 ) -> list[Victim] | None:
-    """Return the victims, cheapest first, that make room for a task, or None."""
+    """Return the victims, cheapest first, that make room for a task, or None.
+
+    Stopping an isolated unit also frees what is withheld from others because of it.
+    """
     chosen: list[Victim] = []
     for victim in sorted(victims, key=lambda v: v.waste_core_s):
         if fits(need, free):
@@ -274,19 +288,26 @@
         if id(victim.unit) in stopped:
             continue
         chosen.append(victim)
-        released = victim.unit.spec.need
-        free = Resources(*(r + n for r, n in zip(free, released, strict=True)))
+        free = _add(free, victim.unit.spec.need)
+        if victim.unit.isolated:
+            free = _add(free, withheld)
     return chosen if fits(need, free) else None
 
 
-def _add_released(unit: Unit, free: dict[str, Resources]) -> None:
+def _add_released(
+    unit: Unit, free: dict[str, Resources], withheld: dict[str, Resources]
+) -> None:
     for member in unit.members:
         name = member.target_incarnation.target
         if name in free and not member.released:
-            need = unit.spec.need
-            free[name] = Resources(
-                *(r + n for r, n in zip(free[name], need, strict=True))
-            )
+            free[name] = _add(free[name], unit.spec.need)
+            if unit.isolated:
+                free[name] = _add(free[name], withheld[name])
+                withheld[name] = NO_RESOURCES
+
+
+def _add(free: Resources, released: Resources) -> Resources:
+    return Resources(*(r + n for r, n in zip(free, released, strict=True)))
 
 
 def _subtract(free: Resources, need: Resources) -> Resources:
--- a/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
@@ -196,11 +196,24 @@
         Runs that the holder does not expect use resources until they are stopped. A
         target with an exclusive task has nothing free.
         """
+        unused = self._unused
+        if not self.exclusive_tasks:
+            return unused
+        return Resources(*(min(0, amount) for amount in unused))
+
+    @property
+    def withheld(self) -> Resources:
+        """Resources that only an exclusive task keeps from other units."""
+        if not self.exclusive_tasks:
+            return Resources(0, 0, 0)
+        return Resources(*(max(0, amount) for amount in self._unused))
+
+    @property
+    def _unused(self) -> Resources:
         used = [self.allocated, *self.unexpected.values()]
-        free = Resources(
+        return Resources(
             *(c - sum(u) for c, *u in zip(self.capacity, *used, strict=True))
         )
-        return Resources(*(min(0, f) for f in free)) if self.exclusive_tasks else free
 
     def allocate(
         self, task: tuple[str, int, int], need: Resources, exclusive: bool = False
--- a/tests/cover/test_crashing_tasks.py
+++ b/tests/cover/test_crashing_tasks.py
@@ -22,6 +22,8 @@
 WHOLE = Resources(32_000, 65_536, 8)
 CRASH_DELAY_S = 0.3
 LONG_S = 120.0
+# Time within which a guaranteed job has to start.
+RECLAIM_S = 2.7
 
 
 def step(count=1, need=QUARTER, estimate_s=10.0, **fields) -> StepSpec:
@@ -279,6 +281,22 @@
         assert stopped.id.job == "suspect"
         assert started.started_s >= stopped.ended_s
 
+    # Guards against a guaranteed job that waits for a suspect to end (rule RECLAIM).
+    @pytest.mark.parametrize("crashes", [1, 3])
+    def test_a_guaranteed_unit_preempts_a_suspect_on_a_whole_target(self, crashes):
+        cell = cell_of(1, workspaces=[WorkspaceConfig("w", frozenset(), 8)])
+        (target,) = cell.targets.values()
+        cell.submit("suspect", "batch", [step(estimate_s=60.0)])
+        for _ in range(crashes):
+            cell.run_until(lambda: target.active_runs)
+            cell.run(3.0)
+            cell.crash(target)
+        cell.run_until(lambda: target.active_runs)
+        cell.submit("urgent", "urgent", [step(need=WHOLE, estimate_s=2.0)])
+        assert cell.run_until(lambda: cell.starts["urgent", 0, 0]) <= RECLAIM_S
+        cell.run_until(lambda: cell.state("urgent") == "completed")
+        cell.check()
+
 
 class TestReports:
     def test_runs_of_unknown_jobs_in_a_crash_are_ignored(self):
