Let suspects that have no usable target delay no others

Callers saw a sound job wait for ever for its second start after a crash.

Cause: each suspect that was admitted counted towards the targets that suspects may occupy, also if it was neither placed nor had a target reserved. One whose label no usable target has, because its targets drain or are away, took the only place that a cell of few targets admits, in each round.

Only suspects that are placed, or for which targets are reserved, now count. A step whose suspect finds none is not tried again in the round, so that a wide step costs one search.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -146,10 +146,14 @@
     """Place suspects alone on targets, or reserve targets that will be empty."""
     for unit in suspects:
         planning.isolation.hold_back_step(unit)
+    blocked: set[tuple[str, int]] = set()
     for unit in suspects:
-        if planning.isolation.admits(unit) and planning.may_start(unit):
-            _place_alone(planning, unit)
+        if (unit.job, unit.step) in blocked or not planning.isolation.admits(unit):
+            continue
+        if planning.may_start(unit) and _place_alone(planning, unit):
             planning.isolation.add(unit)
+        else:
+            blocked.add((unit.job, unit.step))
 
 
 def _place_units(planning: _PlanningRound, waiting: list[Unit]) -> None:
@@ -183,8 +187,11 @@
             reservations.reserve(unit, planning.targets)
 
 
-def _place_alone(planning: _PlanningRound, unit: Unit) -> None:
-    """Place a suspect on empty targets, or reserve those that will be empty first."""
+def _place_alone(planning: _PlanningRound, unit: Unit) -> bool:
+    """Place a suspect on empty targets, or reserve those that will be empty first.
+
+    Returns False if there are no such targets.
+    """
     state, reservations = planning.state, planning.reservations
     tasks_by_target = _step_tasks_by_target(unit, state.jobs[unit.job])
     empty = crashes.empty_targets(reservations.available_to(unit, planning.targets))
@@ -194,11 +201,14 @@
     placement = find_placement(
         unit, preferred, tasks_by_target, False
     ) or find_placement(unit, empty, tasks_by_target, False)
-    if placement is None and not reservations.reserve_empty(unit, planning.targets):
-        placement = find_placement(unit, empty, tasks_by_target, True)
-    if placement is not None:
-        planning.headroom.record_placement(unit)
-        _claim(state, unit, placement, False, isolated=True)
+    if placement is None and reservations.reserve_empty(unit, planning.targets):
+        return True
+    placement = placement or find_placement(unit, empty, tasks_by_target, True)
+    if placement is None:
+        return False
+    planning.headroom.record_placement(unit)
+    _claim(state, unit, placement, False, isolated=True)
+    return True
 
 
 def _is_cell_idle(state: CellState) -> bool:
--- a/tests/cover/test_crashing_tasks.py
+++ b/tests/cover/test_crashing_tasks.py
@@ -297,6 +297,19 @@
         cell.run_until(lambda: cell.state("urgent") == "completed")
         cell.check()
 
+    # Guards against suspects that wait for ever for one that has no target.
+    def test_a_suspect_without_a_usable_target_delays_no_other(self):
+        cell = cell_of(6)
+        cell.submit("stuck", "urgent", [step(estimate_s=20.0, label="r1")])
+        cell.submit("other", "batch", [step(estimate_s=20.0, label="r0")])
+        cell.run(1.0)
+        for target in cell.targets.values():
+            if target.active_runs:
+                cell.crash(target)
+            target.draining = target.rack == "r1"
+        cell.run_until(lambda: cell.state("other") == "completed")
+        assert cell.state("stuck") == "running"
+
 
 class TestReports:
     def test_runs_of_unknown_jobs_in_a_crash_are_ignored(self):
