Keep the agent and the acknowledged ends of an in-memory target apart from its incarnation

Test support only. And a renamed target reported under another agent, for which the fake has no orders, so that TestSoundTasks::test_a_suspect_prefers_another_target_than_the_one_that_crashed never saw the VM come back; it now does, and fails if a suspect avoids only the old name.

--- a/tests/support/in_memory_cell.py
+++ b/tests/support/in_memory_cell.py
@@ -83,6 +83,8 @@
 
     Attributes
     ----------
+    agent : str
+        Address of the agent; stays the same if another target replaces this one.
     agent_run : int
         Identifies the process of the agent.
     registration : int
@@ -106,6 +108,7 @@
         self, name: str, domain: str, rack: str, capacity: Resources = TARGET_CAPACITY
     ):
         self.name = name
+        self.agent = f"agent-{name}"
         self.domain = domain
         self.rack = rack
         self.capacity = capacity
@@ -129,11 +132,6 @@
         self.crashes: list[TargetCrash] = []  # seen by the present agent process
         self.down_until_s = float("-inf")
 
-    @property
-    def agent(self) -> str:
-        """Address of the agent."""
-        return f"agent-{self.name}"
-
     @property
     def target_incarnation(self) -> TargetIncarnation:
         """The current incarnation of the target."""
@@ -176,7 +174,7 @@
 
     def _forget_runs(self) -> None:
         self.incarnation += 1
-        self.sequence = 0
+        self.sequence = self.recorded = 0
         for collection in (
             self.active_runs,
             self.ended,
