Have units avoid VMs whose targets crashed under them after a takeover too

Cause: the names to avoid aren't stored, and a new holder, to which agents report their crashes again, skipped the runs that are counted already before it noted them. A task went back to the VM whose target had crashed under it.

Evidence: the new test fails on the code before (run 3 is on the first target again).

The names are now noted for each run of a reported crash, counted or not.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/crashes.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/crashes.py
@@ -83,11 +83,14 @@
         Name of the target that now runs there.
     """
     for crash in crashes:
+        for run in crash.runs:
+            unit = _unit_of(state, run)
+            if unit is not None:
+                unit.avoided_targets |= {crash.target, successor}
         suspects = _suspects(state, crash)
         alone = len(_distinct_units(state, crash)) == 1
         any_recent = any(run.age_s <= RECENT_START_S for run in crash.runs)
         for unit, run in suspects:
-            unit.avoided_targets |= {crash.target, successor}
             recent = run.age_s <= RECENT_START_S
             _record(
                 state,
--- a/tests/cover/test_crashing_tasks.py
+++ b/tests/cover/test_crashing_tasks.py
@@ -206,6 +206,21 @@
         assert not first.active_runs
         cell.run_until(lambda: cell.state("sound") == "completed")
 
+    # Guards against a new holder that sends a task back to a target that crashes.
+    def test_a_task_avoids_targets_that_crashed_before_a_takeover(self):
+        cell = cell_of(3)
+        cell.submit("sound", "batch", [step(estimate_s=40.0)])
+        cell.run(1.0)
+        (first,) = [t for t in cell.targets.values() if t.active_runs]
+        cell.crash(first)
+        cell.run_until(lambda: cell.starts["sound", 0, 0] == 2)
+        cell.take_over(9.0)
+        cell.run(1.0)
+        (second,) = [t for t in cell.targets.values() if t.active_runs]
+        second.restart()
+        cell.run_until(lambda: cell.starts["sound", 0, 0] == 3)
+        assert not first.active_runs
+
     def test_a_suspect_shares_its_target_after_a_start_without_a_crash(self):
         cell = cell_of(1)
         cell.submit("suspect", "batch", [step(estimate_s=30.0)])
