Count each reported crash once per holder

At the size of docs/CAPACITY.md, reports took long once targets had crashed.

Cause: agents repeat up to four crashes with each report, and the holder looked up the units of all of their runs each time, by a scan of the job's units.

The new test fails on the code before.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/crashes.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/crashes.py
@@ -83,6 +83,9 @@
         Name of the target that now runs there.
     """
     for crash in crashes:
+        if crash.incarnation in state.counted_crashes:
+            continue
+        state.counted_crashes.add(crash.incarnation)
         for run in crash.runs:
             unit = _unit_of(state, run)
             if unit is not None:
--- a/packages/scheduling/src/cicadabank/scheduling/internal/state.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/state.py
@@ -203,6 +203,8 @@
         self.in_flight: Commit | None = None
         self.orders: dict[str, AgentOrders] = {}
         self.forecast = Forecast()
+        # Incarnations whose crashes this holder has counted; agents report them again.
+        self.counted_crashes: set[str] = set()
         self.isolated_units: list[Unit] = []  # see `crashes.isolated_units`
         self.urgent_sizes: deque[int] = deque(maxlen=URGENT_SIZE_HISTORY)
         # By queue: number of jobs and their mean work in core-seconds.
--- a/tests/cover/test_crashing_tasks.py
+++ b/tests/cover/test_crashing_tasks.py
@@ -334,3 +334,20 @@
         target.crashes.append(TargetCrash("t0", "t0/0", runs))
         cell.run(2.0)
         assert events(cell, "crash_counted") == []
+
+    # Guards against reports that become slow once many targets have crashed: agents
+    # repeat their crashes with each report.
+    def test_a_crash_that_was_counted_is_not_looked_up_again(self, monkeypatch):
+        cell = cell_of(1)
+        cell.submit("sound", "batch", [step(estimate_s=20.0)])
+        cell.run(1.0)
+        (target,) = cell.targets.values()
+        cell.crash(target)
+        cell.run_until(lambda: events(cell, "crash_counted"))
+
+        def fail(*args):
+            pytest.fail("a crash was looked up again")
+
+        monkeypatch.setattr("cicadabank.scheduling.internal.crashes._unit_of", fail)
+        cell.run(2.0)
+        assert target.crashes
