--- a/tests/nocover/test_steps_machine.py
+++ b/tests/nocover/test_steps_machine.py
@@ -29,6 +29,8 @@
     WorkspaceConfig("w1", frozenset(), 8),
 ]
 LEASE_EXPIRY_S = 9.0
+# How long after its start a task of a deadly job crashes its target.
+CRASH_DELAY_S = 0.3
 COMPLETION_TIMEOUT_S = 400.0
 
 STEPS = st.builds(
@@ -57,7 +59,16 @@
     @initialize(seed=st.integers(0, 3))
     def start(self, seed):
         targets = [ModelTarget(f"t{n}", f"d{n % 2}", f"r{n // 3}") for n in range(6)]
-        self.cell = ModelCell(targets, QUEUES, WORKSPACES, seed=seed)
+        self.deadly_jobs: set[str] = set()
+        self.cell = ModelCell(
+            targets,
+            QUEUES,
+            WORKSPACES,
+            seed=seed,
+            crashes_after_s=lambda run: (
+                CRASH_DELAY_S if run.job in self.deadly_jobs else float("inf")
+            ),
+        )
         self.cell.run(7.0)
         self.jobs: list[str] = []
         self.late_reports: list[Report] = []
@@ -72,6 +83,19 @@
         chained=st.booleans(),
     )
     def submit(self, queue, steps, workspace, chained):
+        self.add_job(queue, steps, workspace, chained)
+
+    @rule(
+        queue=st.sampled_from(["q0", "q1", "q2"]),
+        steps=st.lists(STEPS, min_size=1, max_size=2),
+        workspace=st.sampled_from(["w0", "w1"]),
+        chained=st.booleans(),
+    )
+    def submit_deadly_job(self, queue, steps, workspace, chained):
+        self.deadly_jobs.add(f"j{len(self.jobs)}")
+        self.add_job(queue, steps, workspace, chained)
+
+    def add_job(self, queue, steps, workspace, chained):
         job = f"j{len(self.jobs)}"
         self.jobs.append(job)
         if chained and len(steps) == 2:
@@ -95,6 +119,10 @@
     def crash(self, index):
         self.target(index).restart()
 
+    @rule(index=st.integers(0, 5))
+    def crash_target_only(self, index):
+        self.cell.crash(self.target(index))
+
     @rule(index=st.integers(0, 5))
     def restart_agent(self, index):
         self.target(index).restart_agent()
