Bound the search for empty targets in a planning round

In a full cell of many targets, a planning round took long while many suspects waited.

Cause: a reservation of empty targets was sought for each suspect up to the share of targets that suspects may occupy, though that search dominates the cost of a round; other units are limited to four searches. With 19,000 targets and 60 suspects of as many jobs, a round took 22.6 s (trial, beside other processes; most of it in these searches: about 0.4 s each).

Suspects now have four searches a round as well, counted apart from those of other units, so that neither takes the other's. Suspects for which an empty target is there need none. The new test fails on the code before (8 searches in a round, 4 allowed).

--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -190,7 +190,7 @@
 def _place_alone(planning: _PlanningRound, unit: Unit) -> bool:
     """Place a suspect on empty targets, or reserve those that will be empty first.
 
-    Returns False if there are no such targets.
+    Returns False if there are no such targets, or none are sought in this round.
     """
     state, reservations = planning.state, planning.reservations
     tasks_by_target = _step_tasks_by_target(unit, state.jobs[unit.job])
@@ -201,9 +201,12 @@
     placement = find_placement(
         unit, preferred, tasks_by_target, False
     ) or find_placement(unit, empty, tasks_by_target, False)
-    if placement is None and reservations.reserve_empty(unit, planning.targets):
-        return True
-    placement = placement or find_placement(unit, empty, tasks_by_target, True)
+    if placement is None:
+        if not reservations.can_reserve_empty():
+            return False
+        if reservations.reserve_empty(unit, planning.targets):
+            return True
+        placement = find_placement(unit, empty, tasks_by_target, True)
     if placement is None:
         return False
     planning.headroom.record_placement(unit)
--- a/packages/scheduling/src/cicadabank/scheduling/internal/reservations.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/reservations.py
@@ -12,8 +12,8 @@
 
 # Limits the share of targets that may be reserved; the others stay open to all units.
 MAX_RESERVED_SHARE = 0.5
-# Units per planning round for which a reservation is sought; the search dominates the
-# cost of a round.
+# Units per planning round for which a reservation is sought, and suspects for which one
+# of empty targets is; the searches dominate the cost of a round.
 MAX_RESERVATION_SEARCHES = 4
 SlotTimes = Callable[[Unit, Target], list[float]]
 
@@ -30,6 +30,7 @@
         self._needed_at_s: dict[str, float] = {}  # agent -> when it is needed
         self._releases: dict[str, list[tuple[float, Resources]]] | None = None
         self._reservation_searches = 0
+        self._empty_searches = 0
 
     def available_to(self, unit: Unit, targets: list[Target]) -> list[Target]:
         """Return the targets that a unit may use without delaying a reservation."""
@@ -55,11 +56,16 @@
             for target in best[1]:
                 self._needed_at_s[target.agent] = best[0]
 
+    def can_reserve_empty(self) -> bool:
+        """Return whether this round allows another reservation of empty targets."""
+        return self._empty_searches < MAX_RESERVATION_SEARCHES
+
     def reserve_empty(self, unit: Unit, targets: list[Target]) -> bool:
         """Reserve the targets that can soonest be empty for a unit.
 
         Returns False if there are no such targets.
         """
+        self._empty_searches += 1
         best = self._earliest_start(unit, targets, self._empty_slot_times)
         for target in best[1] if best is not None else ():
             self._needed_at_s[target.agent] = best[0]
--- a/tests/cover/test_crashing_tasks.py
+++ b/tests/cover/test_crashing_tasks.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from collections import Counter
+
 import pytest
 from cicadabank.scheduling import (
     CrashedRun,
@@ -11,6 +13,11 @@
     WorkspaceConfig,
 )
 from cicadabank.scheduling.internal.crashes import is_suspect
+from cicadabank.scheduling.internal.reservations import (
+    MAX_RESERVATION_SEARCHES,
+    Reservations,
+)
+from cicadabank.scheduling.internal.units import Crash
 
 from tests.support.in_memory_cell import ModelCell, ModelTarget
 
@@ -325,6 +332,27 @@
         cell.run_until(lambda: cell.state("other") == "completed")
         assert cell.state("stuck") == "running"
 
+    # Guards against slow planning rounds while many suspects wait in a full cell.
+    def test_a_planning_round_searches_few_targets_for_suspects(self, monkeypatch):
+        cell = cell_of(80)
+        cell.submit("urgent", "urgent", [step(80, WHOLE, estimate_s=20.0)])
+        cell.run(1.0)
+        suspects = [f"suspect{n}" for n in range(8)]
+        for job in suspects:
+            cell.submit(job, "batch", [step(estimate_s=3.0)])
+            (unit,) = cell.scheduler.state.jobs[job].units
+            unit.crashes = (Crash(0, "t", "t/1", True, True, True),)
+        searches = []
+        search = Reservations.reserve_empty
+        monkeypatch.setattr(
+            Reservations,
+            "reserve_empty",
+            lambda *args: searches.append(cell.now_s) or search(*args),
+        )
+        cell.run(1.0)
+        assert max(Counter(searches).values()) == MAX_RESERVATION_SEARCHES
+        cell.run_until(lambda: all(cell.state(job) == "completed" for job in suspects))
+
 
 class TestReports:
     def test_runs_of_unknown_jobs_in_a_crash_are_ignored(self):
