Don't blame a task for a crash that preceded the start call

Callers' sound tasks became suspects, or lost half of what lets a job fail, if they were sent to a target that had just crashed: their holder takes such a target for usable until the agent says that it doesn't reply, up to 1.2 s later.

Cause: a crash is blamed on each run that the agent has called the target to start, and a call whose connection was refused counted as one that may have been received. So did one that another incarnation answered with 421. If the target had been idle, the crash even counted as clear (alone, soon after the start).

The new test of TestCrashes fails on the code before; the test beside it keeps a start whose reply the crash took away blamed. Not measured: how often this happens.

--- a/packages/control/src/cicadabank/control/internal/target_controller.py
+++ b/packages/control/src/cicadabank/control/internal/target_controller.py
@@ -395,6 +395,8 @@
             local.call_pending = False
         if not outcome.known:
             local.may_start_late = True
+            if not outcome.received and local.first_start_call_s == local.last_call_s:
+                local.first_start_call_s = float("inf")
             return
         if not outcome.refused:
             local.known_on_target_since_s = min(local.known_on_target_since_s, now_s)
--- a/packages/control/src/cicadabank/control/internal/target_messages.py
+++ b/packages/control/src/cicadabank/control/internal/target_messages.py
@@ -51,10 +51,13 @@
         False if no reply arrived; the start may still take effect.
     refused : str
         Why the target refused the start; empty if it accepted.
+    received : bool
+        False if the call certainly didn't reach the target.
     """
 
     known: bool
     refused: str = ""
+    received: bool = True
 
 
 class TargetCall(NamedTuple):
--- a/tests/cover/test_target_controller.py
+++ b/tests/cover/test_target_controller.py
@@ -714,6 +714,26 @@
         adopt(controller, heartbeat(started_ms=2), 15.0)
         assert crashes(controller)[0].runs == (CrashedRun(RUN, 0.0),)
 
+    # Guards against blaming a task that was sent to a target after its crash.
+    def test_a_start_that_never_reached_the_target_is_not_blamed(self, controller):
+        controller.on_orders(batch(controller, starts=[start()]), 10.5)
+        for now_s in (10.5, 11.0, 11.5):
+            assert controller.take_due_calls(now_s)
+            controller.on_started(RUN, StartOutcome(False, received=False), now_s)
+        adopt(controller, heartbeat(started_ms=2), 15.0)
+        assert crashes(controller)[0].runs == ()
+
+    # Guards against a start whose reply the crash took away, and which the agent called
+    # again in vain.
+    def test_a_start_that_may_have_reached_the_target_once_is_blamed(self, controller):
+        controller.on_orders(batch(controller, starts=[start()]), 10.5)
+        controller.take_due_calls(10.5)
+        controller.on_started(RUN, StartOutcome(False), 10.6)
+        controller.take_due_calls(11.0)
+        controller.on_started(RUN, StartOutcome(False, received=False), 11.0)
+        adopt(controller, heartbeat(started_ms=2), 15.0)
+        assert crashes(controller)[0].runs == (CrashedRun(RUN, 0.0),)
+
     def test_a_start_that_was_never_called_is_not_blamed(self, controller):
         controller.on_orders(batch(controller, starts=[start()]), 30.0)
         assert controller.take_due_calls(30.0) == []  # its lease has expired
