--- a/tests/cover/test_crashing_tasks.py
+++ b/tests/cover/test_crashing_tasks.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from collections import Counter
+
 import pytest
 from cicadabank.scheduling import (
     CrashedRun,
@@ -8,8 +10,14 @@
     RunId,
     StepSpec,
     TargetCrash,
+    WorkspaceConfig,
 )
 from cicadabank.scheduling.internal.crashes import is_suspect
+from cicadabank.scheduling.internal.reservations import (
+    MAX_RESERVATION_SEARCHES,
+    Reservations,
+)
+from cicadabank.scheduling.internal.units import Crash
 
 from tests.support.in_memory_cell import ModelCell, ModelTarget
 
@@ -21,6 +29,8 @@
 WHOLE = Resources(32_000, 65_536, 8)
 CRASH_DELAY_S = 0.3
 LONG_S = 120.0
+# Time within which a guaranteed job has to start.
+RECLAIM_S = 2.7
 
 
 def step(count=1, need=QUARTER, estimate_s=10.0, **fields) -> StepSpec:
@@ -109,6 +119,27 @@
         cell.run(20.0)
         assert cell.state("deadly") == "cancelled"
 
+    # Guards against a deadly task whose crashes are explained by other deadly tasks,
+    # one after the other, so that none counts (rule BUDGET).
+    @pytest.mark.parametrize("delay_s", [CRASH_DELAY_S, 7.0])
+    def test_a_task_is_given_up_although_others_explain_its_crashes(self, delay_s):
+        cell = cell_of(
+            1, crashes_after_s=lambda run: delay_s if run.job == "deadly" else 0.3
+        )
+        cell.submit("deadly", "batch", [step(estimate_s=40.0)])
+        for n in range(12):
+            cell.run_until(
+                lambda: (
+                    cell.state("deadly") == "failed"
+                    or not is_suspect(cell.scheduler.state.jobs["deadly"].units[0])
+                )
+            )
+            cell.submit(f"other{n}", "urgent", [step()])
+            cell.run_until(lambda n=n: cell.state(f"other{n}") == "failed")
+        cell.run(LONG_S)
+        assert cell.state("deadly") == "failed"
+        cell.check()
+
 
 class TestSoundTasks:
     # Guards against giving up a task that only ran beside one that crashes targets.
@@ -182,6 +213,21 @@
         assert not first.active_runs
         cell.run_until(lambda: cell.state("sound") == "completed")
 
+    # Guards against a new holder that sends a task back to a target that crashes.
+    def test_a_task_avoids_targets_that_crashed_before_a_takeover(self):
+        cell = cell_of(3)
+        cell.submit("sound", "batch", [step(estimate_s=40.0)])
+        cell.run(1.0)
+        (first,) = [t for t in cell.targets.values() if t.active_runs]
+        cell.crash(first)
+        cell.run_until(lambda: cell.starts["sound", 0, 0] == 2)
+        cell.take_over(9.0)
+        cell.run(1.0)
+        (second,) = [t for t in cell.targets.values() if t.active_runs]
+        second.restart()
+        cell.run_until(lambda: cell.starts["sound", 0, 0] == 3)
+        assert not first.active_runs
+
     def test_a_suspect_shares_its_target_after_a_start_without_a_crash(self):
         cell = cell_of(1)
         cell.submit("suspect", "batch", [step(estimate_s=30.0)])
@@ -241,6 +287,72 @@
         first = min(run.ended_s for run in lost_beside)
         assert all(run.id.job == "deadly" for run in lost_beside if run.ended_s > first)
 
+    # Guards against a unit that starts beside the suspect that it preempts.
+    def test_a_preempting_unit_waits_until_the_suspect_has_stopped(self):
+        cell = cell_of(1, workspaces=[WorkspaceConfig("w", frozenset(), 8)])
+        (target,) = cell.targets.values()
+        cell.submit("suspect", "batch", [step(estimate_s=30.0)])
+        cell.run(1.0)
+        cell.crash(target)
+        cell.run_until(lambda: target.active_runs)
+        cell.submit("urgent", "urgent", [step(estimate_s=2.0)])
+        cell.run(LONG_S)
+        assert cell.state("suspect") == cell.state("urgent") == "completed"
+        stopped = next(run for run in cell.history if run.outcome == "stopped")
+        started = next(run for run in cell.history if run.id.job == "urgent")
+        assert stopped.id.job == "suspect"
+        assert started.started_s >= stopped.ended_s
+
+    # Guards against a guaranteed job that waits for a suspect to end (rule RECLAIM).
+    @pytest.mark.parametrize("crashes", [1, 3])
+    def test_a_guaranteed_unit_preempts_a_suspect_on_a_whole_target(self, crashes):
+        cell = cell_of(1, workspaces=[WorkspaceConfig("w", frozenset(), 8)])
+        (target,) = cell.targets.values()
+        cell.submit("suspect", "batch", [step(estimate_s=60.0)])
+        for _ in range(crashes):
+            cell.run_until(lambda: target.active_runs)
+            cell.run(3.0)
+            cell.crash(target)
+        cell.run_until(lambda: target.active_runs)
+        cell.submit("urgent", "urgent", [step(need=WHOLE, estimate_s=2.0)])
+        assert cell.run_until(lambda: cell.starts["urgent", 0, 0]) <= RECLAIM_S
+        cell.run_until(lambda: cell.state("urgent") == "completed")
+        cell.check()
+
+    # Guards against suspects that wait for ever for one that has no target.
+    def test_a_suspect_without_a_usable_target_delays_no_other(self):
+        cell = cell_of(6)
+        cell.submit("stuck", "urgent", [step(estimate_s=20.0, label="r1")])
+        cell.submit("other", "batch", [step(estimate_s=20.0, label="r0")])
+        cell.run(1.0)
+        for target in cell.targets.values():
+            if target.active_runs:
+                cell.crash(target)
+            target.draining = target.rack == "r1"
+        cell.run_until(lambda: cell.state("other") == "completed")
+        assert cell.state("stuck") == "running"
+
+    # Guards against slow planning rounds while many suspects wait in a full cell.
+    def test_a_planning_round_searches_few_targets_for_suspects(self, monkeypatch):
+        cell = cell_of(80)
+        cell.submit("urgent", "urgent", [step(80, WHOLE, estimate_s=20.0)])
+        cell.run(1.0)
+        suspects = [f"suspect{n}" for n in range(8)]
+        for job in suspects:
+            cell.submit(job, "batch", [step(estimate_s=3.0)])
+            (unit,) = cell.scheduler.state.jobs[job].units
+            unit.crashes = (Crash(0, "t", "t/1", True, True, True),)
+        searches = []
+        search = Reservations.reserve_empty
+        monkeypatch.setattr(
+            Reservations,
+            "reserve_empty",
+            lambda *args: searches.append(cell.now_s) or search(*args),
+        )
+        cell.run(1.0)
+        assert max(Counter(searches).values()) == MAX_RESERVATION_SEARCHES
+        cell.run_until(lambda: all(cell.state(job) == "completed" for job in suspects))
+
 
 class TestReports:
     def test_runs_of_unknown_jobs_in_a_crash_are_ignored(self):
@@ -250,3 +362,20 @@
         target.crashes.append(TargetCrash("t0", "t0/0", runs))
         cell.run(2.0)
         assert events(cell, "crash_counted") == []
+
+    # Guards against reports that become slow once many targets have crashed: agents
+    # repeat their crashes with each report.
+    def test_a_crash_that_was_counted_is_not_looked_up_again(self, monkeypatch):
+        cell = cell_of(1)
+        cell.submit("sound", "batch", [step(estimate_s=20.0)])
+        cell.run(1.0)
+        (target,) = cell.targets.values()
+        cell.crash(target)
+        cell.run_until(lambda: events(cell, "crash_counted"))
+
+        def fail(*args):
+            pytest.fail("a crash was looked up again")
+
+        monkeypatch.setattr("cicadabank.scheduling.internal.crashes._unit_of", fail)
+        cell.run(2.0)
+        assert target.crashes
