Let tasks crash the targets of the stand-in

No test could play that: the stand-in restarted a target at once, under its id, and while it stayed reachable.

A profile's `crashes_after_s` says when a run crashes its target. The crash loses all runs (`crashed`, so that an observer can tell them from those of a power loss), closes the listening socket and the connections, and sends nothing; calls and heartbeats of the target end until `down_s` is over or `restart` is called. The next incarnation has a new `born`, and with `renamed_by_crash` also a new id. With a delay of 0, the start is recorded and gets no reply. A late call that names an earlier id, or comes to a target that is down, is not executed.

--- a/packages/standin/src/cicadabank/standin/__init__.py
+++ b/packages/standin/src/cicadabank/standin/__init__.py
@@ -1,6 +1,6 @@
 """In-memory stand-ins for the platform's services and for targets, for tests."""
 
-from cicadabank.standin.errors import StandInUnreachableError
+from cicadabank.standin.errors import StandInUnreachableError, TargetDownError
 from cicadabank.standin.internal.app import run_stand_in, set_fault, stand_in_running
 from cicadabank.standin.internal.faults import FaultSwitches
 from cicadabank.standin.internal.fleet import (
@@ -25,6 +25,7 @@
     "RunnerStandIn",
     "StandInUnreachableError",
     "TableStandIn",
+    "TargetDownError",
     "TargetEvent",
     "TargetFleet",
     "TaskProfile",
--- a/packages/standin/src/cicadabank/standin/errors.py
+++ b/packages/standin/src/cicadabank/standin/errors.py
@@ -9,3 +9,7 @@
     """No stand-in answers at the given address."""
 
     code = "stand-in-unreachable"
+
+
+class TargetDownError(Exception):
+    """An in-memory target has crashed, so that a call to it gets no reply."""
--- a/packages/standin/src/cicadabank/standin/internal/fleet.py
+++ b/packages/standin/src/cicadabank/standin/internal/fleet.py
@@ -8,11 +8,14 @@
 from types import MappingProxyType
 from typing import NamedTuple
 
+from cicadabank.standin.errors import TargetDownError
+
 STOP_DELAY_S = 0.1
 CHECKPOINT_INTERVAL_S = 0.5
 GANG_TIMEOUT_S = 4.0
 MAX_LEASE_S = 10.0  # a longer lease is shortened to this
 TICK_S = 0.02
+DOWN_S = 3.0
 
 
 class TaskProfile(NamedTuple):
@@ -30,6 +33,9 @@
         Members of the gang; 1 if the task is not part of one.
     fails_after_s : float
         Work after which a run fails; infinite if it never does.
+    crashes_after_s : float
+        Time from its start after which a run crashes its target; infinite if it never
+        does. If it is 0, the start gets no reply.
     """
 
     step: str
@@ -38,6 +44,7 @@
     gang_size: int = 1
     checkpointable: bool = False
     fails_after_s: float = float("inf")
+    crashes_after_s: float = float("inf")
 
 
 class TargetEvent(NamedTuple):
@@ -48,7 +55,8 @@
     kind : str
         ``started``, or how the run ended: ``done``, ``failed``, ``stopped``, ``lapsed``
         (the lease expired), ``broken`` (another member of its gang ended), ``alone``
-        (its gang was not complete in time) or ``lost`` (with the incarnation).
+        (its gang was not complete in time), ``lost`` (with the incarnation) or
+        ``crashed`` (with the incarnation, whose crash any of its runs may have caused).
     """
 
     kind: str
@@ -101,6 +109,16 @@
         other faults, but not these.
     late_messages : int
         Number of late calls and heartbeats that are still to be executed or sent.
+    down_s : float
+        Time from a crash to the next incarnation; if infinite, the target is down until
+        `restart` is called.
+    renamed_by_crash : bool
+        Whether the incarnation after a crash has a new `id`.
+    id : str
+        Under which the target registers; at first its name.
+    crash_count : int
+    is_down : bool
+        Whether the target has crashed and no new incarnation has started.
     """
 
     HEALTHY = MappingProxyType(
@@ -124,6 +142,12 @@
         self.clock_rate = 1.0
         self.set_back_s = 0.0
         self.late_messages = 0
+        self.down_s = DOWN_S
+        self.renamed_by_crash = False
+        self.id = name
+        self.crash_count = 0
+        self.is_down = False
+        self.active_runs: dict[tuple[str, int], ActiveRun] = {}
         self.started: list[tuple[str, int]] = []  # in all incarnations
         self.incarnation = 0
         self.restart()
@@ -131,12 +155,13 @@
     def restart(self) -> None:
         """Start a new incarnation; active runs are lost."""
         with self.fleet.changed:
-            for active in list(getattr(self, "active_runs", {}).values()):
-                self.fleet.emit("lost", self, active)
+            self._lose_runs("lost")
             self.incarnation += 1
+            if self.is_down and self.renamed_by_crash:
+                self.id = f"{self.name}-{self.incarnation}"
+            self.is_down = False
             self.born_ms = int((time.time() - self.set_back_s) * 1000)
             self._born_s = time.monotonic()
-            self.active_runs: dict[tuple[str, int], ActiveRun] = {}
             self.ended: list[tuple[int, str, int, str, str]] = []
             self.acknowledged = 0
             self.heal()
@@ -147,6 +172,26 @@
             self._last_closed: dict[str, int] = {}
             self._last_sequence = 0
 
+    def crash(self) -> None:
+        """End the incarnation without notice; active runs are lost."""
+        with self.fleet.changed:
+            if self.is_down:
+                return
+            self._lose_runs("crashed")
+            self.is_down = True
+            self.crash_count += 1
+            self._up_at_s = time.monotonic() + self.down_s
+            self.fleet.changed.notify_all()
+
+    def _lose_runs(self, kind: str) -> None:
+        lost, self.active_runs = self.active_runs, {}
+        for active in lost.values():
+            self.fleet.emit(kind, self, active)
+
+    def _check_up(self) -> None:
+        if self.is_down:
+            raise TargetDownError(self.name)
+
     def heal(self) -> None:
         """End all faults, except those of the clocks."""
         vars(self).update(self.HEALTHY)
@@ -164,8 +209,15 @@
         fence: int,
         checkpoint: str,
     ) -> str:
-        """Start a run; return the reason for a refusal, or an empty string."""
+        """Start a run; return the reason for a refusal, or an empty string.
+
+        Raises
+        ------
+        TargetDownError
+            If the target is down, or the run crashes it at once.
+        """
         with self.fleet.changed:
+            self._check_up()
             if fence < self._fence:
                 return "fence"
             self._fence = fence
@@ -182,6 +234,9 @@
             self.active_runs[(task, run)] = active
             self.started.append((task, run))
             self.fleet.emit("started", self, active)
+            if profile.crashes_after_s <= 0:
+                self.crash()
+            self._check_up()
             return ""
 
     def _extend_lease(self, until_s: float) -> None:
@@ -189,8 +244,15 @@
         self._lease_until_s = max(self._lease_until_s, until_s)
 
     def stop(self, task: str, run: int, fence: int) -> str:
-        """Stop a run; return the reason for a refusal, or an empty string."""
+        """Stop a run; return the reason for a refusal, or an empty string.
+
+        Raises
+        ------
+        TargetDownError
+            If the target is down.
+        """
         with self.fleet.changed:
+            self._check_up()
             if fence < self._fence:
                 return "fence"
             self._fence = fence
@@ -209,8 +271,14 @@
 
         Waits up to `wait_s` for a run to end. An ended run is a tuple of its sequence,
         task, run number, kind of end and checkpoint.
+
+        Raises
+        ------
+        TargetDownError
+            If the target is down, or crashes meanwhile.
         """
         with self.fleet.changed:
+            self._check_up()
             if fence < self._fence:
                 return None
             self._fence = fence
@@ -222,14 +290,33 @@
             self.fleet.emit_acknowledged(self)
             self.ended = [end for end in self.ended if end[0] > acknowledged]
             self._extend_lease(until_s or 0.0)
-            incarnation = self.incarnation
+            incarnation, crash_count = self.incarnation, self.crash_count
             self.fleet.changed.wait_for(
-                lambda: self.ended or self.incarnation != incarnation, timeout=wait_s
+                lambda: (
+                    self.ended
+                    or self.incarnation != incarnation
+                    or self.crash_count != crash_count
+                ),
+                timeout=wait_s,
             )
+            if self.crash_count != crash_count:
+                raise TargetDownError(self.name)
             return list(self.active_runs.values()), list(self.ended)
 
     def advance(self, now_s: float, step_s: float) -> None:
-        """Advance all runs by `step_s`; called with the fleet's lock held."""
+        """Advance the target by `step_s`; called with the fleet's lock held."""
+        if self.is_down:
+            if now_s >= self._up_at_s:
+                self.restart()
+        elif any(
+            now_s - active.started_s >= active.profile.crashes_after_s
+            for active in self.active_runs.values()
+        ):
+            self.crash()
+        else:
+            self._advance_runs(now_s, step_s)
+
+    def _advance_runs(self, now_s: float, step_s: float) -> None:
         lease_expired = self._lease_until_s < self.clock_s()
         if lease_expired and not self._lease_expired:
             self.fleet.on_lease_expired(self.name, self.incarnation)
--- a/tests/cover/test_stand_ins.py
+++ b/tests/cover/test_stand_ins.py
@@ -123,25 +123,28 @@
     def __init__(self, target, address):
         self.target = target
         self.heartbeats = []  # as (start of the incarnation, sequence)
+        self.paths = []  # of the heartbeats and other notices
         self._http = httpx.Client(base_url=f"http://{address}", trust_env=False)
 
     def on_heartbeat(self, call):
+        self.paths.append((call.method, call.path))
         document = json.loads(call.body)
         self.heartbeats.append((document["born"], document["seq"]))
         return ApiReply(200, b"{}")
 
-    def call(self, path, timeout_s=0.3, **body):
+    def call(self, path, timeout_s=0.3, target="", **body):
         """Return the status and the document of the reply; 0 if none came in time."""
-        headers = {"X-Target-Instance": self.target.name}
+        headers = {"X-Target-Instance": target or self.target.id}
         try:
             reply = self._http.post(path, json=body, headers=headers, timeout=timeout_s)
         except httpx.TimeoutException:
             return 0, {}
         return reply.status_code, reply.json()
 
-    def start(self, task="a.0.0.0", run=1, until_ms=9_000, fence=1):
+    def start(self, task="a.0.0.0", run=1, until_ms=9_000, fence=1, timeout_s=0.3):
         return self.call(
             "/api/run-start",
+            timeout_s,
             task=task,
             run=run,
             spec="",
@@ -175,11 +178,25 @@
 
 
 @pytest.fixture
-def client(acknowledged, expired):
+def events():
+    return []
+
+
+CRASH_DELAYS_S = {"deadly": 0.2, "deadly-at-once": 0.0}
+
+
+def profile_of(task, spec):
+    crashes_after_s = CRASH_DELAYS_S.get(task.partition(".")[0], float("inf"))
+    return TaskProfile(task, 0.2, (0, 0, 0), crashes_after_s=crashes_after_s)
+
+
+@pytest.fixture
+def client(acknowledged, expired, events):
     ports = Ports()
     address, agent = ports.address(), ports.address()
     fleet = TargetFleet(
-        lambda task, spec: TaskProfile(task, 0.2, (0, 0, 0)),
+        profile_of,
+        on_event=events.append,
         on_acknowledged=lambda *call: acknowledged.append(call),
         on_lease_expired=lambda *call: expired.append(call),
     )
@@ -333,3 +350,102 @@
         client.target.restart()
         assert client.hold()[1]["born"] < earlier_ms
         assert client.target.clock_s() >= 0.0
+
+
+class TestTargetCrashes:
+    SOUND, DEADLY, AT_ONCE = "sound.0.0.0", "deadly.0.0.0", "deadly-at-once.0.0.0"
+
+    @pytest.fixture(autouse=True)
+    def _target_down_until_restart(self, client):
+        client.target.down_s = float("inf")
+        client.target.hangs = True
+
+    def start(self, client, task):
+        assert client.start(task, timeout_s=10.0)[0] == 200
+
+    def refuses_connections(self, client):
+        try:
+            client.hold()
+        except httpx.ConnectError:
+            return True
+        except httpx.TransportError:
+            return False
+        return False
+
+    def wait_until_back(self, client):
+        wait_until(lambda: not self.refuses_connections(client))
+
+    # Guards against deadly tasks that leave some of their target's runs alone.
+    def test_a_crash_loses_all_runs(self, client, events):
+        self.start(client, self.SOUND)
+        self.start(client, self.DEADLY)
+        wait_until(lambda: self.refuses_connections(client))
+        kinds = {(event.kind, event.task) for event in events}
+        assert kinds == {
+            (kind, task)
+            for kind in ("started", "crashed")
+            for task in (self.SOUND, self.DEADLY)
+        }
+        client.target.restart()
+        self.wait_until_back(client)
+        assert client.hold()[1]["running"] == client.hold()[1]["ended"] == []
+
+    # Guards against a crash that the agent learns of by a reply or a notice.
+    def test_a_crash_drops_connections_without_notice(self, client):
+        wait_until(lambda: client.heartbeats)
+        self.start(client, self.DEADLY)
+        with pytest.raises(httpx.TransportError):
+            client.hold(waitMs=2_000, timeout_s=10.0)
+        wait_until(lambda: self.refuses_connections(client))
+        time.sleep(2 * standin.HEARTBEAT_INTERVAL_S)  # for one that was on its way
+        paths = list(client.paths)
+        time.sleep(2 * standin.HEARTBEAT_INTERVAL_S)
+        assert client.paths == paths
+        assert {method for method, _ in paths} == {"PUT"}
+
+    # Guards against a reply to a start that has crashed its target at once.
+    def test_a_crash_may_take_the_reply_to_the_start_away(self, client):
+        with pytest.raises(httpx.TransportError):
+            client.start(self.AT_ONCE, timeout_s=10.0)
+        assert client.target.started == [(self.AT_ONCE, 1)]
+        assert client.target.crash_count == 1
+
+    # Guards against a target that stays down, or returns as the incarnation before.
+    @pytest.mark.parametrize("renamed", [False, True])
+    def test_a_target_returns_as_a_new_incarnation(self, client, renamed):
+        earlier_id, earlier_ms = client.target.id, client.target.born_ms
+        client.target.renamed_by_crash = renamed
+        client.target.down_s = 1.0
+        started_s = time.monotonic()
+        self.start(client, self.DEADLY)
+        wait_until(lambda: client.target.incarnation == 2)
+        assert time.monotonic() - started_s >= 1.0
+        self.wait_until_back(client)
+        assert client.hold()[1]["born"] == client.target.born_ms > earlier_ms
+        path = f"/api/instances/{client.target.id}"
+        wait_until(lambda: (client.target.born_ms, 1) in client.heartbeats)
+        assert client.paths[-1] == ("PUT", path)
+        assert (client.target.id != earlier_id) is renamed
+
+    # Guards against calls that are carried out by an incarnation with another id.
+    def test_a_renamed_target_refuses_calls_to_its_earlier_id(
+        self, client, late_delay_s
+    ):
+        client.target.renamed_by_crash = True
+        client.target.late_call_share = 1.0
+        assert client.start(self.SOUND, until_ms=60_000)[0] == 0
+        client.target.crash()
+        client.target.restart()
+        wait_until(lambda: not client.target.late_messages)
+        assert client.target.started == []
+        self.wait_until_back(client)
+        assert client.hold()[0] == 200
+        assert client.hold(target=client.target.name)[0] == 421
+
+    # Guards against a late call that is executed while its target is down.
+    def test_a_target_that_is_down_executes_no_late_calls(self, client, late_delay_s):
+        client.target.late_call_share = 1.0
+        assert client.start(self.SOUND, until_ms=60_000)[0] == 0
+        client.target.crash()
+        wait_until(lambda: not client.target.late_messages)
+        assert client.target.started == []
