Show callers why a job has failed

The reply to a GET of a job that has failed has a field `reason`, from that row. It is absent in all other states, also while a job is about to fail and its last runs still end, and where a cancellation came first. `JobService.state` becomes `status` and returns both; the tests that called it read its `state`.

Evidence: tests/cover/test_job_service.py and test_platform_adapter.py, 105 passed, 7 of them new; test_a_failed_job_shows_its_reason asks both entries as processes, tests/processes/test_platform_path.py 11 passed. On the code before, the reply has no such field and the new tests can't run.

--- a/packages/control/src/cicadabank/control/__init__.py
+++ b/packages/control/src/cicadabank/control/__init__.py
@@ -19,6 +19,7 @@
     "EntryParts": "internal.entry",
     "JobService": "internal.job_service",
     "JobRequest": "internal.job_service",
+    "JobStatus": "internal.job_service",
     "Listing": "internal.target_messages",
     "OperatorView": "internal.feed",
     "RequestTiming": "internal.job_service",
--- a/packages/control/src/cicadabank/control/internal/job_service.py
+++ b/packages/control/src/cicadabank/control/internal/job_service.py
@@ -73,6 +73,21 @@
     steps: tuple[StepSpec, ...]
 
 
+class JobStatus(NamedTuple):
+    """What clients are told of a job.
+
+    Attributes
+    ----------
+    state : str
+        ``"pending"``, ``"running"``, ``"completed"``, ``"failed"`` or ``"cancelled"``.
+    reason : str
+        Why the job has failed; empty in all other states.
+    """
+
+    state: str
+    reason: str = ""
+
+
 class RequestTiming(NamedTuple):
     """When a request was received, and how long its client waits for the response.
 
@@ -366,8 +381,8 @@
                 )
             self._sleep_until_reachable(RETRY_PAUSE_S)
 
-    def state(self, route: RouteConfig, job: str) -> str:
-        """Return the state of a job.
+    def status(self, route: RouteConfig, job: str) -> JobStatus:
+        """Return the state of a job, and why it has failed.
 
         Raises
         ------
@@ -377,25 +392,27 @@
             If the store was needed and did not reply.
         """
         try:
-            return self._find_state(route, job, STORE_CALL_TIMEOUT_S)
+            return self._find_status(route, job, STORE_CALL_TIMEOUT_S)
         except PlatformError as error:
             raise StoreUnavailableError(
                 f"the store is unavailable: {error.message}"
             ) from error
 
-    def _find_state(self, route: RouteConfig, job: str, timeout_s: float) -> str:
-        """Return the state of a job from the replica, or else from the store."""
+    def _find_status(self, route: RouteConfig, job: str, timeout_s: float) -> JobStatus:
+        """Return the status of a job from the replica, or else from the store."""
         queue = route.queue
         if self._is_in_replica(job, queue.name):
             rows = self._replica.cells[self._replica.cell_by_job[job]]
             stored = rows.runs.get(job)
-            return _visible_state(stored.row if stored else None, job in rows.cancelled)
+            return _visible_status(
+                stored.row if stored else None, job in rows.cancelled
+            )
         found = self._read(queue.cell, JOB_PREFIX + job, timeout_s)
         if found is None or unpack(found, JobRecord).queue != queue.name:
             raise NoJobError("the job does not exist in this queue")
         run = self._read(queue.cell, RUN_PREFIX + job, timeout_s)
         cancelled = self._read(queue.cell, CANCEL_PREFIX + job, timeout_s) is not None
-        return _visible_state(
+        return _visible_status(
             None if run is None else unpack(run, JobProgressRow), cancelled
         )
 
@@ -418,18 +435,20 @@
             If the store was needed and did not reply.
         """
         with self._waiting(timing) as wait:
-            if self._wait_for_state(route, job, wait) in ENDED_JOB_STATES:
+            if self._wait_for_status(route, job, wait).state in ENDED_JOB_STATES:
                 return
             cell = self._replica.cell_by_job.get(job, route.queue.cell)
             row = pack(CancelRow(self._replica.store_now_s()))
             self._write(cell, {}, {CANCEL_PREFIX + job: row}, wait)
         logger.bind(event="cancel_accepted", job=job).info("cancellation accepted")
 
-    def _wait_for_state(self, route: RouteConfig, job: str, wait: RequestWait) -> str:
-        """Return the state of a job; wait for the store if it has to be asked."""
+    def _wait_for_status(
+        self, route: RouteConfig, job: str, wait: RequestWait
+    ) -> JobStatus:
+        """Return the status of a job; wait for the store if it has to be asked."""
         while True:
             try:
-                return self._find_state(route, job, wait.call_timeout_s())
+                return self._find_status(route, job, wait.call_timeout_s())
             except PlatformError as error:
                 if not wait.pause(RETRY_PAUSE_S, self._sleep_until_reachable):
                     raise _store_unavailable(error, wait) from error
@@ -469,9 +488,12 @@
     )
 
 
-def _visible_state(run: JobProgressRow | None, cancelled: bool) -> str:
+def _visible_status(run: JobProgressRow | None, cancelled: bool) -> JobStatus:
     state = run.state if run else "pending"
-    return "cancelled" if cancelled and state not in ENDED_JOB_STATES else state
+    if cancelled and state not in ENDED_JOB_STATES:
+        return JobStatus("cancelled")
+    # A job that is about to fail has a reason before its last run has ended.
+    return JobStatus(state, run.reason if run and state == "failed" else "")
 
 
 def _check_steps(steps: tuple[StepSpec, ...]) -> None:
--- a/tests/cover/test_job_service.py
+++ b/tests/cover/test_job_service.py
@@ -13,6 +13,7 @@
 from cicadabank.control.internal.job_service import (
     JobRequest,
     JobService,
+    JobStatus,
     RequestTiming,
 )
 from cicadabank.control.internal.replica import Replica
@@ -20,6 +21,7 @@
     CANCEL_PREFIX,
     JOB_PREFIX,
     RUN_PREFIX,
+    CancelRow,
     Configuration,
     JobProgressRow,
     JobRecord,
@@ -275,7 +277,7 @@
             with pytest.raises(errors.StoreUnavailableError) as caught:
                 harness.submit_job("f" * 16, 3.0)
             assert caught.value.retry_after_s == 1
-            assert harness.service.state(ROUTE, REQUEST.job) == "pending"
+            assert harness.service.status(ROUTE, REQUEST.job).state == "pending"
             assert time.monotonic() - start_s < 0.1
             harness.table.down = False
             for future in waiting:
@@ -340,19 +342,19 @@
 class TestStates:
     def test_only_the_store_can_deny_that_a_job_exists(self, harness):
         with pytest.raises(errors.NoJobError):
-            harness.service.state(ROUTE, REQUEST.job)
+            harness.service.status(ROUTE, REQUEST.job)
         harness.table.down = True
         with pytest.raises(errors.StoreUnavailableError):
-            harness.service.state(ROUTE, REQUEST.job)
+            harness.service.status(ROUTE, REQUEST.job)
 
     def test_a_job_that_another_entry_accepted_is_read_from_the_store(self, harness):
         harness.submit()
-        assert harness.service.state(ROUTE, REQUEST.job) == "pending"
+        assert harness.service.status(ROUTE, REQUEST.job).state == "pending"
 
     def test_a_job_of_another_queue_is_not_shown(self, harness):
         harness.submit()
         with pytest.raises(errors.NoJobError):
-            harness.service.state(CONFIG.routes[1], REQUEST.job)
+            harness.service.status(CONFIG.routes[1], REQUEST.job)
 
     @pytest.mark.parametrize("state", ["running", "completed", "failed"])
     def test_the_stored_state_is_shown(self, harness, state):
@@ -360,7 +362,40 @@
         row = pack(JobProgressRow(state, started=True))
         harness.table.commit("cell", {}, {RUN_PREFIX + REQUEST.job: row})
         harness.update_replica()
-        assert harness.service.state(ROUTE, REQUEST.job) == state
+        assert harness.service.status(ROUTE, REQUEST.job).state == state
+
+    # Guards against a reason that only one way of reading a job returns.
+    @pytest.mark.parametrize("read_by_entry", [True, False])
+    def test_the_reason_of_a_failed_job_is_shown(self, harness, read_by_entry):
+        harness.submit()
+        row = pack(JobProgressRow("failed", "step 0 failed 3 times", started=True))
+        harness.table.commit("cell", {}, {RUN_PREFIX + REQUEST.job: row})
+        if read_by_entry:
+            harness.update_replica()
+        status = harness.service.status(ROUTE, REQUEST.job)
+        assert status == JobStatus("failed", "step 0 failed 3 times")
+
+    # Guards against a reason for a failure that has not come, or never will.
+    @pytest.mark.parametrize(
+        ("stored", "cancelled", "shown"),
+        [
+            ("running", False, "running"),
+            ("running", True, "cancelled"),
+            ("completed", False, "completed"),
+            ("cancelled", True, "cancelled"),
+        ],
+    )
+    def test_only_a_failed_job_has_a_reason(self, harness, stored, cancelled, shown):
+        harness.submit()
+        row = pack(JobProgressRow(stored, "step 0 failed 3 times", started=True))
+        harness.table.commit("cell", {}, {RUN_PREFIX + REQUEST.job: row})
+        if cancelled:
+            cancel_row = pack(CancelRow(0.0))
+            key = CANCEL_PREFIX + REQUEST.job
+            harness.table.commit("cell", {}, {key: cancel_row})
+        harness.update_replica()
+        status = harness.service.status(ROUTE, REQUEST.job)
+        assert status == JobStatus(shown)
 
 
 class TestWrittenRows:
@@ -382,7 +417,7 @@
         harness.service.cancel(ROUTE, REQUEST.job, timing(1.0))
         assert harness.stored_row(CANCEL_PREFIX) is not None
         harness.update_replica()
-        assert harness.service.state(ROUTE, REQUEST.job) == "cancelled"
+        assert harness.service.status(ROUTE, REQUEST.job).state == "cancelled"
 
     def test_a_completed_job_is_not_cancelled(self, harness):
         harness.submit()
@@ -390,7 +425,7 @@
         harness.table.commit("cell", {}, {RUN_PREFIX + REQUEST.job: row})
         harness.update_replica()
         harness.service.cancel(ROUTE, REQUEST.job, timing(1.0))
-        assert harness.service.state(ROUTE, REQUEST.job) == "completed"
+        assert harness.service.status(ROUTE, REQUEST.job).state == "completed"
 
     # Guards against a cancellation that is refused, although the store returns within
     # its client's deadline, by an entry that has not read the job yet.
@@ -494,7 +529,7 @@
         harness.table.commit("cell", {}, {job: pack(JobProgressRow("completed"))})
         harness.update_replica()
         harness.replica.apply([old], lambda *_: None)
-        assert harness.service.state(ROUTE, REQUEST.job) == "completed"
+        assert harness.service.status(ROUTE, REQUEST.job).state == "completed"
 
     def test_an_undecodable_row_is_skipped(self, harness):
         harness.table.commit(
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -7,6 +7,7 @@
 
 import msgspec
 import pytest
+from cicadabank.control import JobStatus
 from cicadabank.control.errors import (
     NoRouteError,
     StoreUnavailableError,
@@ -39,6 +40,7 @@
     def __init__(self):
         self.submitted = []
         self.error = None
+        self.job_status = JobStatus("running")
         self.refused = []
 
     def route(self, host, path, timing):
@@ -56,10 +58,10 @@
     def submit(self, route, request, timing):
         self.submitted.append((request, timing.deadline_s))
 
-    def state(self, route, job):
+    def status(self, route, job):
         if self.error is not None:
             raise self.error
-        return "running"
+        return self.job_status
 
     def pending_count(self, route, timing):
         return 12
@@ -142,6 +144,17 @@
         assert api.dispatch(call("GET", "/q/short")).status == 404
         assert api.dispatch(call("GET", "/other/")).status == 404
 
+    # Guards against a caller who can't learn why a job has failed.
+    def test_a_failed_job_has_a_reason(self):
+        service = FakeJobService()
+        service.job_status = JobStatus("failed", "step 0 failed 3 times")
+        reply = JobApi(service).dispatch(call("GET", "/q/" + "a" * 16))
+        assert reply.status == 200
+        assert json.loads(reply.body) == {
+            "state": "failed",
+            "reason": "step 0 failed 3 times",
+        }
+
 
 class TestHeartbeats:
     HEARTBEAT = {
--- a/tests/processes/test_platform_path.py
+++ b/tests/processes/test_platform_path.py
@@ -48,6 +48,16 @@
         assert platform.call("DELETE", f"/q/{job}").status_code == 200
         wait_for(lambda: platform.state(job) == "cancelled")
 
+    # Guards against a caller who can't learn why a job has failed.
+    def test_a_failed_job_shows_its_reason(self, platform):
+        job = f"{0xC0:016x}"
+        wait_for(lambda: platform.submit(job, 1.0, gpu=99) == 200)
+        wait_for(lambda: platform.state(job) == "failed")
+        for entry in platform.fronts:
+            wait_for(lambda entry=entry: platform.state(job, entry) == "failed")
+            reason = platform.call("GET", f"/q/{job}", entry).json()["reason"]
+            assert reason == "step 0: a task needs more than any target has"
+
     def test_a_start_without_a_reply_runs_once(self, platform):
         job = JOB_FORMAT.format(3)
         for target in platform.targets:
