Reproduce deadly tasks with separate processes

These tests run it with entries and agents as processes, on targets that crash without notice and return after 3 s, while the agents live on.

- One deadly job among sound ones, and a kill of the holder after the first crash: the deadly job is to end `failed`, with a reason that names the crash, after five starts at most, and the sound jobs complete.
With and without a new id, and with and without a reply to the start.
- The same with an agent killed while its target is down, so that nobody saw the crash: only the sound jobs are checked.
- A sound job completes after three losses of all power.

--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import time
+from collections import Counter
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
 from pathlib import Path
@@ -21,10 +22,16 @@
     serving,
     target_running,
 )
-from cicadabank.standin import FleetTarget, TargetFleet, TaskProfile
+from cicadabank.standin import (
+    FleetTarget,
+    TargetEvent,
+    TargetFleet,
+    TaskProfile,
+)
 
 KEY = "key-1"
 CAPACITY = (32_000, 131_072, 8)
+DEADLY_PREFIX = "crash after "
 HEADERS = {"Host": "h.example", "Authorization": f"Bearer {KEY}"}
 CONFIG = {
     "version": 3,
@@ -66,19 +73,35 @@
 
 
 def profile_of(task: str, spec: str) -> TaskProfile:
-    """Return the profile of a task whose payload is its work in seconds."""
+    """Return the profile of a task.
+
+    Its payload is its work in seconds; of a deadly task, it is `DEADLY_PREFIX` and the
+    seconds after which a run crashes its target.
+    """
+    if spec.startswith(DEADLY_PREFIX):
+        crashes_after_s = float(spec.removeprefix(DEADLY_PREFIX))
+        return TaskProfile(
+            task, float("inf"), (0, 0, 0), crashes_after_s=crashes_after_s
+        )
     return TaskProfile(task, float(spec), (0, 0, 0))
 
 
 class SmallPlatform:
-    """A stand-in store, entries, and in-memory targets with their agents."""
+    """A stand-in store, entries, and in-memory targets with their agents.
+
+    Attributes
+    ----------
+    events : list of TargetEvent
+        Starts and ends of runs on all targets, in order.
+    """
 
     def __init__(self, folder: Path, ports: Ports):
         self.folder = folder
         self.ports = ports
         self.store = StoreStandIn()
         self.store_address = ports.address()
-        self.fleet = TargetFleet(profile_of)
+        self.events: list[TargetEvent] = []
+        self.fleet = TargetFleet(profile_of, self.events.append)
         self.targets: list[FleetTarget] = []
         self.fronts: dict[str, str] = {}
         self.processes: dict[str, subprocess.Popen] = {}
@@ -130,14 +153,52 @@
 
     def submit(self, job: str, work_s: float, entry: str = "", **step) -> int:
         """Submit a job whose tasks run for some seconds; return the status."""
+        return self._submit(job, str(work_s), entry, step)
+
+    def submit_deadly(self, job: str, crashes_after_s: float) -> int:
+        """Submit a job whose task crashes its targets; return the status."""
+        return self._submit(job, f"{DEADLY_PREFIX}{crashes_after_s}", "", {})
+
+    def _submit(self, job: str, spec: str, entry: str, step: dict) -> int:
         fields = {"count": 1, "cpu": 1000, "memMb": 100, "gpu": 1, "estimateMs": 1000}
-        body = {"spec": str(work_s), "steps": [{**fields, **step}]}
+        body = {"spec": spec, "steps": [{**fields, **step}]}
         return self.call("POST", f"/q/{job}", entry, json=body).status_code
 
     def state(self, job: str, entry: str = "") -> str:
         """Return a job's state, or an empty string."""
         return self.call("GET", f"/q/{job}", entry).json().get("state", "")
 
+    def lose_power(self) -> None:
+        """Kill all processes and crash all targets, then start the processes."""
+        names = list(self.processes)
+        for name in names:
+            self.processes[name].send_signal(signal.SIGKILL)
+        for target in self.targets:
+            target.crash()
+        for name in names:
+            self.kill(name)
+            self.start(name)
+
+    def start_count(self, job: str) -> int:
+        """Return how often the tasks of a job were started."""
+        return sum(
+            event.kind == "started" and event.task.startswith(job)
+            for event in list(self.events)
+        )
+
+    def overlapping_runs(self) -> list[TargetEvent]:
+        """Return the starts of tasks that had another active run."""
+        active: Counter[str] = Counter()
+        overlapping = []
+        for event in list(self.events):
+            if event.kind != "started":
+                active[event.task] -= 1
+                continue
+            if active[event.task]:
+                overlapping.append(event)
+            active[event.task] += 1
+        return overlapping
+
     def holder(self) -> str:
         """Return the entry that last became the cell's holder, from the logs."""
         takeovers: list[tuple[str, str]] = []
