Add deadly jobs to the soak, off by default

The checker counts the crashes under each task: after three, a deadly task may be started twice more while no fault disturbs the processes, as the rule says. A deadly job may be shown as failed after two crashes under one task, and never as completed; a sound one still only after failed runs of its own. Each job has to end.

It is off by default, because the present code breaks it. Without it, draws and schedule are the same as before, so that seeds keep their meaning.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,4 +1,7 @@
-"""Runs the soak: ``python -m soak --seeds 50``."""
+"""Runs the soak: ``python -m soak --seeds 50``.
+
+With ``--deadly 1``, one more caller submits jobs whose tasks crash their targets.
+"""
 
 from __future__ import annotations
 
@@ -33,6 +36,8 @@
         Single faults to draw; some of them are repeated.
     series : int
         Series of overlapping faults of one target and its agent to draw.
+    deadly : int
+        Callers whose jobs crash each target that starts them.
     longest_s : float
         Longest work of a run.
     length_s : float
@@ -44,6 +49,7 @@
     callers: int = 6
     faults: int = 8
     series: int = 2
+    deadly: int = 0
     longest_s: float = 4.0
     length_s: float = 20.0
 
@@ -79,7 +85,12 @@
     ) as deployment:
         deployment.store.put("op", "config", configuration(1, 0, [KEY]))
         with load_running(
-            deployment, checker, rng, options.callers, options.longest_s
+            deployment,
+            checker,
+            rng,
+            options.callers,
+            options.deadly,
+            options.longest_s,
         ) as caller:
             if not wait_for(
                 lambda: sum(checker.end_counts.values()) > 0, READY_TIMEOUT_S
@@ -93,7 +104,7 @@
                     rng, deployment, options.faults, options.series, options.length_s
                 ),
             )
-            schedule.run()
+            schedule.run(options.length_s if options.deadly else 0.0)
             deployment.heal()
         _check_end(checker, caller, options.targets)
         accepted = sum(job.accepted_s is not None for job in checker.jobs.values())
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -15,6 +15,11 @@
 VISIBLE_BOUND_S = 3.0
 # Failed runs of a task after which its job fails.
 MAX_ATTEMPTS = 4
+# Targets that crash under a task before its job may fail, and before its further starts
+# are limited.
+CRASHES_TO_FAIL = 2
+CRASHES_BEFORE_LIMIT = 3
+MAX_STARTS_AFTER_LIMIT = 2
 # Time after a fault for which the bounds do not hold: a lease of 8 s must expire, with
 # clock drift, and a report must follow.
 DISTURBANCE_S = 10.0
@@ -47,6 +52,11 @@
         self.cancelled_s: float | None = None
         self.state = ""
 
+    @property
+    def is_deadly(self) -> bool:
+        """Whether a task of the job crashes its targets."""
+        return any(step.profile.crashes_after_s < float("inf") for step in self.steps)
+
     def tasks(self, step: int) -> list[str]:
         """Return the names of a step's tasks."""
         count = self.steps[step].document["count"]
@@ -77,6 +87,7 @@
         self.jobs: dict[str, Job] = {}
         self.drain_started_s: dict[str, float] = {}
         self.last_disturbance_s = float("-inf")  # start or end of the latest fault
+        self.last_crash_s = float("-inf")  # of a target, through one of its tasks
         self.end_counts: dict[str, int] = defaultdict(int)
         self._domains = domains
         self._capacity = capacity
@@ -94,6 +105,9 @@
         self._acknowledged: dict[tuple[str, int], int] = defaultdict(int)
         # Numbers of the failed runs, by unit.
         self._failed_runs: dict[str, set[int]] = defaultdict(set)
+        # Targets that have crashed under each task, and its starts after the limit.
+        self._crashes: dict[str, int] = defaultdict(int)
+        self._starts_after_limit: dict[str, int] = defaultdict(int)
         # Tasks of done units that were started again, each with an earlier end. It is a
         # violation if that end is acknowledged, at that time or later.
         self._restarts_before_acknowledgement: list[
@@ -105,8 +119,9 @@
         self.last_disturbance_s = time.monotonic()
 
     def is_undisturbed(self) -> bool:
-        """Whether the last fault is long enough ago for the bounds to hold."""
-        return time.monotonic() - self.last_disturbance_s > DISTURBANCE_S
+        """Whether the last fault or crash is long enough ago for the bounds to hold."""
+        last_s = max(self.last_disturbance_s, self.last_crash_s)
+        return time.monotonic() - last_s > DISTURBANCE_S
 
     def report_violation(self, invariant: str, detail: str) -> None:
         """Record the violation of an invariant."""
@@ -157,6 +172,7 @@
             self.report_violation("a refused job never runs", event.task)
         self._check_order(job, int(step), event)
         self._check_times(job, event)
+        self._check_crashes(job, event)
         self._active_runs[event.task] = ActiveRun(
             event.target, event.incarnation, event.run
         )
@@ -186,6 +202,16 @@
         ):
             self.report_violation("nothing starts in an evacuated domain", str(event))
 
+    def _check_crashes(self, job: Job, event: TargetEvent) -> None:
+        # A crash is no disturbance here: the processes are in touch with each other.
+        undisturbed = time.monotonic() - self.last_disturbance_s > DISTURBANCE_S
+        limited = self._crashes[event.task] >= CRASHES_BEFORE_LIMIT
+        if not (job.is_deadly and limited and undisturbed):
+            return
+        self._starts_after_limit[event.task] += 1
+        if self._starts_after_limit[event.task] > MAX_STARTS_AFTER_LIMIT:
+            self.report_violation("a deadly task is given up", str(event))
+
     def _on_end(self, event: TargetEvent) -> None:
         self.end_counts[event.kind] += 1
         self._needs_by_target[event.target].pop((event.task, event.run), None)
@@ -198,6 +224,10 @@
             self._completed_units.add(self._unit(event.task))
         elif event.kind == "failed":
             self._failed_runs[self._unit(event.task)].add(event.run)
+        elif event.kind == "crashed":
+            self._crashes[event.task] += 1
+            self.last_crash_s = time.monotonic()
+            self.on_ends_void(event.target, event.incarnation)
         elif event.kind == "alone" and self.is_undisturbed():
             self.report_violation("the members of a gang run together", str(event))
 
@@ -250,8 +280,7 @@
                 unit for n in range(len(job.steps)) for unit in self._units(job, n)
             ]
             unfinished = [unit for unit in units if unit not in self._completed_units]
-            most_failures = max(len(self._failed_runs[unit]) for unit in units)
-            if state == "failed" and most_failures < MAX_ATTEMPTS:
+            if state == "failed" and not self._may_fail(job, units):
                 self.report_violation(
                     "a job fails only after all its attempts", job.job
                 )
@@ -260,6 +289,17 @@
                     "all tasks of a completed job are done", f"{unfinished}"
                 )
 
+    def _may_fail(self, job: Job, units: list[str]) -> bool:
+        """Whether a unit has used up its attempts, or a deadly task was given up.
+
+        A sound job must not fail because of the crashes that its tasks were lost in.
+        """
+        tasks = [task for step in range(len(job.steps)) for task in job.tasks(step)]
+        most_crashes = max(self._crashes[task] for task in tasks)
+        most_failures = max(len(self._failed_runs[unit]) for unit in units)
+        given_up = job.is_deadly and most_crashes >= CRASHES_TO_FAIL
+        return given_up or most_failures >= MAX_ATTEMPTS
+
     def unfinished_jobs(self) -> list[Job]:
         """Return the accepted jobs that have no final state yet."""
         with self._lock:
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -214,6 +214,7 @@
     rack = f"r-{domain}-{number // (TARGETS_PER_RACK * len(DOMAINS))}"
     address, control = ports.address(), ports.address()
     target = deployment.fleet.add(name, CAPACITY)
+    target.renamed_by_crash = number % 2 == 1
     server = TargetServer(target, address, control, domain, rack, seed)
     stack.enter_context(target_running(server))
     link = stack.enter_context(proxy_running(address))
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -321,8 +321,8 @@
         self._threads: list[threading.Thread] = []
         self._locks = {name: threading.Lock() for name in deployment.processes}
 
-    def run(self) -> None:
-        """Inject all faults, and wait until all have ended."""
+    def run(self, least_s: float) -> None:
+        """Inject all faults, and wait until all have ended, at least for `least_s`."""
         started_s = time.monotonic()
         for at_s, fault in self._faults:
             time.sleep(max(0.0, started_s + at_s - time.monotonic()))
@@ -331,6 +331,7 @@
             self._threads.append(thread)
         for thread in self._threads:
             thread.join()
+        time.sleep(max(0.0, started_s + least_s - time.monotonic()))
 
     def _inject(self, fault: Fault) -> None:
         names = [fault.process] if isinstance(fault, SignalFault) else []
--- a/soak/load.py
+++ b/soak/load.py
@@ -5,7 +5,7 @@
 import random
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 import httpx
@@ -86,6 +86,33 @@
     return Job(name, f"spec-{number}", steps)
 
 
+def draw_deadly_job(
+    rng: random.Random, number: int, targets: int, longest_s: float
+) -> Job:
+    """Draw a job of one step whose tasks crash each target that starts them."""
+    name = f"{number:016x}"
+    gang = rng.random() < 0.3
+    count = min(2, targets) if gang else rng.randint(1, 3)
+    need = (500, 1_000, 1)
+    document = {
+        "count": count,
+        "cpu": need[0],
+        "memMb": need[1],
+        "gpu": need[2],
+        "estimateMs": int(longest_s * 1000),
+    }
+    if gang:
+        document["gang"] = True
+    profile = TaskProfile(
+        f"{name}.0.0",
+        longest_s,
+        need,
+        count if gang else 1,
+        crashes_after_s=rng.choice((0.0, rng.uniform(0.05, longest_s / 2))),
+    )
+    return Job(name, f"spec-{number}", [Step(document, profile)])
+
+
 def whole_fleet_job(targets: int) -> Job:
     """Return a job that needs all targets at once, each of them whole."""
     name, need = f"{0:016x}", (1_000, 1_000, CAPACITY[2])
@@ -102,7 +129,13 @@
 
 
 class Caller:
-    """Submits one job after the other, over persistent connections."""
+    """Submits one job after the other, over persistent connections.
+
+    Parameters
+    ----------
+    draw : callable
+        Draws a job; see `draw_job`.
+    """
 
     def __init__(
         self,
@@ -111,12 +144,14 @@
         rng: random.Random,
         first_number: int,
         longest_s: float,
+        draw: Callable[[random.Random, int, int, float], Job] = draw_job,
     ):
         self._deployment = deployment
         self._checker = checker
         self._rng = rng
         self._number = first_number
         self._longest_s = longest_s
+        self._draw = draw
         self._client = httpx.Client(trust_env=False, timeout=DEADLINE_S)
 
     def run(self, stopping: threading.Event) -> None:
@@ -124,7 +159,7 @@
         while not stopping.is_set():
             self._number += 1
             targets = len(self._deployment.domains)
-            job = draw_job(self._rng, self._number, targets, self._longest_s)
+            job = self._draw(self._rng, self._number, targets, self._longest_s)
             queue = self._rng.choice(sorted(QUEUES))
             self._checker.record_submission(job)
             self.submit(job, queue)
@@ -303,11 +338,13 @@
     checker: InvariantChecker,
     rng: random.Random,
     callers: int,
+    deadly: int,
     longest_s: float,
 ) -> Iterator[Caller]:
     """Run callers, an operator and a prober until the block ends; yield a caller.
 
-    The work of a run takes at most `longest_s`.
+    The work of a run takes at most `longest_s`. The jobs of `deadly` further callers
+    crash their targets.
     """
     stopping = threading.Event()
     operator = Operator(deployment, checker, random.Random(rng.random()))
@@ -318,6 +355,17 @@
         )
         for n in range(callers)
     ]
+    clients += [
+        Caller(
+            deployment,
+            checker,
+            random.Random(rng.random()),
+            (callers + n + 1) << 32,
+            longest_s,
+            draw_deadly_job,
+        )
+        for n in range(deadly)
+    ]
     threads = [
         threading.Thread(target=client.run, args=(stopping,)) for client in clients
     ]
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -6,7 +6,14 @@
 from cicadabank.standin import TargetEvent, TaskProfile
 
 from soak.__main__ import Options, run_seed
-from soak.checker import InvariantChecker, Job, Step
+from soak.checker import (
+    CRASHES_BEFORE_LIMIT,
+    CRASHES_TO_FAIL,
+    MAX_STARTS_AFTER_LIMIT,
+    InvariantChecker,
+    Job,
+    Step,
+)
 
 SHORT_RUN = Options(
     entries=2, targets=4, callers=4, faults=4, series=1, longest_s=1.0, length_s=8.0
@@ -22,14 +29,16 @@
         assert result.accepted > 0
 
 
-class TestChecker:
+class CheckerTests:
+    """A checker that knows one job, and the events of its tasks."""
+
     TASK = "a.0.0.0"
+    PROFILE = TaskProfile("a.0.0", 1.0, (5, 1, 1))
 
     @pytest.fixture
     def checker(self):
         checker = InvariantChecker({"t0": "d0", "t1": "d1"}, (8, 8, 8))
-        profile = TaskProfile("a.0.0", 1.0, (5, 1, 1))
-        checker.record_submission(Job("a", "", [Step({"count": 3}, profile)]))
+        checker.record_submission(Job("a", "", [Step({"count": 3}, self.PROFILE)]))
         checker.mark_disturbance()
         return checker
 
@@ -39,6 +48,8 @@
     def found(self, checker):
         return [violation.invariant for violation in checker.violations]
 
+
+class TestChecker(CheckerTests):
     @pytest.mark.parametrize("acknowledged_first", [False, True])
     def test_a_task_that_is_done_may_not_run_again(self, checker, acknowledged_first):
         self.play(checker, "started")
@@ -68,3 +79,65 @@
         self.play(checker, "started")
         self.play(checker, "started", run=2)
         assert "a target never exceeds its capacity" in self.found(checker)
+
+
+class TestDeadlyJobs(CheckerTests):
+    PROFILE = CheckerTests.PROFILE._replace(crashes_after_s=0.1)
+
+    def crash(self, checker, times):
+        for run in range(1, times + 1):
+            self.play(checker, "started", run=run)
+            self.play(checker, "crashed", run=run)
+
+    def show(self, checker, state):
+        checker.on_state_shown(checker.jobs["a"], 200, state)
+
+    # Guards against a checker that misses a task started beyond the users' rule.
+    @pytest.mark.parametrize("excess", [0, 1])
+    def test_starts_are_bounded(self, checker, excess):
+        checker.last_disturbance_s = float("-inf")
+        self.crash(checker, CRASHES_BEFORE_LIMIT + MAX_STARTS_AFTER_LIMIT + excess)
+        assert self.found(checker) == ["a deadly task is given up"] * excess
+
+    # Guards against a rule for machines in touch that is applied to others.
+    def test_starts_during_a_fault_are_not_bounded(self, checker):
+        self.crash(checker, 2 * (CRASHES_BEFORE_LIMIT + MAX_STARTS_AFTER_LIMIT))
+        assert self.found(checker) == []
+
+    # Guards against jobs that are given up before enough targets have crashed.
+    @pytest.mark.parametrize(
+        ("crashes", "violations"),
+        [
+            (CRASHES_TO_FAIL, []),
+            (CRASHES_TO_FAIL - 1, ["a job fails only after all its attempts"]),
+        ],
+    )
+    def test_a_job_may_fail_after_crashes(self, checker, crashes, violations):
+        self.crash(checker, crashes)
+        self.show(checker, "failed")
+        assert self.found(checker) == violations
+
+    def test_a_deadly_job_does_not_complete(self, checker):
+        self.crash(checker, CRASHES_TO_FAIL)
+        self.show(checker, "completed")
+        assert self.found(checker) == ["all tasks of a completed job are done"]
+
+    # Guards against a task that counts as run again after an end made void by a crash.
+    def test_the_ends_of_a_crashed_target_are_void(self, checker):
+        other = "a.0.0.1"
+        self.play(checker, "started", task=other)
+        self.play(checker, "done", sequence=1, task=other)
+        self.crash(checker, 1)
+        self.play(checker, "started", "t1", run=2, task=other)
+        checker.on_acknowledged("t0", 1, 1)
+        assert self.found(checker) == []
+
+
+class TestSoundJobs(CheckerTests):
+    # Guards against sound jobs that fail because others crashed their targets.
+    def test_a_sound_job_does_not_fail_after_crashes(self, checker):
+        for run in range(1, 2 * CRASHES_BEFORE_LIMIT):
+            self.play(checker, "started", run=run)
+            self.play(checker, "crashed", run=run)
+        checker.on_state_shown(checker.jobs["a"], 200, "failed")
+        assert self.found(checker) == ["a job fails only after all its attempts"]
