Check a target's room again right before each start call

Cause: the agent checked the room only when it accepted an order. The call follows later: it may wait for a lease, or be repeated for seconds after "late", "fence" or a missing reply, while heartbeats announce less capacity.

Why it works: `take_due_calls` checks against the capacity of the latest heartbeat whatever may be on the target: runs listed, called or being stopped. Accepted runs without a call are checked before their own calls, so the first of several isn't refused for the sake of later ones. A refusal goes the usual way: a run of which an earlier call got no reply is stopped first. It is reported at once instead of with the next regular report.

--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -257,6 +257,8 @@
             self._call_threads.submit(
                 self._call, call, until_s, self.controller.fence, heartbeat.target
             )
+        if self.controller.refusal_is_unreported:
+            self.report_due.set()
 
     def _call(self, call: TargetCall, until_s: float, fence: int, target: str) -> None:
         """Make one call; runs in a thread of the pool."""
--- a/packages/control/src/cicadabank/control/internal/target_controller.py
+++ b/packages/control/src/cicadabank/control/internal/target_controller.py
@@ -94,6 +94,8 @@
         self._listed_fence = -1  # with which the list was requested
         self._runs: dict[RunId, LocalRun] = {}
         self._refused: dict[RunId, str] = {}
+        # Whether a run was refused since the latest report.
+        self.refusal_is_unreported = False
         self._not_running: set[RunId] = (
             set()
         )  # stopped, and confirmed not to run any more
@@ -272,10 +274,36 @@
         if self.heartbeat.draining:
             return "draining"
         used = [local.need for local in self._runs.values()]
-        for kind, limit in enumerate(self.heartbeat.capacity):
-            if sum(other[kind] for other in used) + need[kind] > limit:
-                return "room"
-        return ""
+        return "" if self._fits(need, used) else "room"
+
+    def _fits(self, need: Resources, used: list[Resources]) -> bool:
+        """Return whether the target has room for a run beside the used resources."""
+        return all(
+            sum(other[kind] for other in used) + need[kind] <= limit
+            for kind, limit in enumerate(self.heartbeat.capacity)
+        )
+
+    def _fits_at_call(self, run: RunId, local: LocalRun) -> bool:
+        """Return whether a start call keeps the target within its present capacity.
+
+        The capacity may have shrunk since the order was accepted. Accepted runs of
+        which no call was made yet are checked before their own calls.
+        """
+        if self._is_listed_running(run):
+            return True
+        used = [
+            other.need
+            for other_run, other in self._runs.items()
+            if other_run != run and self._may_be_on_target(other_run, other)
+        ]
+        return self._fits(local.need, used)
+
+    def _may_be_on_target(self, run: RunId, local: LocalRun) -> bool:
+        return (
+            local.stopping
+            or local.last_call_s > float("-inf")
+            or self._is_listed_running(run)
+        )
 
     def _is_listed_running(self, run: RunId) -> bool:
         running = self._listing.running if self._listing else ()
@@ -283,6 +311,7 @@
 
     def _refuse(self, run: RunId, reason: str) -> None:
         self._refused[run] = reason
+        self.refusal_is_unreported = True
         self._close(run, reason)
 
     def _close(self, run: RunId, reason: str) -> None:
@@ -313,11 +342,14 @@
             local.last_call_s = float("-inf")
 
     def take_due_calls(self, now_s: float) -> list[TargetCall]:
-        """Return the calls to the target that are due, and mark them as pending."""
+        """Return the calls to the target that are due, and mark them as pending.
+
+        Runs for which the target has no room any more are refused instead.
+        """
         due = []
         if self.heartbeat is None or self.target_terminated or self._is_replaced:
             return due
-        for run, local in self._runs.items():
+        for run, local in list(self._runs.items()):
             if local.call_pending or now_s - local.last_call_s < CALL_RETRY_INTERVAL_S:
                 continue
             if local.stopping and local.stop_confirmed_s == float("inf"):
@@ -327,6 +359,9 @@
                 and local.known_on_target_since_s == float("inf")
                 and self.take_lease_end_on_target_s(now_s) is not None
             ):
+                if not self._fits_at_call(run, local):
+                    self._on_refused(run, local, "room", now_s)
+                    continue
                 start_order = local.start_order
                 due.append(
                     TargetCall("start", run, start_order.spec, start_order.checkpoint)
@@ -599,6 +634,7 @@
                 message.pending.append(run_id_to_message(run))
                 if local.stopping:
                     message.stopping.append(run_id_to_message(run))
+        self.refusal_is_unreported = False
         for run, reason in self._refused.items():
             message.refused.add(id=run_id_to_message(run), reason=reason)
         message.gone.extend(run_id_to_message(run) for run in self._not_running)
--- a/tests/cover/test_agent_reports.py
+++ b/tests/cover/test_agent_reports.py
@@ -9,10 +9,10 @@
 import pytest
 from cicadabank.control.internal.agent import AgentActor, AgentParts
 from cicadabank.control.internal.feed import repeating_thread
-from cicadabank.control.internal.target_messages import TargetHeartbeat
+from cicadabank.control.internal.target_messages import Listing, TargetHeartbeat
 from cicadabank.scheduling import Resources
 from cicadabank.standin import MemoryTable
-from cicadabank.tasks import running
+from cicadabank.tasks import clock_s, running
 from cicadabank.wire import ChannelPool, fleet_pb2, fleet_pb2_grpc, serve
 
 from tests.support.addresses import unused_address
@@ -23,14 +23,20 @@
 
 
 class ListeningHolder:
-    """A holder that only records that an agent has reported."""
+    """A holder that only records that an agent has reported, and any refusal."""
 
-    def __init__(self) -> None:
+    def __init__(self, address: str) -> None:
+        self.address = address
         self.reported = threading.Event()
+        self.refused = threading.Event()
 
     def Report(self, request, context):  # noqa: N802 (named by the protocol)
         self.reported.set()
-        return fleet_pb2.ReportReply(accepted=True, epoch=request.epoch)
+        if request.refused:
+            self.refused.set()
+        return fleet_pb2.ReportReply(
+            accepted=True, epoch=request.epoch, holder=self.address
+        )
 
 
 @pytest.fixture
@@ -57,9 +63,48 @@
         order = fleet_pb2.OrderBatch(cell="cell", epoch=1, holder=address)
         agent.ask(agent.on_orders, order)
         time.sleep(silent_s)
-        holder = ListeningHolder()
+        holder = ListeningHolder(address)
         service = (fleet_pb2_grpc.add_HolderServicer_to_server, holder)
         with serve(address, [service], 2):
             order.epoch = 2
             agent.ask(agent.on_orders, order)
             assert holder.reported.wait(0.5)
+
+
+class TestRefusals:
+    # Guards against a task that waits for the next regular report of its refusal.
+    def test_a_start_refused_right_before_its_call_is_reported_at_once(self, agent):
+        address = unused_address()
+        holder = ListeningHolder(address)
+        service = (fleet_pb2_grpc.add_HolderServicer_to_server, holder)
+        with serve(address, [service], 2):
+            agent.ask(self.accept_start, agent, address)
+            assert holder.reported.wait(2.0)
+            agent.ask(self.shrink, agent)
+            agent.ask(agent.on_tick)
+            assert holder.refused.wait(0.5)
+
+    def accept_start(self, agent, address):
+        controller = agent.controller
+        announcement = fleet_pb2.OrderBatch(cell="cell", epoch=1, holder=address)
+        agent.on_orders(announcement)
+        order = fleet_pb2.OrderBatch(
+            cell="cell",
+            epoch=1,
+            holder=address,
+            incarnation=controller.incarnation,
+            starts=[fleet_pb2.StartRun(id=fleet_pb2.RunId(job="j"), accelerators=1)],
+        )
+        assert agent.on_orders(order).accepted
+
+    def shrink(self, agent):
+        controller = agent.controller
+        now_s = clock_s()
+        listed = Listing(HEARTBEAT.started_ms, 50.0, (), ())
+        controller.on_listing(listed, now_s, now_s, controller.fence)
+        smaller = HEARTBEAT._replace(sequence=2, capacity=Resources(0, 0, 0))
+        controller.on_heartbeat(smaller, now_s)
+        reply = fleet_pb2.ReportReply(
+            accepted=True, epoch=1, holder=controller.holder, lease_s=8.0
+        )
+        controller.on_reply(reply, now_s, controller.incarnation)
--- a/tests/cover/test_target_controller.py
+++ b/tests/cover/test_target_controller.py
@@ -261,6 +261,86 @@
         assert refused(controller) == {("j", 0): "old"}
 
 
+# Guards against a target over its capacity, which may shrink and grow while it runs.
+class TestCapacity:
+    def set_accelerators(self, controller, accelerators, sequence=2) -> bool:
+        capacity = Resources(32_000, 1000, accelerators)
+        return controller.on_heartbeat(
+            heartbeat(sequence=sequence, capacity=capacity), 10.2
+        )
+
+    # Guards against a start that waits for a lease while the capacity shrinks.
+    def test_a_start_that_no_longer_fits_when_its_lease_arrives_is_refused(self):
+        controller = TargetController("a:2", "agent-1", "cell")
+        controller.on_heartbeat(heartbeat(), 10.0)
+        controller.on_orders(batch(controller, incarnation=""), 10.0)
+        list_runs(controller, listing(), 10.0, 10.0)
+        controller.on_orders(batch(controller, starts=[start()]), 10.1)
+        assert controller.take_due_calls(10.1) == []
+        self.set_accelerators(controller, 2)
+        reply = fleet_pb2.ReportReply(accepted=True, epoch=1, holder="h:1", lease_s=8.0)
+        controller.on_reply(reply, 10.3, controller.incarnation)
+        assert controller.take_due_calls(10.4) == []
+        assert controller.refusal_is_unreported
+        assert refused(controller) == {("j", 0): "room"}
+        assert not controller.refusal_is_unreported
+        self.set_accelerators(controller, 8, sequence=3)
+        assert controller.take_due_calls(11.0) == []
+
+    @pytest.mark.parametrize("accelerators", [8, 7])
+    def test_runs_of_which_a_call_was_made_count_at_the_next_call(
+        self, controller, accelerators
+    ):
+        controller.on_orders(batch(controller, starts=[start()]), 10.1)
+        controller.take_due_calls(10.1)
+        controller.on_started(RUN, StartOutcome(True), 10.15)
+        controller.on_orders(batch(controller, starts=[start(OTHER_RUN)]), 10.2)
+        self.set_accelerators(controller, accelerators)
+        due = [call.run for call in controller.take_due_calls(10.3)]
+        assert due == ([OTHER_RUN] if accelerators == 8 else [])
+        assert refused(controller) == ({} if due else {("j", 1): "room"})
+
+    def test_a_run_that_is_being_stopped_counts_at_the_next_call(self, controller):
+        orders = [start(RUN), start(OTHER_RUN)]
+        controller.on_orders(batch(controller, starts=orders, stops=[RUN]), 10.1)
+        self.set_accelerators(controller, 7)
+        assert [call.kind for call in controller.take_due_calls(10.2)] == ["stop"]
+        assert refused(controller) == {("j", 1): "room"}
+
+    # Guards against an order that is refused though it fits without the later ones.
+    def test_starts_without_a_call_are_checked_in_their_order(self, controller):
+        orders = [start(RUN), start(OTHER_RUN)]
+        controller.on_orders(batch(controller, starts=orders), 10.1)
+        self.set_accelerators(controller, 4)
+        assert [call.run for call in controller.take_due_calls(10.2)] == [RUN]
+        assert refused(controller) == {("j", 1): "room"}
+
+    # Guards against two runs of a task as well: the call without a reply may still be
+    # carried out.
+    def test_a_repeated_start_that_no_longer_fits_is_stopped_first(self, controller):
+        controller.on_orders(batch(controller, starts=[start()]), 10.1)
+        controller.take_due_calls(10.1)
+        controller.on_started(RUN, StartOutcome(False), 10.3)
+        self.set_accelerators(controller, 2)
+        assert controller.take_due_calls(10.5) == []
+        assert refused(controller) == {}
+        assert [call.kind for call in controller.take_due_calls(10.5)] == ["stop"]
+        controller.on_stopped(RUN, True, 10.6)
+        assert list_runs(controller, listing(), 10.7, 10.8)
+        assert refused(controller) == {("j", 0): "room"}
+
+    # Guards against a run that is stopped because its target has shrunk: only starts
+    # are limited.
+    def test_a_run_that_its_target_lists_goes_on_as_its_capacity_shrinks(
+        self, controller
+    ):
+        list_runs(controller, listing(running=[RUN], target_s=50.1), 10.1, 10.1)
+        self.set_accelerators(controller, 2)
+        controller.on_orders(batch(controller, starts=[start()]), 10.2)
+        assert [call.kind for call in controller.take_due_calls(10.3)] == ["start"]
+        assert refused(controller) == {}
+
+
 class TestUnansweredStarts:
     """A start call that got no reply may be carried out seconds later."""
 
