Send the holder's count of a target with each start, for agents that restarted

What callers would see: a target over its capacity (LIMIT) after its agent has restarted while the capacity shrinks.

Cause: a restarted agent has no record of what its target runs, so its check counted nothing of it, nor of the runs that it is told to stop. It can't know what they need: targets list runs without their needs.

Claims that wait for room are left out, else a later claim would have an earlier start refused. The agent refuses with "room" if its own count or the holder's exceeds the present capacity, when it accepts the order and right before the call.

Why it works: the holder counts only reports of a registered agent, whose list was made under the registration's fence. No call from before can start anything afterwards, so the holder knows each run of before, and this process each one since. An order without the fields, from an older holder, is checked as before.

--- a/packages/control/src/cicadabank/control/internal/conversion.py
+++ b/packages/control/src/cicadabank/control/internal/conversion.py
@@ -68,6 +68,7 @@
 def start_to_message(start: Start) -> fleet_pb2.StartRun:
     """Return the message for an order to start a run."""
     cpu_millicores, memory_mb, accelerators = start.need
+    allocated = Resources(*start.allocated)
     return fleet_pb2.StartRun(
         id=run_id_to_message(start.id),
         spec=start.payload,
@@ -75,4 +76,7 @@
         cpu_millicores=cpu_millicores,
         memory_mb=memory_mb,
         accelerators=accelerators,
+        allocated_cpu_millicores=allocated.cpu_millicores,
+        allocated_memory_mb=allocated.memory_mb,
+        allocated_accelerators=allocated.accelerators,
     )
--- a/packages/control/src/cicadabank/control/internal/target_controller.py
+++ b/packages/control/src/cicadabank/control/internal/target_controller.py
@@ -258,13 +258,14 @@
             start_order.memory_mb,
             start_order.accelerators,
         )
-        reason = self._refusal_reason(run, need)
+        local = LocalRun(start_order, need)
+        reason = self._refusal_reason(run, local)
         if reason:
             self._refuse(run, reason)
         else:
-            self._runs[run] = LocalRun(start_order, need)
+            self._runs[run] = local
 
-    def _refusal_reason(self, run: RunId, need: Resources) -> str:
+    def _refusal_reason(self, run: RunId, local: LocalRun) -> str:
         """Return why a run can't start on the target, or an empty string.
 
         "room" means that the target has too few free resources.
@@ -273,14 +274,21 @@
             return ""
         if self.heartbeat.draining:
             return "draining"
-        used = [local.need for local in self._runs.values()]
-        return "" if self._fits(need, used) else "room"
+        used = [other.need for other in self._runs.values()]
+        return "" if self._fits(local, used) else "room"
 
-    def _fits(self, need: Resources, used: list[Resources]) -> bool:
-        """Return whether the target has room for a run beside the used resources."""
+    def _fits(self, local: LocalRun, used: list[Resources]) -> bool:
+        """Return whether the target has room for a run beside the used resources.
+
+        This process doesn't know what the runs need that an earlier one has started, so
+        the holder's count must fit as well.
+        """
         return all(
-            sum(other[kind] for other in used) + need[kind] <= limit
-            for kind, limit in enumerate(self.heartbeat.capacity)
+            max(sum(other[kind] for other in used) + local.need[kind], allocated)
+            <= limit
+            for kind, (limit, allocated) in enumerate(
+                zip(self.heartbeat.capacity, local.allocated, strict=True)
+            )
         )
 
     def _fits_at_call(self, run: RunId, local: LocalRun) -> bool:
@@ -296,7 +304,7 @@
             for other_run, other in self._runs.items()
             if other_run != run and self._may_be_on_target(other_run, other)
         ]
-        return self._fits(local.need, used)
+        return self._fits(local, used)
 
     def _may_be_on_target(self, run: RunId, local: LocalRun) -> bool:
         return (
--- a/packages/control/src/cicadabank/control/internal/target_messages.py
+++ b/packages/control/src/cicadabank/control/internal/target_messages.py
@@ -86,6 +86,7 @@
     """A run that this agent was ordered to start or stop."""
 
     __slots__ = (
+        "allocated",
         "call_pending",
         "known_on_target_since_s",
         "last_call_s",
@@ -100,6 +101,15 @@
     def __init__(self, start_order: fleet_pb2.StartRun | None, need: Resources):
         self.start_order = start_order
         self.need = need  # zero if unknown
+        # What the holder counted on the target, with this run, when it ordered the
+        # start; zero if unknown.
+        self.allocated = Resources(0, 0, 0)
+        if start_order is not None:
+            self.allocated = Resources(
+                start_order.allocated_cpu_millicores,
+                start_order.allocated_memory_mb,
+                start_order.allocated_accelerators,
+            )
         self.call_pending = False
         self.last_call_s = float("-inf")
         # Since when the target is known to have the run.
--- a/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
@@ -350,6 +350,7 @@
         record.payload,
         unit.checkpoint,
         tuple(unit.spec.need),
+        tuple(state.resources_in_use(target)),
     )
     state.orders_for(target).starts.append(start)
 
--- a/packages/scheduling/src/cicadabank/scheduling/internal/state.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/state.py
@@ -11,6 +11,7 @@
     Configuration,
     JobRecord,
     QueueConfig,
+    Resources,
     RunId,
 )
 from cicadabank.scheduling.internal.targets import Target
@@ -80,12 +81,19 @@
 
 
 class Start(NamedTuple):
-    """An order to start a run."""
+    """An order to start a run.
+
+    Attributes
+    ----------
+    allocated : tuple of int
+        Resources of this run and of all others that the target may have.
+    """
 
     id: RunId
     payload: str
     checkpoint: str
     need: tuple[int, int, int]
+    allocated: tuple[int, int, int] = (0, 0, 0)
 
 
 class AgentOrders:
@@ -292,6 +300,21 @@
         if target is not None:
             target.release(key)
 
+    def resources_in_use(self, target: Target) -> Resources:
+        """Return the resources of all runs that a target has or is about to start.
+
+        Unlike ``Target.allocated``, they leave out claims that wait for resources to be
+        released, and include runs that are not expected.
+        """
+        members = self.members_by_incarnation.get(target.target_incarnation, {})
+        needs = [
+            unit.spec.need
+            for unit in members.values()
+            if unit.phase is not Phase.CLAIMING
+        ]
+        used = [Resources(0, 0, 0), *needs, *target.unexpected.values()]
+        return Resources(*map(sum, zip(*used, strict=True)))
+
     def find_member(
         self, run: RunId, target_incarnation: TargetIncarnation
     ) -> tuple[Unit, int] | None:
--- a/tests/cover/test_target_controller.py
+++ b/tests/cover/test_target_controller.py
@@ -41,9 +41,13 @@
     return TargetHeartbeat(**{**fields, **overrides})
 
 
-def start(run=RUN, accelerators=4) -> fleet_pb2.StartRun:
+def start(run=RUN, accelerators=4, **overrides) -> fleet_pb2.StartRun:
     return fleet_pb2.StartRun(
-        id=run_id_to_message(run), spec="s", cpu_millicores=1, accelerators=accelerators
+        id=run_id_to_message(run),
+        spec="s",
+        cpu_millicores=1,
+        accelerators=accelerators,
+        **overrides,
     )
 
 
@@ -340,6 +344,38 @@
         assert [call.kind for call in controller.take_due_calls(10.3)] == ["start"]
         assert refused(controller) == {}
 
+    # Guards against an agent that counts nothing of what an earlier process of it has
+    # started, and that doesn't know what these runs need.
+    @pytest.mark.parametrize(
+        "allocated",
+        [
+            {"allocated_accelerators": 9},
+            {"allocated_memory_mb": 1001},
+            {"allocated_cpu_millicores": 32_001},
+        ],
+    )
+    def test_a_start_beyond_what_the_holder_counts_is_refused(
+        self, controller, allocated
+    ):
+        list_runs(controller, listing(running=[RUN], target_s=50.1), 10.1, 10.1)
+        orders = [start(OTHER_RUN, **allocated)]
+        controller.on_orders(batch(controller, starts=orders), 10.2)
+        assert controller.take_due_calls(10.3) == []
+        assert refused(controller) == {("j", 1): "room"}
+
+    def test_what_the_holder_counts_is_compared_again_at_the_call(self, controller):
+        list_runs(controller, listing(running=[RUN], target_s=50.1), 10.1, 10.1)
+        orders = [start(OTHER_RUN, allocated_accelerators=8)]
+        controller.on_orders(batch(controller, starts=orders), 10.1)
+        self.set_accelerators(controller, 7)
+        assert controller.take_due_calls(10.3) == []
+        assert refused(controller) == {("j", 1): "room"}
+
+    def test_a_start_within_what_the_holder_counts_is_called(self, controller):
+        orders = [start(allocated_accelerators=8)]
+        controller.on_orders(batch(controller, starts=orders), 10.1)
+        assert [call.kind for call in controller.take_due_calls(10.3)] == ["start"]
+
 
 class TestUnansweredStarts:
     """A start call that got no reply may be carried out seconds later."""
