Report a change of a target's capacity at once

What callers would see: for up to a second after a target has shrunk, tasks placed on room that is gone and refused by its agent; after it has grown, jobs that wait for the next report while there is room.

Cause: a heartbeat made a report due at once only if it began a drain.

Evidence: test_a_change_is_reported_at_once failed on the code before for a target that shrinks and for one that grows. test_a_late_heartbeat_changes_nothing passed before; the check of sequence numbers stands before the new one.

Why it works: a heartbeat with another capacity makes a report due, and is logged as `target_beat` with the capacity. A capacity that changes with each heartbeat causes one report each, as heartbeats are 1.5 s apart.

--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -161,6 +161,7 @@
             target=heartbeat.target,
             incarnation=self.controller.incarnation,
             before=previous_incarnation,
+            capacity=list(heartbeat.capacity),
             draining=heartbeat.draining,
             remaining_s=heartbeat.remaining_s,
         )
--- a/packages/control/src/cicadabank/control/internal/target_controller.py
+++ b/packages/control/src/cicadabank/control/internal/target_controller.py
@@ -141,7 +141,8 @@
         if heartbeat.sequence <= previous.sequence:
             return False
         self.heartbeat = heartbeat
-        return heartbeat.draining and not previous.draining
+        begins_drain = heartbeat.draining and not previous.draining
+        return begins_drain or heartbeat.capacity != previous.capacity
 
     def _adopt(self, heartbeat: TargetHeartbeat, now_s: float) -> None:
         previous = self.heartbeat
--- a/tests/cover/test_target_controller.py
+++ b/tests/cover/test_target_controller.py
@@ -344,6 +344,20 @@
         assert [call.kind for call in controller.take_due_calls(10.3)] == ["start"]
         assert refused(controller) == {}
 
+    # Guards against placements on room that is gone, and against jobs that wait for the
+    # next regular report while there is room.
+    @pytest.mark.parametrize("accelerators", [4, 16])
+    def test_a_change_is_reported_at_once(self, controller, accelerators):
+        assert not controller.on_heartbeat(heartbeat(sequence=2), 10.1)
+        assert self.set_accelerators(controller, accelerators, sequence=3)
+        assert not self.set_accelerators(controller, accelerators, sequence=4)
+        assert self.set_accelerators(controller, 8, sequence=5)
+
+    def test_a_late_heartbeat_changes_nothing(self, controller):
+        controller.on_heartbeat(heartbeat(sequence=3), 10.1)
+        assert not self.set_accelerators(controller, 4, sequence=2)
+        assert controller.heartbeat.capacity.accelerators == 8
+
     # Guards against an agent that counts nothing of what an earlier process of it has
     # started, and that doesn't know what these runs need.
     @pytest.mark.parametrize(
