Release claims on targets that have become too small

What callers would see: a job, also a guaranteed one, that waits while its target stays shrunk, though others would serve it.

Cause: a claim waits until its target's free resources aren't negative. That was sure to come, since the claim was placed so that it fits once its victims have stopped; with a capacity that shrinks it isn't.

Why it works: a claim is released if the target's capacity is below what it keeps after the stops under way, claims included; the unit is then placed anew. Of several claims on a target, the ones that fit stay, since each is judged after the release of the one before.

For a capacity that doesn't change it is the same check.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -487,16 +487,18 @@
 def _commit_claim_if_ready(state: CellState, unit: Unit) -> None:
     """Commit a claimed unit once its targets have enough free resources.
 
-    Releases the claim if a target was lost, is draining, or is in a domain that
-    receives no new tasks.
+    Releases the claim if a target was lost, is draining, is in a domain that receives
+    no new tasks, or has become too small.
     """
-    for member in unit.members:
-        target = state.targets_by_incarnation.get(member.target_incarnation)
-        if target is None or target.draining or target.domain in state.domains_out:
-            lifecycle.release_claim(state, unit)
-            return
-        if min(target.free) < 0:
-            return
+    targets = [
+        state.targets_by_incarnation.get(member.target_incarnation)
+        for member in unit.members
+    ]
+    if not all(_can_serve_claims(state, target) for target in targets):
+        lifecycle.release_claim(state, unit)
+        return
+    if any(min(target.free) < 0 for target in targets):
+        return
     unit.phase = Phase.COMMITTING
     unit.run += 1
     job = state.jobs[unit.job]
@@ -505,6 +507,24 @@
     state.mark_dirty(job)
 
 
+def _can_serve_claims(state: CellState, target: Target | None) -> bool:
+    """Return whether a target will have room for its claims after the current stops."""
+    if target is None or target.draining or target.domain in state.domains_out:
+        return False
+    if min(target.free) >= 0:
+        return True
+    members = state.members_by_incarnation.get(target.target_incarnation, {})
+    kept = [
+        unit.spec.need
+        for unit in members.values()
+        if unit.phase not in (Phase.STOPPING, Phase.DONE) and not unit.stop_reason
+    ]
+    return all(
+        sum(need[kind] for need in kept) <= limit
+        for kind, limit in enumerate(target.capacity)
+    )
+
+
 def _absent_targets(state: CellState, present: list[Target]) -> list[Target]:
     """Return the targets that are away, and that may be back soon.
 
