Withhold a start whose target has shrunk during its commit

What callers would see: a target over its capacity until its agent refuses the start, or, where the agent doesn't know yet, a run beyond the capacity (LIMIT).

Cause: the holder looks at a target's free resources when it begins to commit a start. The commit takes milliseconds, but seconds while the store is away; reports of a smaller capacity arrive meanwhile, and the start was ordered all the same.

Evidence: the three tests of TestStarts (a task, a gang, and two tasks of which one fits) failed on the code before: the starts were ordered.

Why it works: once the commit is stored, the start is withdrawn, in the way in which starts are withdrawn already, if what the target has or is about to start exceeds its capacity as reported. Units are judged one by one, each after the withdrawal of the one before, so those that fit start. The agent still checks, since it may know of a smaller capacity.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
@@ -23,7 +23,7 @@
     Timings,
     no_log,
 )
-from cicadabank.scheduling.internal.targets import Report
+from cicadabank.scheduling.internal.targets import Report, fits
 from cicadabank.scheduling.internal.units import Job, Phase, Unit
 
 # Below the store's limit of 100 entries per transaction, not counting conditions. The
@@ -282,7 +282,8 @@
         unit.progress = None
         lost = any(member.released for member in unit.members)
         unexpected = not unit.tasks().isdisjoint(tasks_with_unexpected_runs)
-        if unit.stop_reason or lost or unexpected or job.cancelled or job.reason:
+        withdrawn = unit.stop_reason or lost or unexpected
+        if withdrawn or job.cancelled or job.reason or not self._has_room(unit):
             # No start was ordered for this run, so there is nothing to stop.
             unit.stop_reason = unit.stop_reason or "withdrawn before start"
             unit.phase = Phase.STOPPING
@@ -298,6 +299,17 @@
                 member_index,
             )
 
+    def _has_room(self, unit: Unit) -> bool:
+        """Return whether a unit fits; a target may have shrunk during its commit."""
+        targets = [
+            self.state.targets_by_incarnation[member.target_incarnation]
+            for member in unit.members
+        ]
+        return all(
+            fits(self.state.resources_in_use(target), target.capacity)
+            for target in targets
+        )
+
     def on_fenced(self) -> None:
         """Stop issuing commits and orders: another entry holds the cell."""
         self.state.fenced = True
--- a/tests/cover/test_capacity.py
+++ b/tests/cover/test_capacity.py
@@ -166,3 +166,34 @@
         target.capacity = capacity(4)
         cell.run_until(lambda: cell.state("j") == "completed", 8.0)
         cell.check()
+
+
+class TestStarts:
+    def shrink_during_commit(self, cell, target, shrunk) -> list:
+        """Return the starts ordered by a commit during which the target shrinks."""
+        cell.scheduler.tick(cell.now_s)
+        commit = cell.scheduler.take_commit()
+        target.capacity = capacity(shrunk)
+        report(cell, target)
+        cell.scheduler.take_orders()
+        cell.scheduler.on_committed(commit, 1, cell.now_s)
+        cell.rows = {job: (None, 1) for job in commit.jobs}
+        cell.version = 1
+        return [o for orders in cell.scheduler.take_orders() for o in orders.starts]
+
+    # Guards against a start that is ordered although it is known not to fit.
+    @pytest.mark.parametrize("gang", [False, True])
+    def test_a_start_is_withheld_if_its_target_shrinks_during_the_commit(
+        self, cell, target, gang
+    ):
+        cell.submit("j", "batch", [tasks(2 if gang else 1, 3, gang=gang)])
+        assert not self.shrink_during_commit(cell, target, 4 if gang else 2)
+        assert phase_of(cell, "j") is Phase.WAITING
+        assert cell.scheduler.state.targets["agent-t"].allocated == (0, 0, 0)
+        target.capacity = capacity(8)
+        cell.run_until(lambda: len(target.active_runs) == (2 if gang else 1), 2.0)
+
+    def test_of_several_starts_those_that_fit_are_ordered(self, cell, target):
+        cell.submit("j", "batch", [tasks(2, 4)])
+        starts = self.shrink_during_commit(cell, target, 4)
+        assert [start.allocated for start in starts] == [(1000, 1000, 4)]
