Place nothing on targets over their capacity, whichever resource they lack

What callers would see: tasks without accelerators that wait as long as a target with too few accelerators stays over its capacity, though another target is free.

Cause: `max_tasks` looked only at the resources that a task needs. A target that has shrunk below the accelerators in use has negative free ones, and packing prefers targets with the fewest free accelerators, so a task without any was placed there. Its claim then waited, since claims look at all kinds.

Evidence: test_nothing_starts_on_a_target_over_its_capacity failed on the code before: the task isn't completed within 3 s, beside an empty target.

Why it works: placement, reservations and claims now use the same condition. A negative free resource means that a start would leave the target over its capacity, whatever the task needs.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
@@ -217,6 +217,11 @@
 
 
 def max_tasks(need: Resources, available: Resources) -> int:
-    """Return how many equal tasks fit, or 1,000,000 if a task needs no resources."""
+    """Return how many equal tasks fit, or 1,000,000 if a task needs no resources.
+
+    None fit if any resource is negative, also one that a task does not need.
+    """
+    if min(available) < 0:
+        return 0
     counts = [r // n for n, r in zip(need, available, strict=True) if n > 0]
     return max(0, min(counts)) if counts else 1_000_000
--- a/tests/cover/test_capacity.py
+++ b/tests/cover/test_capacity.py
@@ -197,3 +197,16 @@
         cell.submit("j", "batch", [tasks(2, 4)])
         starts = self.shrink_during_commit(cell, target, 4)
         assert [start.allocated for start in starts] == [(1000, 1000, 4)]
+
+    # Guards against a start on a target that is over its capacity of accelerators, and
+    # against one that waits there though another target would serve.
+    def test_nothing_starts_on_a_target_over_its_capacity(self, wide_cell):
+        wide_cell.submit("j", "batch", [tasks(1, 8, 60.0)])
+        wide_cell.run(0.5)
+        (shrunk,) = [t for t in wide_cell.targets.values() if t.active_runs]
+        shrunk.capacity = capacity(4)
+        wide_cell.run(5.0)
+        wide_cell.submit("k", "batch", [tasks(1, 0, 2.0)])
+        wide_cell.run_until(lambda: wide_cell.state("k") == "completed", 3.0)
+        assert running_on(wide_cell, shrunk.name) == {"j"}
+        wide_cell.check()
