Judge infeasible jobs by the largest known capacity of each target

What callers see: a job that needs a whole target ends `failed` ("a task needs more than any target has") if it waits while all targets are shrunk.

Cause: infeasibility is judged by the capacity of the moment, which may grow again. Nothing kept the larger one.

Evidence: on the code before, these failed: a job for a whole target, and a gang over all, with the accelerators of all targets halved or gone for 40 s; the same after a takeover and after a restart of all agents; a gang that lacks a target which was lost while it had no resources; the two tests of the agent's reports. Two tests passed before and guard what must stay: targets without any resources for 40 s, and a job that no target could ever run, which still fails within 0.5 s while targets are shrunk.

Targets that are away count with the largest as well. A new incarnation starts anew, since it may be of a different kind.

What remains: if holder and agent are both replaced while the target is shrunk, or the target restarts shrunk, nobody knows the larger capacity, and a job that needs it fails.

--- a/packages/control/src/cicadabank/control/internal/conversion.py
+++ b/packages/control/src/cicadabank/control/internal/conversion.py
@@ -37,6 +37,11 @@
         capacity=Resources(
             message.cpu_millicores, message.memory_mb, message.accelerators
         ),
+        largest_capacity=Resources(
+            message.largest_cpu_millicores,
+            message.largest_memory_mb,
+            message.largest_accelerators,
+        ),
         labels=tuple(message.labels),
         rack=message.rack,
         draining=message.draining,
--- a/packages/control/src/cicadabank/control/internal/target_controller.py
+++ b/packages/control/src/cicadabank/control/internal/target_controller.py
@@ -20,7 +20,7 @@
     TargetCall,
     TargetHeartbeat,
 )
-from cicadabank.scheduling import Resources, RunId
+from cicadabank.scheduling import Resources, RunId, largest
 from cicadabank.wire import fleet_pb2
 
 # Least time between two attempts of a call to which the target did not reply.
@@ -92,6 +92,8 @@
         self._unhealthy_until_s = float("-inf")
         self._listing: Listing | None = None
         self._listed_fence = -1  # with which the list was requested
+        # Largest amounts seen of this incarnation before the present heartbeat.
+        self._former_capacity = NO_RESOURCES
         self._runs: dict[RunId, LocalRun] = {}
         self._refused: dict[RunId, str] = {}
         # Whether a run was refused since the latest report.
@@ -140,10 +142,16 @@
             return False
         if heartbeat.sequence <= previous.sequence:
             return False
+        self._former_capacity = self._largest_capacity
         self.heartbeat = heartbeat
         begins_drain = heartbeat.draining and not previous.draining
         return begins_drain or heartbeat.capacity != previous.capacity
 
+    @property
+    def _largest_capacity(self) -> Resources:
+        """The largest amounts that this process has seen of the incarnation."""
+        return largest(self._former_capacity, self.heartbeat.capacity)
+
     def _adopt(self, heartbeat: TargetHeartbeat, now_s: float) -> None:
         previous = self.heartbeat
         same_name = previous is not None and heartbeat.target == previous.target
@@ -206,6 +214,7 @@
         return True
 
     def _reset(self, now_s: float) -> None:
+        self._former_capacity = NO_RESOURCES
         self._runs.clear()
         self._refused.clear()
         self._not_running.clear()
@@ -594,6 +603,11 @@
         message.cpu_millicores, message.memory_mb, message.accelerators = (
             heartbeat.capacity
         )
+        (
+            message.largest_cpu_millicores,
+            message.largest_memory_mb,
+            message.largest_accelerators,
+        ) = self._largest_capacity
         message.labels.extend(heartbeat.labels)
         message.rack = heartbeat.rack
         message.draining = heartbeat.draining
--- a/packages/scheduling/src/cicadabank/scheduling/__init__.py
+++ b/packages/scheduling/src/cicadabank/scheduling/__init__.py
@@ -37,7 +37,12 @@
     unpack,
 )
 from cicadabank.scheduling.internal.state import AgentOrders, Commit, Start, Timings
-from cicadabank.scheduling.internal.targets import EndedRun, Report, RunningRun
+from cicadabank.scheduling.internal.targets import (
+    EndedRun,
+    Report,
+    RunningRun,
+    largest,
+)
 from cicadabank.scheduling.internal.units import ENDED_STATES, TargetIncarnation
 
 __all__ = [
@@ -74,6 +79,7 @@
     "TargetIncarnation",
     "Timings",
     "WorkspaceConfig",
+    "largest",
     "pack",
     "unpack",
 ]
--- a/packages/scheduling/src/cicadabank/scheduling/internal/placement.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/placement.py
@@ -296,7 +296,8 @@
 def infeasible_reason(step: StepSpec, targets: Iterable[Target]) -> str:
     """Return why a step can never be placed on these targets.
 
-    Compares with total capacities, so a step that only has to wait is not infeasible.
+    Compares with the largest capacities known, so a step that only has to wait, also
+    for targets that have shrunk, is not infeasible.
 
     Returns
     -------
@@ -308,7 +309,7 @@
         return f"no target has the label {step.label!r}"
     max_running = 0
     for target in candidates:
-        on_target = max_tasks(step.need, target.capacity)
+        on_target = max_tasks(step.need, target.largest_capacity)
         max_running += min(on_target, step.per_target) if step.per_target else on_target
     if max_running == 0:
         return "a task needs more than any target has"
--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -8,7 +8,6 @@
 from cicadabank.scheduling.internal import lifecycle
 from cicadabank.scheduling.internal.headroom import Headroom
 from cicadabank.scheduling.internal.jobs import (
-    Resources,
     StepSpec,
     core_equivalents,
 )
@@ -21,7 +20,7 @@
 )
 from cicadabank.scheduling.internal.reservations import Reservations
 from cicadabank.scheduling.internal.state import CellState
-from cicadabank.scheduling.internal.targets import Target, max_tasks
+from cicadabank.scheduling.internal.targets import Target, largest, max_tasks
 from cicadabank.scheduling.internal.units import (
     Job,
     Phase,
@@ -548,8 +547,7 @@
 def _assumed_target(present: list[Target]) -> Target:
     """Return a target as large as the largest of others, with all their labels."""
     assumed = Target(TargetIncarnation("", "", ""), "")
-    capacities = [target.capacity for target in present]
-    assumed.capacity = Resources(*map(max, zip(*capacities, strict=True)))
+    assumed.largest_capacity = largest(*(t.largest_capacity for t in present))
     assumed.labels = frozenset().union(*(target.labels for target in present))
     return assumed
 
@@ -557,7 +555,7 @@
 def _fail_infeasible_jobs(state: CellState) -> None:
     """Fail pending jobs that none of the targets could ever run."""
     # An ended target is known without capacity until its next incarnation reports.
-    present = [target for target in state.targets.values() if any(target.capacity)]
+    present = [t for t in state.targets.values() if any(t.largest_capacity)]
     if not present or len(present) < len(state.last_contact_attempt_s) / 2:
         return
     pending = [
--- a/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
@@ -164,7 +164,7 @@
     )
     if state.targets.get(target.agent) is target:
         del state.targets[target.agent]
-    if any(target.capacity):
+    if any(target.largest_capacity):
         state.removed_targets[target.agent] = (target, state.now_s)
     state.targets_by_incarnation.pop(target.target_incarnation, None)
     state.orders.pop(target.agent, None)
--- a/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
@@ -54,6 +54,11 @@
     target_incarnation : TargetIncarnation
     domain : str
         Failure domain of the target.
+    capacity : Resources
+        The present capacity; it may shrink and grow while the target runs.
+    largest_capacity : Resources
+        The largest amounts that the agent has seen of this incarnation; zero from
+        agents that don't tell.
     remaining_s : float
         Time until a draining target may terminate.
     observed : bool
@@ -98,6 +103,7 @@
     not_running: tuple[RunId, ...] = ()
     registration: int | None = None
     stopping: tuple[RunId, ...] = ()
+    largest_capacity: Resources = Resources(0, 0, 0)
 
 
 class Target:
@@ -113,6 +119,7 @@
         "domain",
         "draining",
         "labels",
+        "largest_capacity",
         "last_report_s",
         "lease_until_s",
         "leaving",
@@ -139,6 +146,8 @@
         self.rack = ""
         self.labels: frozenset[str] = frozenset()
         self.capacity = Resources(0, 0, 0)
+        # The largest amounts known of this incarnation, whose capacity may shrink.
+        self.largest_capacity = Resources(0, 0, 0)
         self.allocated = Resources(0, 0, 0)
         self.allocations: dict[tuple[str, int, int], Resources] = {}
         # Reported runs that the holder does not expect there, with what they need.
@@ -200,6 +209,9 @@
         self.report_number = report.report_number
         self.registration = report.registration
         self.domain, self.capacity = report.domain, report.capacity
+        self.largest_capacity = largest(
+            self.largest_capacity, report.largest_capacity, report.capacity
+        )
         self.labels = frozenset(report.labels)
         self.rack = report.rack
         self.last_report_s = now_s
@@ -211,6 +223,11 @@
             self.terminates_s = now_s + report.remaining_s
 
 
+def largest(*amounts: Resources) -> Resources:
+    """Return the largest amount of each resource."""
+    return Resources(*map(max, zip(*amounts, strict=True)))
+
+
 def fits(need: Resources, available: Resources) -> bool:
     """Return whether a task fits into the given resources."""
     return all(n <= r for n, r in zip(need, available, strict=True))
--- a/tests/cover/test_capacity.py
+++ b/tests/cover/test_capacity.py
@@ -210,3 +210,78 @@
         wide_cell.run_until(lambda: wide_cell.state("k") == "completed", 3.0)
         assert running_on(wide_cell, shrunk.name) == {"j"}
         wide_cell.check()
+
+
+# Guards against a job that is shown as failed, since no target could run it as long as
+# they are shrunk.
+class TestInfeasibleJobs:
+    WHOLE_TARGET = tasks(1, 8, 2.0)
+    ALL_TARGETS = tasks(2, 8, 2.0, gang=True)
+
+    @pytest.fixture
+    def cell(self, wide_cell) -> ModelCell:
+        wide_cell.run(7.0)
+        return wide_cell
+
+    def resize(self, cell, accelerators):
+        for target in cell.targets.values():
+            target.capacity = capacity(accelerators)
+
+    def assert_waits(self, cell):
+        cell.run(40.0)
+        assert cell.state("j") == "pending"
+        self.resize(cell, 8)
+        cell.run_until(lambda: cell.state("j") == "completed", 10.0)
+        cell.check()
+
+    @pytest.mark.parametrize("step", [WHOLE_TARGET, ALL_TARGETS])
+    @pytest.mark.parametrize("accelerators", [4, 0])
+    def test_a_job_waits_until_targets_have_grown_again(self, cell, accelerators, step):
+        self.resize(cell, accelerators)
+        cell.run(1.0)
+        cell.submit("j", "batch", [step])
+        self.assert_waits(cell)
+
+    def test_a_job_waits_while_targets_have_no_resources_at_all(self, cell):
+        for target in cell.targets.values():
+            target.capacity = Resources(0, 0, 0)
+        cell.run(1.0)
+        cell.submit("j", "batch", [self.WHOLE_TARGET])
+        self.assert_waits(cell)
+
+    @pytest.mark.parametrize("step", [tasks(1, 9), tasks(3, 8, gang=True)])
+    def test_a_job_that_no_target_could_ever_run_fails_at_once(self, cell, step):
+        self.resize(cell, 4)
+        cell.run(1.0)
+        cell.submit("j", "batch", [step])
+        cell.run_until(lambda: cell.state("j") == "failed", 0.5)
+
+    def test_a_new_holder_learns_the_largest_capacity_from_agents(self, cell):
+        self.resize(cell, 4)
+        cell.run(1.0)
+        cell.submit("j", "batch", [self.ALL_TARGETS])
+        cell.take_over()
+        self.assert_waits(cell)
+
+    def test_a_holder_knows_the_largest_capacity_when_agents_restart(self, cell):
+        self.resize(cell, 4)
+        cell.run(1.0)
+        for target in cell.targets.values():
+            target.restart_agent()
+        cell.submit("j", "batch", [self.ALL_TARGETS])
+        self.assert_waits(cell)
+
+    def test_a_target_that_is_lost_while_it_is_shrunk_counts_as_it_was(self, cell):
+        # By now, the holder would have heard of all targets.
+        cell.run(30.0)
+        lost = cell.targets["agent-t"]
+        lost.capacity = Resources(0, 0, 0)
+        cell.run(1.0)
+        lost.silent = True
+        cell.run(12.0)
+        assert lost.agent not in cell.scheduler.state.targets
+        cell.submit("j", "batch", [self.ALL_TARGETS])
+        cell.run(5.0)
+        assert cell.state("j") == "pending"
+        lost.silent, lost.capacity = False, capacity(8)
+        cell.run_until(lambda: cell.state("j") == "completed", 10.0)
--- a/tests/cover/test_target_controller.py
+++ b/tests/cover/test_target_controller.py
@@ -358,6 +358,22 @@
         assert not self.set_accelerators(controller, 4, sequence=2)
         assert controller.heartbeat.capacity.accelerators == 8
 
+    # Guards against jobs that a new holder takes for infeasible since it knows only the
+    # present capacity.
+    def test_the_largest_capacity_of_an_incarnation_is_reported(self, controller):
+        larger_memory = Resources(16_000, 2000, 4)
+        controller.on_heartbeat(heartbeat(sequence=2, capacity=larger_memory), 10.1)
+        self.set_accelerators(controller, 0, sequence=3)
+        report = report_from_message(controller.report(10.3))
+        assert report.capacity == (32_000, 1000, 0)
+        assert report.largest_capacity == (32_000, 2000, 8)
+
+    def test_a_new_incarnation_has_a_largest_capacity_of_its_own(self, controller):
+        smaller = Resources(16_000, 500, 4)
+        adopt(controller, heartbeat(started_ms=2, capacity=smaller), 10.2)
+        report = report_from_message(controller.report(10.3))
+        assert report.largest_capacity == smaller
+
     # Guards against an agent that counts nothing of what an earlier process of it has
     # started, and that doesn't know what these runs need.
     @pytest.mark.parametrize(
--- a/tests/support/in_memory_cell.py
+++ b/tests/support/in_memory_cell.py
@@ -23,6 +23,7 @@
     StepSpec,
     TargetIncarnation,
     WorkspaceConfig,
+    largest,
     unpack,
 )
 
@@ -81,6 +82,8 @@
     ----------
     capacity : Resources
         May be changed at any time.
+    largest_capacity : Resources
+        The largest amounts that the agent's process has seen of this incarnation.
     former_capacities : list of (float, Resources)
         Capacities before it was changed, each with the time up to which it counts.
     agent_run : int
@@ -110,6 +113,7 @@
         self.rack = rack
         self.capacity = self._known_capacity = capacity
         self.former_capacities: list[tuple[float, Resources]] = []
+        self.largest_capacity = capacity
         self.incarnation = 1
         self.agent_run = 1
         self.registration = 0
@@ -151,6 +155,7 @@
             until_s = now_s + SHRINK_NOTICE_S
             self.former_capacities.append((until_s, self._known_capacity))
             self._known_capacity = self.capacity
+        self.largest_capacity = largest(self.largest_capacity, self.capacity)
 
     def exceeded(self) -> int:
         """Return how many kinds of resources are used beyond the capacity.
@@ -179,6 +184,7 @@
         self.registration = self.report_number = self.recorded = 0
         self.refused.clear()
         self.not_running.clear()
+        self.largest_capacity = self.capacity
 
     def restart(self) -> None:
         """Restart the target as a new incarnation, and its agent, without any state."""
@@ -204,6 +210,7 @@
             target_incarnation=self.target_incarnation,
             domain=self.domain,
             capacity=self.capacity,
+            largest_capacity=self.largest_capacity,
             labels=("a", self.rack),
             rack=self.rack,
             draining=self.draining,
