Check a start again that waited for a thread before its call

What callers would see: a target over its capacity (LIMIT) that has shrunk while its agent was busy with slow calls, or was suspended.

Calls are checked when they are queued, and six threads make them. With a target that answers late (0.5 s a call), or a process that is stopped and continued, a queued start is made long after its check.

Why it works: a start that waited for more than 0.5 s asks the agent's actor for another check and a fresh end of the lease right before its call. If it doesn't fit, it is refused in the usual way; if its run was stopped, replaced or lost its lease meanwhile, it isn't called.

--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -53,6 +53,8 @@
 # the calls are spaced by this pause.
 UNSTORED_RUNS_PAUSE_S = 0.08
 TARGET_CALL_THREADS = 6
+# A start that waited longer for a thread is checked again before its call.
+MAX_START_WAIT_S = 0.5
 # Threads that serve orders and the store calls relayed for entries.
 SERVER_THREADS = 8
 HEARTBEAT_LIMITS = Limits(body_bytes=4_194_304, open_requests=8, connections=64)
@@ -256,15 +258,29 @@
             until_s = self.controller.take_lease_end_on_target_s(now_s)
             heartbeat = self.controller.heartbeat
             self._call_threads.submit(
-                self._call, call, until_s, self.controller.fence, heartbeat.target
+                self._call,
+                call,
+                until_s,
+                self.controller.fence,
+                heartbeat.target,
+                now_s,
             )
+        self._report_new_refusals()
+
+    def _report_new_refusals(self) -> None:
         if self.controller.refusal_is_unreported:
             self.report_due.set()
 
-    def _call(self, call: TargetCall, until_s: float, fence: int, target: str) -> None:
+    def _call(
+        self, call: TargetCall, until_s: float, fence: int, target: str, due_s: float
+    ) -> None:
         """Make one call; runs in a thread of the pool."""
         calls = self.parts.calls
         try:
+            if call.kind == "start" and clock_s() - due_s > MAX_START_WAIT_S:
+                until_s = self.ask(self._check_delayed_start, call)
+                if until_s is None:
+                    return
             if call.kind == "stop":
                 confirmed = calls.stop(call.run, fence, target)
                 self.post(self._on_stop_reply, call, confirmed)
@@ -287,6 +303,13 @@
             logger.exception("unexpected error in a call to the target")
             self.post(self._on_call_failed, call)
 
+    def _check_delayed_start(self, call: TargetCall) -> float | None:
+        """Return the end of the lease for a start, or None if it is not to be made."""
+        until_s = self.controller.check_delayed_start(call.run, clock_s())
+        self._report_new_refusals()
+        log_event("start_delayed", **call.run._asdict(), called=until_s is not None)
+        return until_s
+
     def _on_start_reply(self, call: TargetCall, outcome: StartOutcome) -> None:
         self.controller.on_started(call.run, outcome, clock_s())
         log_event("start_answered", **call.run._asdict(), **outcome._asdict())
--- a/packages/control/src/cicadabank/control/internal/target_controller.py
+++ b/packages/control/src/cicadabank/control/internal/target_controller.py
@@ -319,6 +319,7 @@
     def _may_be_on_target(self, run: RunId, local: LocalRun) -> bool:
         return (
             local.stopping
+            or local.may_start_late
             or local.last_call_s > float("-inf")
             or self._is_listed_running(run)
         )
@@ -390,6 +391,28 @@
             local.last_call_s = now_s
         return due
 
+    def check_delayed_start(self, run: RunId, now_s: float) -> float | None:
+        """Check a start call again that has been due for some time.
+
+        Returns
+        -------
+        float or None
+            The end of the lease on the target's clock; None if the call is not to be
+            made, since the run was refused or stopped, or waits for a lease.
+        """
+        local = self._runs.get(run)
+        if local is None or local.stopping:
+            return None
+        until_s = self.take_lease_end_on_target_s(now_s)
+        if until_s is None or self.target_terminated:
+            local.call_pending = False
+            return None
+        if not self._fits_at_call(run, local):
+            local.call_pending = False
+            self._on_refused(run, local, "room", now_s)
+            return None
+        return until_s
+
     def take_lease_end_on_target_s(self, now_s: float) -> float | None:
         """Return when the lease ends on the target's clock; None without a lease.
 
