Let starts wait for a heartbeat after a suspension of the agent

What callers would see: a target over its capacity (LIMIT) that has shrunk while its agent was stopped and continued, on a machine that runs on.

Right after it is continued, the agent handles orders and due calls by the heartbeat of before; the next one may be 1.5 s away, and a capacity that shrank during the pause may count by then.

Evidence: four cases of TestSuspension failed on the code before: the start was called at once, and the delayed one too. The other two passed before: a heartbeat that is handled first, and stops, which don't wait.

Why it works: the agent looks for due calls each 0.15 s, so a longer time without a look than 2 s means that it was suspended. Starts then wait for a heartbeat handled after it, at most 3 s, so that lost heartbeats don't keep runs from starting.

--- a/packages/control/src/cicadabank/control/internal/target_controller.py
+++ b/packages/control/src/cicadabank/control/internal/target_controller.py
@@ -43,6 +43,10 @@
 # A target that refused a start as unhealthy is reported as unhealthy for this long, so
 # that it gets no further starts.
 UNHEALTHY_BACKOFF_S = 2.0
+# A longer time without a look for due calls means that the process was suspended.
+MAX_PAUSE_S = 2.0
+# Longest time for which starts wait for a heartbeat after a suspension.
+MAX_HEARTBEAT_WAIT_S = 3.0
 NO_RESOURCES = Resources(0, 0, 0)
 # Heartbeats of other incarnations that wait to be checked; the oldest are forgotten.
 MAX_UNCHECKED_HEARTBEATS = 8
@@ -86,6 +90,10 @@
         # replaced one that a list had confirmed.
         self._seen_from_start = False
         self._adopted_s = float("-inf")
+        self._heard_s = float("-inf")  # when the latest heartbeat was processed
+        self._looked_s = float("-inf")  # when due calls were last looked for
+        # The last suspension of this process.
+        self._suspended_s = self._resumed_s = float("-inf")
         # When the latest list was requested that named another incarnation, unless the
         # known one has replied since.
         self._replaced_s = float("-inf")
@@ -143,7 +151,7 @@
         if heartbeat.sequence <= previous.sequence:
             return False
         self._former_capacity = self._largest_capacity
-        self.heartbeat = heartbeat
+        self.heartbeat, self._heard_s = heartbeat, now_s
         begins_drain = heartbeat.draining and not previous.draining
         return begins_drain or heartbeat.capacity != previous.capacity
 
@@ -365,6 +373,7 @@
 
         Runs for which the target has no room any more are refused instead.
         """
+        self._note_suspension(now_s)
         due = []
         if self.heartbeat is None or self.target_terminated or self._is_replaced:
             return due
@@ -376,6 +385,7 @@
             elif (
                 not local.stopping
                 and local.known_on_target_since_s == float("inf")
+                and not self._awaits_heartbeat(now_s)
                 and self.take_lease_end_on_target_s(now_s) is not None
             ):
                 if not self._fits_at_call(run, local):
@@ -391,6 +401,16 @@
             local.last_call_s = now_s
         return due
 
+    def _note_suspension(self, now_s: float) -> None:
+        if self._looked_s < now_s - MAX_PAUSE_S and self._looked_s > float("-inf"):
+            self._suspended_s, self._resumed_s = self._looked_s, now_s
+        self._looked_s = now_s
+
+    def _awaits_heartbeat(self, now_s: float) -> bool:
+        """Return whether the capacity may have changed during a suspension."""
+        heard_since = self._heard_s > self._suspended_s + MAX_PAUSE_S
+        return not heard_since and now_s < self._resumed_s + MAX_HEARTBEAT_WAIT_S
+
     def check_delayed_start(self, run: RunId, now_s: float) -> float | None:
         """Check a start call again that has been due for some time.
 
@@ -398,13 +418,15 @@
         -------
         float or None
             The end of the lease on the target's clock; None if the call is not to be
-            made, since the run was refused or stopped, or waits for a lease.
+            made, since the run was refused or stopped, or waits for a lease or a
+            heartbeat.
         """
+        self._note_suspension(now_s)
         local = self._runs.get(run)
         if local is None or local.stopping:
             return None
         until_s = self.take_lease_end_on_target_s(now_s)
-        if until_s is None or self.target_terminated:
+        if until_s is None or self.target_terminated or self._awaits_heartbeat(now_s):
             local.call_pending = False
             return None
         if not self._fits_at_call(run, local):
--- a/tests/cover/test_target_controller.py
+++ b/tests/cover/test_target_controller.py
@@ -7,6 +7,7 @@
 )
 from cicadabank.control.internal.target_controller import (
     MAX_CLOCK_DRIFT,
+    MAX_HEARTBEAT_WAIT_S,
     UNRESPONSIVE_AFTER_S,
     TargetController,
 )
@@ -407,6 +408,62 @@
         assert [call.kind for call in controller.take_due_calls(10.3)] == ["start"]
 
 
+# Guards against a target over its capacity that has shrunk while its agent's process
+# was suspended: the agent knows only the capacity of before.
+class TestSuspension:
+    RESUMED_S = 15.0
+
+    @pytest.fixture
+    def resumed(self, controller):
+        """Return a controller that accepts a start right after a suspension."""
+        controller.take_due_calls(10.1)
+        controller.take_lease_end_on_target_s(10.1)
+        list_runs(controller, listing(target_s=54.9), 14.9, self.RESUMED_S)
+        orders = batch(controller, starts=[start()])
+        assert controller.on_orders(orders, self.RESUMED_S)
+        return controller
+
+    @pytest.mark.parametrize("accelerators", [8, 2])
+    def test_a_start_waits_for_a_heartbeat(self, resumed, accelerators):
+        assert resumed.take_due_calls(self.RESUMED_S) == []
+        assert resumed.take_due_calls(self.RESUMED_S + 0.2) == []
+        capacity = Resources(32_000, 1000, accelerators)
+        resumed.on_heartbeat(heartbeat(sequence=2, capacity=capacity), 15.3)
+        due = [call.kind for call in resumed.take_due_calls(15.4)]
+        assert due == (["start"] if accelerators == 8 else [])
+        assert refused(resumed) == ({} if due else {("j", 0): "room"})
+
+    def test_a_heartbeat_that_is_handled_first_is_enough(self, resumed):
+        resumed.on_heartbeat(heartbeat(sequence=2), self.RESUMED_S)
+        due = resumed.take_due_calls(self.RESUMED_S)
+        assert [call.kind for call in due] == ["start"]
+
+    # Guards against runs that never start if heartbeats are lost.
+    def test_a_start_waits_for_a_limited_time(self, resumed):
+        now_s = self.RESUMED_S
+        while now_s < self.RESUMED_S + MAX_HEARTBEAT_WAIT_S:
+            assert resumed.take_due_calls(now_s) == []
+            now_s += 0.15
+        list_runs(resumed, listing(target_s=58.5), now_s, now_s)
+        reply = fleet_pb2.ReportReply(accepted=True, epoch=1, holder="h:1", lease_s=8.0)
+        resumed.on_reply(reply, now_s, resumed.incarnation)
+        due = resumed.take_due_calls(now_s)
+        assert [call.kind for call in due] == ["start"]
+
+    def test_a_start_that_waited_for_a_thread_meanwhile_waits_as_well(self, controller):
+        controller.on_orders(batch(controller, starts=[start()]), 10.1)
+        controller.take_due_calls(10.1)
+        list_runs(controller, listing(target_s=54.9), 14.9, 15.0)
+        assert controller.check_delayed_start(RUN, 15.0) is None
+        controller.on_heartbeat(heartbeat(sequence=2), 15.3)
+        assert [call.kind for call in controller.take_due_calls(15.4)] == ["start"]
+
+    def test_a_stop_does_not_wait(self, resumed):
+        resumed.on_orders(batch(resumed, stops=[RUN]), self.RESUMED_S)
+        due = resumed.take_due_calls(self.RESUMED_S)
+        assert [call.kind for call in due] == ["stop"]
+
+
 class TestUnansweredStarts:
     """A start call that got no reply may be carried out seconds later."""
 
