Count a run of an unknown job as the largest capacity of its target

What callers would see: a target over its capacity (LIMIT) that grows again while it has a run of a job that its holder doesn't know.

Cause: such a run is counted as the whole target, by the capacity at the moment of its report. A later report may tell a larger one without a list of runs (before a registration's list); the difference then counted as free.

Evidence: the test of TestUnknownRuns failed on the code before: a task was placed beside the run.

Why it works: the run counts as the largest amounts known of the target, which a capacity that grows back doesn't exceed.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
@@ -274,8 +274,8 @@
     """Order a run to stop that the holder does not expect on its target."""
     job = state.jobs.get(run.job)
     unit = job.unit_of(run.step, run.index) if job else None
-    # A run of an unknown job may use all of the target.
-    target.unexpected[run] = unit.spec.need if unit else target.capacity
+    # A run of an unknown job may use all of the target, also of one that has shrunk.
+    target.unexpected[run] = unit.spec.need if unit else target.largest_capacity
     orders = state.orders_for(target)
     if run in orders.stops:
         return
--- a/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
@@ -168,6 +168,7 @@
     def free(self) -> Resources:
         """Unallocated resources; negative while claims wait for units to stop.
 
+        They are negative as well while the target has shrunk below its allocations.
         Runs that the holder does not expect use resources until they are stopped.
         """
         used = [self.allocated, *self.unexpected.values()]
--- a/tests/cover/test_capacity.py
+++ b/tests/cover/test_capacity.py
@@ -7,6 +7,7 @@
 from cicadabank.scheduling import (
     QueueConfig,
     Resources,
+    RunId,
     RunningRun,
     StepSpec,
     WorkspaceConfig,
@@ -212,6 +213,22 @@
         wide_cell.check()
 
 
+class TestUnknownRuns:
+    # Guards against a target over its capacity: a run of an unknown job may use more
+    # than what its target has while it is shrunk.
+    def test_they_occupy_a_target_that_grows_before_it_is_listed_again(
+        self, cell, target
+    ):
+        unknown = RunningRun(RunId("unknown", 0, 0, 1), "", 10)
+        target.capacity = Resources(*(amount // 2 for amount in TARGET_CAPACITY))
+        report(cell, target, running=(unknown,))
+        target.capacity = TARGET_CAPACITY
+        report(cell, target, observed=False)
+        cell.submit("j", "batch", [tasks(1, 4)])
+        cell.scheduler.tick(cell.now_s)
+        assert phase_of(cell, "j") is Phase.WAITING
+
+
 # Guards against a job that is shown as failed, since no target could run it as long as
 # they are shrunk.
 class TestInfeasibleJobs:
