--- a/packages/control/src/cicadabank/control/internal/conversion.py
+++ b/packages/control/src/cicadabank/control/internal/conversion.py
@@ -39,6 +39,11 @@
         capacity=Resources(
             message.cpu_millicores, message.memory_mb, message.accelerators
         ),
+        largest_capacity=Resources(
+            message.largest_cpu_millicores,
+            message.largest_memory_mb,
+            message.largest_accelerators,
+        ),
         labels=tuple(message.labels),
         rack=message.rack,
         draining=message.draining,
@@ -92,6 +97,7 @@
 def start_to_message(start: Start) -> fleet_pb2.StartRun:
     """Return the message for an order to start a run."""
     cpu_millicores, memory_mb, accelerators = start.need
+    allocated = Resources(*start.allocated)
     return fleet_pb2.StartRun(
         id=run_id_to_message(start.id),
         spec=start.payload,
@@ -99,4 +105,7 @@
         cpu_millicores=cpu_millicores,
         memory_mb=memory_mb,
         accelerators=accelerators,
+        allocated_cpu_millicores=allocated.cpu_millicores,
+        allocated_memory_mb=allocated.memory_mb,
+        allocated_accelerators=allocated.accelerators,
     )
--- a/packages/control/src/cicadabank/control/internal/target_controller.py
+++ b/packages/control/src/cicadabank/control/internal/target_controller.py
@@ -21,7 +21,7 @@
     TargetCall,
     TargetHeartbeat,
 )
-from cicadabank.scheduling import CrashedRun, Resources, RunId, TargetCrash
+from cicadabank.scheduling import CrashedRun, Resources, RunId, TargetCrash, largest
 from cicadabank.wire import fleet_pb2
 
 # Least time between two attempts of a call to which the target did not reply.
@@ -44,6 +44,10 @@
 # A target that refused a start as unhealthy is reported as unhealthy for this long, so
 # that it gets no further starts.
 UNHEALTHY_BACKOFF_S = 2.0
+# A longer time without a look for due calls means that the process was suspended.
+MAX_PAUSE_S = 2.0
+# Longest time for which starts wait for a heartbeat after a suspension.
+MAX_HEARTBEAT_WAIT_S = 3.0
 NO_RESOURCES = Resources(0, 0, 0)
 # Heartbeats of other incarnations that wait to be checked; the oldest are forgotten.
 MAX_UNCHECKED_HEARTBEATS = 8
@@ -89,14 +93,22 @@
         # replaced one that a list had confirmed.
         self._seen_from_start = False
         self._adopted_s = float("-inf")
+        self._heard_s = float("-inf")  # when the latest heartbeat was processed
+        self._looked_s = float("-inf")  # when due calls were last looked for
+        # The last suspension of this process.
+        self._suspended_s = self._resumed_s = float("-inf")
         # When the latest list was requested that named another incarnation, unless the
         # known one has replied since.
         self._replaced_s = float("-inf")
         self._unhealthy_until_s = float("-inf")
         self._listing: Listing | None = None
         self._listed_fence = -1  # with which the list was requested
+        # Largest amounts seen of this incarnation before the present heartbeat.
+        self._former_capacity = NO_RESOURCES
         self._runs: dict[RunId, LocalRun] = {}
         self._refused: dict[RunId, str] = {}
+        # Whether a run was refused since the latest report.
+        self.refusal_is_unreported = False
         self._not_running: set[RunId] = (
             set()
         )  # stopped, and confirmed not to run any more
@@ -142,8 +154,15 @@
             return False
         if heartbeat.sequence <= previous.sequence:
             return False
-        self.heartbeat = heartbeat
-        return heartbeat.draining and not previous.draining
+        self._former_capacity = self._largest_capacity
+        self.heartbeat, self._heard_s = heartbeat, now_s
+        begins_drain = heartbeat.draining and not previous.draining
+        return begins_drain or heartbeat.capacity != previous.capacity
+
+    @property
+    def _largest_capacity(self) -> Resources:
+        """The largest amounts that this process has seen of the incarnation."""
+        return largest(self._former_capacity, self.heartbeat.capacity)
 
     def _adopt(self, heartbeat: TargetHeartbeat, now_s: float) -> None:
         previous = self.heartbeat
@@ -233,6 +252,7 @@
         return True
 
     def _reset(self, now_s: float) -> None:
+        self._former_capacity = NO_RESOURCES
         self._runs.clear()
         self._refused.clear()
         self._not_running.clear()
@@ -286,13 +306,14 @@
             start_order.memory_mb,
             start_order.accelerators,
         )
-        reason = self._refusal_reason(run, need)
+        local = LocalRun(start_order, need)
+        reason = self._refusal_reason(run, local)
         if reason:
             self._refuse(run, reason)
         else:
-            self._runs[run] = LocalRun(start_order, need)
+            self._runs[run] = local
 
-    def _refusal_reason(self, run: RunId, need: Resources) -> str:
+    def _refusal_reason(self, run: RunId, local: LocalRun) -> str:
         """Return why a run can't start on the target, or an empty string.
 
         "room" means that the target has too few free resources.
@@ -301,11 +322,45 @@
             return ""
         if self.heartbeat.draining:
             return "draining"
-        used = [local.need for local in self._runs.values()]
-        for kind, limit in enumerate(self.heartbeat.capacity):
-            if sum(other[kind] for other in used) + need[kind] > limit:
-                return "room"
-        return ""
+        used = [other.need for other in self._runs.values()]
+        return "" if self._fits(local, used) else "room"
+
+    def _fits(self, local: LocalRun, used: list[Resources]) -> bool:
+        """Return whether the target has room for a run beside the used resources.
+
+        This process doesn't know what the runs need that an earlier one has started, so
+        the holder's count must fit as well.
+        """
+        return all(
+            max(sum(other[kind] for other in used) + local.need[kind], allocated)
+            <= limit
+            for kind, (limit, allocated) in enumerate(
+                zip(self.heartbeat.capacity, local.allocated, strict=True)
+            )
+        )
+
+    def _fits_at_call(self, run: RunId, local: LocalRun) -> bool:
+        """Return whether a start call keeps the target within its present capacity.
+
+        The capacity may have shrunk since the order was accepted. Accepted runs of
+        which no call was made yet are checked before their own calls.
+        """
+        if self._is_listed_running(run):
+            return True
+        used = [
+            other.need
+            for other_run, other in self._runs.items()
+            if other_run != run and self._may_be_on_target(other_run, other)
+        ]
+        return self._fits(local, used)
+
+    def _may_be_on_target(self, run: RunId, local: LocalRun) -> bool:
+        return (
+            local.stopping
+            or local.may_start_late
+            or local.last_call_s > float("-inf")
+            or self._is_listed_running(run)
+        )
 
     def _is_listed_running(self, run: RunId) -> bool:
         running = self._listing.running if self._listing else ()
@@ -313,6 +368,7 @@
 
     def _refuse(self, run: RunId, reason: str) -> None:
         self._refused[run] = reason
+        self.refusal_is_unreported = True
         self._close(run, reason)
 
     def _close(self, run: RunId, reason: str) -> None:
@@ -343,11 +399,15 @@
             local.last_call_s = float("-inf")
 
     def take_due_calls(self, now_s: float) -> list[TargetCall]:
-        """Return the calls to the target that are due, and mark them as pending."""
+        """Return the calls to the target that are due, and mark them as pending.
+
+        Runs for which the target has no room any more are refused instead.
+        """
+        self._note_suspension(now_s)
         due = []
         if self.heartbeat is None or self.target_terminated or self._is_replaced:
             return due
-        for run, local in self._runs.items():
+        for run, local in list(self._runs.items()):
             if local.call_pending or now_s - local.last_call_s < CALL_RETRY_INTERVAL_S:
                 continue
             if local.stopping and local.stop_confirmed_s == float("inf"):
@@ -355,8 +415,12 @@
             elif (
                 not local.stopping
                 and local.known_on_target_since_s == float("inf")
+                and not self._awaits_heartbeat(now_s)
                 and self.take_lease_end_on_target_s(now_s) is not None
             ):
+                if not self._fits_at_call(run, local):
+                    self._on_refused(run, local, "room", now_s)
+                    continue
                 start_order = local.start_order
                 local.first_start_call_s = min(local.first_start_call_s, now_s)
                 due.append(
@@ -368,6 +432,40 @@
             local.last_call_s = now_s
         return due
 
+    def _note_suspension(self, now_s: float) -> None:
+        if self._looked_s < now_s - MAX_PAUSE_S and self._looked_s > float("-inf"):
+            self._suspended_s, self._resumed_s = self._looked_s, now_s
+        self._looked_s = now_s
+
+    def _awaits_heartbeat(self, now_s: float) -> bool:
+        """Return whether the capacity may have changed during a suspension."""
+        heard_since = self._heard_s > self._suspended_s + MAX_PAUSE_S
+        return not heard_since and now_s < self._resumed_s + MAX_HEARTBEAT_WAIT_S
+
+    def check_delayed_start(self, run: RunId, now_s: float) -> float | None:
+        """Check a start call again that has been due for some time.
+
+        Returns
+        -------
+        float or None
+            The end of the lease on the target's clock; None if the call is not to be
+            made, since the run was refused or stopped, or waits for a lease or a
+            heartbeat.
+        """
+        self._note_suspension(now_s)
+        local = self._runs.get(run)
+        if local is None or local.stopping:
+            return None
+        until_s = self.take_lease_end_on_target_s(now_s)
+        if until_s is None or self.target_terminated or self._awaits_heartbeat(now_s):
+            local.call_pending = False
+            return None
+        if not self._fits_at_call(run, local):
+            local.call_pending = False
+            self._on_refused(run, local, "room", now_s)
+            return None
+        return until_s
+
     def take_lease_end_on_target_s(self, now_s: float) -> float | None:
         """Return when the lease ends on the target's clock; None without a lease.
 
@@ -584,6 +682,11 @@
         message.cpu_millicores, message.memory_mb, message.accelerators = (
             heartbeat.capacity
         )
+        (
+            message.largest_cpu_millicores,
+            message.largest_memory_mb,
+            message.largest_accelerators,
+        ) = self._largest_capacity
         message.labels.extend(heartbeat.labels)
         message.rack = heartbeat.rack
         message.draining = heartbeat.draining
@@ -633,6 +736,7 @@
                 message.pending.append(run_id_to_message(run))
                 if local.stopping:
                     message.stopping.append(run_id_to_message(run))
+        self.refusal_is_unreported = False
         for run, reason in self._refused.items():
             message.refused.add(id=run_id_to_message(run), reason=reason)
         message.gone.extend(run_id_to_message(run) for run in self._not_running)
--- a/packages/scheduling/src/cicadabank/scheduling/__init__.py
+++ b/packages/scheduling/src/cicadabank/scheduling/__init__.py
@@ -43,6 +43,7 @@
     Report,
     RunningRun,
     TargetCrash,
+    largest,
 )
 from cicadabank.scheduling.internal.units import ENDED_STATES, TargetIncarnation
 
@@ -82,6 +83,7 @@
     "TargetIncarnation",
     "Timings",
     "WorkspaceConfig",
+    "largest",
     "pack",
     "unpack",
 ]
--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -9,7 +9,6 @@
 from cicadabank.scheduling.internal import crashes, lifecycle
 from cicadabank.scheduling.internal.headroom import Headroom
 from cicadabank.scheduling.internal.jobs import (
-    Resources,
     StepSpec,
     core_equivalents,
 )
@@ -22,7 +21,7 @@
 )
 from cicadabank.scheduling.internal.reservations import Reservations
 from cicadabank.scheduling.internal.state import CellState
-from cicadabank.scheduling.internal.targets import Target, max_tasks
+from cicadabank.scheduling.internal.targets import Target, largest, max_tasks
 from cicadabank.scheduling.internal.units import (
     Job,
     Phase,
@@ -578,16 +577,20 @@
 
     A target with another unit's exclusive task has none.
 
-    Releases the claim if a target was lost, is draining, or is in a domain that
-    receives no new tasks.
+    Releases the claim if a target was lost, is draining, is in a domain that receives
+    no new tasks, or has become too small.
     """
-    for member in unit.members:
-        target = state.targets_by_incarnation.get(member.target_incarnation)
-        if target is None or target.draining or target.domain in state.domains_out:
-            lifecycle.release_claim(state, unit)
-            return
-        if min(target.free) < 0 or not target.exclusive_tasks <= unit.tasks():
-            return
+    targets = [
+        state.targets_by_incarnation.get(member.target_incarnation)
+        for member in unit.members
+    ]
+    if not all(_can_serve_claims(state, target) for target in targets):
+        lifecycle.release_claim(state, unit)
+        return
+    if any(min(target.free) < 0 for target in targets):
+        return
+    if not all(target.exclusive_tasks <= unit.tasks() for target in targets):
+        return
     unit.phase = Phase.COMMITTING
     unit.run += 1
     job = state.jobs[unit.job]
@@ -596,6 +599,24 @@
     state.mark_dirty(job)
 
 
+def _can_serve_claims(state: CellState, target: Target | None) -> bool:
+    """Return whether a target will have room for its claims after the current stops."""
+    if target is None or target.draining or target.domain in state.domains_out:
+        return False
+    if min(target.free) >= 0:
+        return True
+    members = state.members_by_incarnation.get(target.target_incarnation, {})
+    kept = [
+        unit.spec.need
+        for unit in members.values()
+        if unit.phase not in (Phase.STOPPING, Phase.DONE) and not unit.stop_reason
+    ]
+    return all(
+        sum(need[kind] for need in kept) <= limit
+        for kind, limit in enumerate(target.capacity)
+    )
+
+
 def _absent_targets(state: CellState, present: list[Target]) -> list[Target]:
     """Return the targets that are away, and that may be back soon.
 
@@ -619,8 +640,7 @@
 def _assumed_target(present: list[Target]) -> Target:
     """Return a target as large as the largest of others, with all their labels."""
     assumed = Target(TargetIncarnation("", "", ""), "")
-    capacities = [target.capacity for target in present]
-    assumed.capacity = Resources(*map(max, zip(*capacities, strict=True)))
+    assumed.largest_capacity = largest(*(t.largest_capacity for t in present))
     assumed.labels = frozenset().union(*(target.labels for target in present))
     return assumed
 
@@ -628,7 +648,7 @@
 def _fail_infeasible_jobs(state: CellState) -> None:
     """Fail pending jobs that none of the targets could ever run."""
     # An ended target is known without capacity until its next incarnation reports.
-    present = [target for target in state.targets.values() if any(target.capacity)]
+    present = [t for t in state.targets.values() if any(t.largest_capacity)]
     if not present or len(present) < len(state.last_contact_attempt_s) / 2:
         return
     pending = [
--- a/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
@@ -179,7 +179,7 @@
     )
     if state.targets.get(target.agent) is target:
         del state.targets[target.agent]
-    if any(target.capacity):
+    if any(target.largest_capacity):
         state.removed_targets[target.agent] = (target, state.now_s)
     state.targets_by_incarnation.pop(target.target_incarnation, None)
     state.orders.pop(target.agent, None)
@@ -289,8 +289,8 @@
     """Order a run to stop that the holder does not expect on its target."""
     job = state.jobs.get(run.job)
     unit = job.unit_of(run.step, run.index) if job else None
-    # A run of an unknown job may use all of the target.
-    target.unexpected[run] = unit.spec.need if unit else target.capacity
+    # A run of an unknown job may use all of the target, also of one that has shrunk.
+    target.unexpected[run] = unit.spec.need if unit else target.largest_capacity
     orders = state.orders_for(target)
     if run in orders.stops:
         return
@@ -365,6 +365,7 @@
         record.payload,
         unit.checkpoint,
         tuple(unit.spec.need),
+        tuple(state.resources_in_use(target)),
     )
     state.orders_for(target).starts.append(start)
 
--- a/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
@@ -80,6 +80,11 @@
     target_incarnation : TargetIncarnation
     domain : str
         Failure domain of the target.
+    capacity : Resources
+        The present capacity; it may shrink and grow while the target runs.
+    largest_capacity : Resources
+        The largest amounts that the agent has seen of this incarnation; zero from
+        agents that don't tell.
     remaining_s : float
         Time until a draining target may terminate.
     observed : bool
@@ -127,6 +132,7 @@
     registration: int | None = None
     stopping: tuple[RunId, ...] = ()
     crashes: tuple[TargetCrash, ...] = ()
+    largest_capacity: Resources = Resources(0, 0, 0)
 
 
 class Target:
@@ -143,6 +149,7 @@
         "draining",
         "exclusive_tasks",
         "labels",
+        "largest_capacity",
         "last_report_s",
         "lease_until_s",
         "leaving",
@@ -170,6 +177,8 @@
         self.rack = ""
         self.labels: frozenset[str] = frozenset()
         self.capacity = Resources(0, 0, 0)
+        # The largest amounts known of this incarnation, whose capacity may shrink.
+        self.largest_capacity = Resources(0, 0, 0)
         self.allocated = Resources(0, 0, 0)
         self.allocations: dict[tuple[str, int, int], Resources] = {}
         # Tasks with which no other unit's task may share the target.
@@ -193,6 +202,7 @@
     def free(self) -> Resources:
         """Unallocated resources; negative while claims wait for units to stop.
 
+        They are negative as well while the target has shrunk below its allocations.
         Runs that the holder does not expect use resources until they are stopped. A
         target with an exclusive task has nothing free.
         """
@@ -258,6 +268,9 @@
         self.report_number = report.report_number
         self.registration = report.registration
         self.domain, self.capacity = report.domain, report.capacity
+        self.largest_capacity = largest(
+            self.largest_capacity, report.largest_capacity, report.capacity
+        )
         self.labels = frozenset(report.labels)
         self.rack = report.rack
         self.last_report_s = now_s
@@ -271,12 +284,22 @@
             self.terminates_s = now_s + report.remaining_s
 
 
+def largest(*amounts: Resources) -> Resources:
+    """Return the largest amount of each resource."""
+    return Resources(*map(max, zip(*amounts, strict=True)))
+
+
 def fits(need: Resources, available: Resources) -> bool:
     """Return whether a task fits into the given resources."""
     return all(n <= r for n, r in zip(need, available, strict=True))
 
 
 def max_tasks(need: Resources, available: Resources) -> int:
-    """Return how many equal tasks fit, or 1,000,000 if a task needs no resources."""
+    """Return how many equal tasks fit, or 1,000,000 if a task needs no resources.
+
+    None fit if any resource is negative, also one that a task does not need.
+    """
+    if min(available) < 0:
+        return 0
     counts = [r // n for n, r in zip(need, available, strict=True) if n > 0]
     return max(0, min(counts)) if counts else 1_000_000
--- a/tests/cover/test_target_controller.py
+++ b/tests/cover/test_target_controller.py
@@ -7,6 +7,7 @@
 )
 from cicadabank.control.internal.target_controller import (
     MAX_CLOCK_DRIFT,
+    MAX_HEARTBEAT_WAIT_S,
     UNRESPONSIVE_AFTER_S,
     TargetController,
 )
@@ -49,9 +50,13 @@
     return TargetHeartbeat(**{**fields, **overrides})
 
 
-def start(run=RUN, accelerators=4) -> fleet_pb2.StartRun:
+def start(run=RUN, accelerators=4, **overrides) -> fleet_pb2.StartRun:
     return fleet_pb2.StartRun(
-        id=run_id_to_message(run), spec="s", cpu_millicores=1, accelerators=accelerators
+        id=run_id_to_message(run),
+        spec="s",
+        cpu_millicores=1,
+        accelerators=accelerators,
+        **overrides,
     )
 
 
@@ -269,6 +274,204 @@
         assert refused(controller) == {("j", 0): "old"}
 
 
+# Guards against a target over its capacity, which may shrink and grow while it runs.
+class TestCapacity:
+    def set_accelerators(self, controller, accelerators, sequence=2) -> bool:
+        capacity = Resources(32_000, 1000, accelerators)
+        return controller.on_heartbeat(
+            heartbeat(sequence=sequence, capacity=capacity), 10.2
+        )
+
+    # Guards against a start that waits for a lease while the capacity shrinks.
+    def test_a_start_that_no_longer_fits_when_its_lease_arrives_is_refused(self):
+        controller = TargetController("a:2", "agent-1", "cell")
+        controller.on_heartbeat(heartbeat(), 10.0)
+        controller.on_orders(batch(controller, incarnation=""), 10.0)
+        list_runs(controller, listing(), 10.0, 10.0)
+        controller.on_orders(batch(controller, starts=[start()]), 10.1)
+        assert controller.take_due_calls(10.1) == []
+        self.set_accelerators(controller, 2)
+        reply = fleet_pb2.ReportReply(accepted=True, epoch=1, holder="h:1", lease_s=8.0)
+        controller.on_reply(reply, 10.3, controller.incarnation)
+        assert controller.take_due_calls(10.4) == []
+        assert controller.refusal_is_unreported
+        assert refused(controller) == {("j", 0): "room"}
+        assert not controller.refusal_is_unreported
+        self.set_accelerators(controller, 8, sequence=3)
+        assert controller.take_due_calls(11.0) == []
+
+    @pytest.mark.parametrize("accelerators", [8, 7])
+    def test_runs_of_which_a_call_was_made_count_at_the_next_call(
+        self, controller, accelerators
+    ):
+        controller.on_orders(batch(controller, starts=[start()]), 10.1)
+        controller.take_due_calls(10.1)
+        controller.on_started(RUN, StartOutcome(True), 10.15)
+        controller.on_orders(batch(controller, starts=[start(OTHER_RUN)]), 10.2)
+        self.set_accelerators(controller, accelerators)
+        due = [call.run for call in controller.take_due_calls(10.3)]
+        assert due == ([OTHER_RUN] if accelerators == 8 else [])
+        assert refused(controller) == ({} if due else {("j", 1): "room"})
+
+    def test_a_run_that_is_being_stopped_counts_at_the_next_call(self, controller):
+        orders = [start(RUN), start(OTHER_RUN)]
+        controller.on_orders(batch(controller, starts=orders, stops=[RUN]), 10.1)
+        self.set_accelerators(controller, 7)
+        assert [call.kind for call in controller.take_due_calls(10.2)] == ["stop"]
+        assert refused(controller) == {("j", 1): "room"}
+
+    # Guards against an order that is refused though it fits without the later ones.
+    def test_starts_without_a_call_are_checked_in_their_order(self, controller):
+        orders = [start(RUN), start(OTHER_RUN)]
+        controller.on_orders(batch(controller, starts=orders), 10.1)
+        self.set_accelerators(controller, 4)
+        assert [call.run for call in controller.take_due_calls(10.2)] == [RUN]
+        assert refused(controller) == {("j", 1): "room"}
+
+    # Guards against two runs of a task as well: the call without a reply may still be
+    # carried out.
+    def test_a_repeated_start_that_no_longer_fits_is_stopped_first(self, controller):
+        controller.on_orders(batch(controller, starts=[start()]), 10.1)
+        controller.take_due_calls(10.1)
+        controller.on_started(RUN, StartOutcome(False), 10.3)
+        self.set_accelerators(controller, 2)
+        assert controller.take_due_calls(10.5) == []
+        assert refused(controller) == {}
+        assert [call.kind for call in controller.take_due_calls(10.5)] == ["stop"]
+        controller.on_stopped(RUN, True, 10.6)
+        assert list_runs(controller, listing(), 10.7, 10.8)
+        assert refused(controller) == {("j", 0): "room"}
+
+    # Guards against a run that is stopped because its target has shrunk: only starts
+    # are limited.
+    def test_a_run_that_its_target_lists_goes_on_as_its_capacity_shrinks(
+        self, controller
+    ):
+        list_runs(controller, listing(running=[RUN], target_s=50.1), 10.1, 10.1)
+        self.set_accelerators(controller, 2)
+        controller.on_orders(batch(controller, starts=[start()]), 10.2)
+        assert [call.kind for call in controller.take_due_calls(10.3)] == ["start"]
+        assert refused(controller) == {}
+
+    # Guards against placements on room that is gone, and against jobs that wait for the
+    # next regular report while there is room.
+    @pytest.mark.parametrize("accelerators", [4, 16])
+    def test_a_change_is_reported_at_once(self, controller, accelerators):
+        assert not controller.on_heartbeat(heartbeat(sequence=2), 10.1)
+        assert self.set_accelerators(controller, accelerators, sequence=3)
+        assert not self.set_accelerators(controller, accelerators, sequence=4)
+        assert self.set_accelerators(controller, 8, sequence=5)
+
+    def test_a_late_heartbeat_changes_nothing(self, controller):
+        controller.on_heartbeat(heartbeat(sequence=3), 10.1)
+        assert not self.set_accelerators(controller, 4, sequence=2)
+        assert controller.heartbeat.capacity.accelerators == 8
+
+    # Guards against jobs that a new holder takes for infeasible since it knows only the
+    # present capacity.
+    def test_the_largest_capacity_of_an_incarnation_is_reported(self, controller):
+        larger_memory = Resources(16_000, 2000, 4)
+        controller.on_heartbeat(heartbeat(sequence=2, capacity=larger_memory), 10.1)
+        self.set_accelerators(controller, 0, sequence=3)
+        report = report_from_message(controller.report(10.3))
+        assert report.capacity == (32_000, 1000, 0)
+        assert report.largest_capacity == (32_000, 2000, 8)
+
+    def test_a_new_incarnation_has_a_largest_capacity_of_its_own(self, controller):
+        smaller = Resources(16_000, 500, 4)
+        adopt(controller, heartbeat(started_ms=2, capacity=smaller), 10.2)
+        report = report_from_message(controller.report(10.3))
+        assert report.largest_capacity == smaller
+
+    # Guards against an agent that counts nothing of what an earlier process of it has
+    # started, and that doesn't know what these runs need.
+    @pytest.mark.parametrize(
+        "allocated",
+        [
+            {"allocated_accelerators": 9},
+            {"allocated_memory_mb": 1001},
+            {"allocated_cpu_millicores": 32_001},
+        ],
+    )
+    def test_a_start_beyond_what_the_holder_counts_is_refused(
+        self, controller, allocated
+    ):
+        list_runs(controller, listing(running=[RUN], target_s=50.1), 10.1, 10.1)
+        orders = [start(OTHER_RUN, **allocated)]
+        controller.on_orders(batch(controller, starts=orders), 10.2)
+        assert controller.take_due_calls(10.3) == []
+        assert refused(controller) == {("j", 1): "room"}
+
+    def test_what_the_holder_counts_is_compared_again_at_the_call(self, controller):
+        list_runs(controller, listing(running=[RUN], target_s=50.1), 10.1, 10.1)
+        orders = [start(OTHER_RUN, allocated_accelerators=8)]
+        controller.on_orders(batch(controller, starts=orders), 10.1)
+        self.set_accelerators(controller, 7)
+        assert controller.take_due_calls(10.3) == []
+        assert refused(controller) == {("j", 1): "room"}
+
+    def test_a_start_within_what_the_holder_counts_is_called(self, controller):
+        orders = [start(allocated_accelerators=8)]
+        controller.on_orders(batch(controller, starts=orders), 10.1)
+        assert [call.kind for call in controller.take_due_calls(10.3)] == ["start"]
+
+
+# Guards against a target over its capacity that has shrunk while its agent's process
+# was suspended: the agent knows only the capacity of before.
+class TestSuspension:
+    RESUMED_S = 15.0
+
+    @pytest.fixture
+    def resumed(self, controller):
+        """Return a controller that accepts a start right after a suspension."""
+        controller.take_due_calls(10.1)
+        controller.take_lease_end_on_target_s(10.1)
+        list_runs(controller, listing(target_s=54.9), 14.9, self.RESUMED_S)
+        orders = batch(controller, starts=[start()])
+        assert controller.on_orders(orders, self.RESUMED_S)
+        return controller
+
+    @pytest.mark.parametrize("accelerators", [8, 2])
+    def test_a_start_waits_for_a_heartbeat(self, resumed, accelerators):
+        assert resumed.take_due_calls(self.RESUMED_S) == []
+        assert resumed.take_due_calls(self.RESUMED_S + 0.2) == []
+        capacity = Resources(32_000, 1000, accelerators)
+        resumed.on_heartbeat(heartbeat(sequence=2, capacity=capacity), 15.3)
+        due = [call.kind for call in resumed.take_due_calls(15.4)]
+        assert due == (["start"] if accelerators == 8 else [])
+        assert refused(resumed) == ({} if due else {("j", 0): "room"})
+
+    def test_a_heartbeat_that_is_handled_first_is_enough(self, resumed):
+        resumed.on_heartbeat(heartbeat(sequence=2), self.RESUMED_S)
+        due = resumed.take_due_calls(self.RESUMED_S)
+        assert [call.kind for call in due] == ["start"]
+
+    # Guards against runs that never start if heartbeats are lost.
+    def test_a_start_waits_for_a_limited_time(self, resumed):
+        now_s = self.RESUMED_S
+        while now_s < self.RESUMED_S + MAX_HEARTBEAT_WAIT_S:
+            assert resumed.take_due_calls(now_s) == []
+            now_s += 0.15
+        list_runs(resumed, listing(target_s=58.5), now_s, now_s)
+        reply = fleet_pb2.ReportReply(accepted=True, epoch=1, holder="h:1", lease_s=8.0)
+        resumed.on_reply(reply, now_s, resumed.incarnation)
+        due = resumed.take_due_calls(now_s)
+        assert [call.kind for call in due] == ["start"]
+
+    def test_a_start_that_waited_for_a_thread_meanwhile_waits_as_well(self, controller):
+        controller.on_orders(batch(controller, starts=[start()]), 10.1)
+        controller.take_due_calls(10.1)
+        list_runs(controller, listing(target_s=54.9), 14.9, 15.0)
+        assert controller.check_delayed_start(RUN, 15.0) is None
+        controller.on_heartbeat(heartbeat(sequence=2), 15.3)
+        assert [call.kind for call in controller.take_due_calls(15.4)] == ["start"]
+
+    def test_a_stop_does_not_wait(self, resumed):
+        resumed.on_orders(batch(resumed, stops=[RUN]), self.RESUMED_S)
+        due = resumed.take_due_calls(self.RESUMED_S)
+        assert [call.kind for call in due] == ["stop"]
+
+
 class TestUnansweredStarts:
     """A start call that got no reply may be carried out seconds later."""
 
--- a/tests/support/in_memory_cell.py
+++ b/tests/support/in_memory_cell.py
@@ -25,6 +25,7 @@
     TargetCrash,
     TargetIncarnation,
     WorkspaceConfig,
+    largest,
     unpack,
 )
 
@@ -38,6 +39,9 @@
 # A task may start this often after MAX_CRASHES targets have crashed under it.
 MAX_CRASHES = 3
 MAX_STARTS_AFTER_CRASHES = 2
+# Time after which a capacity that has shrunk counts. On the platform it is 4.5 s; here,
+# the holder knows it after a report interval.
+SHRINK_NOTICE_S = 1.0
 TARGET_CAPACITY = Resources(32_000, 131_072, 8)
 
 
@@ -85,6 +89,12 @@
     ----------
     agent : str
         Address of the agent; stays the same if another target replaces this one.
+    capacity : Resources
+        May be changed at any time.
+    largest_capacity : Resources
+        The largest amounts that the agent's process has seen of this incarnation.
+    former_capacities : list of (float, Resources)
+        Capacities before it was changed, each with the time up to which it counts.
     agent_run : int
         Identifies the process of the agent.
     registration : int
@@ -111,7 +121,9 @@
         self.agent = f"agent-{name}"
         self.domain = domain
         self.rack = rack
-        self.capacity = capacity
+        self.capacity = self._known_capacity = capacity
+        self.former_capacities: list[tuple[float, Resources]] = []
+        self.largest_capacity = capacity
         self.incarnation = 1
         self.agent_run = 1
         self.registration = 0
@@ -139,6 +151,31 @@
             self.name, f"{self.name}/{self.incarnation}", self.agent
         )
 
+    def note_capacity(self, now_s: float) -> None:
+        """Note a change of the capacity, and forget those before that don't count."""
+        self.former_capacities = [
+            (until_s, capacity)
+            for until_s, capacity in self.former_capacities
+            if until_s > now_s
+        ]
+        if self.capacity != self._known_capacity:
+            until_s = now_s + SHRINK_NOTICE_S
+            self.former_capacities.append((until_s, self._known_capacity))
+            self._known_capacity = self.capacity
+        self.largest_capacity = largest(self.largest_capacity, self.capacity)
+
+    def exceeded(self) -> int:
+        """Return how many kinds of resources are used beyond the capacity.
+
+        What is being stopped counts, as does a capacity that has shrunk only lately.
+        """
+        capacities = [self.capacity, *(c for _, c in self.former_capacities)]
+        needs = [active.spec.need for active in self.active_runs.values()]
+        return sum(
+            sum(need[kind] for need in needs) > max(c[kind] for c in capacities)
+            for kind in range(len(self.capacity))
+        )
+
     def end(self, active: ActiveRun, outcome: str) -> None:
         """End a run and list it as ended."""
         self.active_runs.pop(active.run_id, None)
@@ -155,6 +192,7 @@
         self.refused.clear()
         self.not_running.clear()
         self.crashes.clear()
+        self.largest_capacity = self.capacity
 
     def crash(self, now_s: float) -> None:
         """End the incarnation without notice; its agent's process goes on."""
@@ -194,6 +232,7 @@
             target_incarnation=self.target_incarnation,
             domain=self.domain,
             capacity=self.capacity,
+            largest_capacity=self.largest_capacity,
             labels=("a", self.rack),
             rack=self.rack,
             draining=self.draining,
@@ -323,6 +362,7 @@
         self.now_s += TIME_STEP_S
         for target in self.targets.values():
             self._crash_if_due(target)
+            target.note_capacity(self.now_s)
             self._advance_runs(target)
         for target in self.targets.values():
             due_s = self._last_report_s.get(target.agent, 0.0) + REPORT_INTERVAL_S
@@ -510,11 +550,7 @@
         target.active_runs[run_id] = ActiveRun(
             run_id, spec, self.now_s, remaining_s, duration_s
         )
-        for resource, limit in enumerate(target.capacity):
-            used = sum(
-                active.spec.need[resource] for active in target.active_runs.values()
-            )
-            target.overcommits += used > limit
+        target.overcommits += target.exceeded()
 
     def check(self) -> None:
         """Assert the invariants that hold for every history of runs.
