Repeat a start without a reply only after a list of the same incarnation

A task that crashes its targets was started more often than the holder knew: three orders made eight starts and eight crashes in 22 s (trial with separate processes, target back under its own id, reply to the start lost), so that no count of the holder's could keep rule BUDGET.

Cause: the agent repeats a start that got no reply every 0.3 s, and names only the id of the target. The next incarnation under the same id carries it out, and crashes before its first heartbeat has been confirmed.

After a call without a reply, starts now wait until a list that was requested later shows the same incarnation. The agent requests it at once, also for a start that waited for a thread; a start that was not called in the end isn't blamed for a crash, and runs without a call go before repeated ones.

Tests that repeat an unanswered start now pass a list in between; SlowCalls answers lists, as a target that is up does.

--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -55,6 +55,8 @@
 TARGET_CALL_THREADS = 6
 # A start that waited longer for a thread is checked again before its call.
 MAX_START_WAIT_S = 0.5
+# How often a list is requested for such a start while other calls get no reply.
+MAX_LISTS_BEFORE_START = 3
 # Threads that serve orders and the store calls relayed for entries.
 SERVER_THREADS = 8
 HEARTBEAT_LIMITS = Limits(body_bytes=4_194_304, open_requests=8, connections=64)
@@ -290,6 +292,9 @@
         calls = self.parts.calls
         try:
             if call.kind == "start" and clock_s() - due_s > MAX_START_WAIT_S:
+                for _ in range(MAX_LISTS_BEFORE_START):
+                    if self.controller.may_have_crashed:
+                        self.renew_lease(0.0)
                 until_s = self.ask(self._check_delayed_start, call)
                 if until_s is None:
                     return
@@ -305,8 +310,8 @@
                     call.run, call.payload, call.checkpoint, until_s, fence, target
                 )
                 self.post(self._on_start_reply, call, outcome)
-                if outcome.refused == "old":
-                    # A list shows whether the run is done.
+                if outcome.refused == "old" or not outcome.known:
+                    # A list shows whether the run is done, or has begun.
                     self.renew_lease(0.0)
         except PlatformError as error:
             logger.bind(event="call_failed", **call.run._asdict()).warning("{}", error)
@@ -361,9 +366,16 @@
         # Without a lease, the reply is needed soon: a lease's end can be computed only
         # from the target's clock, which the reply contains.
         wait_s = wait_s if until_s is not None else min(wait_s, 0.2)
-        listing = self.parts.calls.hold(fence, recorded, until_s, wait_s, target)
+        try:
+            listing = self.parts.calls.hold(fence, recorded, until_s, wait_s, target)
+        except PlatformError:
+            self.post(self._on_no_reply)
+            raise
         self.post(self._on_listing, listing, asked_s, fence)
 
+    def _on_no_reply(self) -> None:
+        self.controller.on_no_reply(clock_s())
+
     def renew_lease_step(self) -> None:
         """Renew the lease if a target has registered, else wait for one."""
         if self.controller.has_unstored_ended_runs:
--- a/packages/control/src/cicadabank/control/internal/target_controller.py
+++ b/packages/control/src/cicadabank/control/internal/target_controller.py
@@ -89,6 +89,8 @@
         # The target's clock, and this process's clock when it was received.
         self._clock_sample: tuple[float, float] | None = None
         self._last_reply_s = float("-inf")
+        # When a call last got no reply, and when the latest list was requested.
+        self._unanswered_s = self._listing_asked_s = float("-inf")
         # Whether this process has seen the incarnation from its start, since it
         # replaced one that a list had confirmed.
         self._seen_from_start = False
@@ -268,6 +270,7 @@
         self._listing = None
         self._listed_fence = -1
         self._last_reply_s = self._adopted_s = now_s
+        self._unanswered_s = self._listing_asked_s = float("-inf")
         self._replaced_s = float("-inf")
 
     def on_orders(self, batch: fleet_pb2.OrderBatch, now_s: float) -> bool:
@@ -407,7 +410,10 @@
         due = []
         if self.heartbeat is None or self.target_terminated or self._is_replaced:
             return due
-        for run, local in list(self._runs.items()):
+        # Runs without a call go first, so that repeated ones don't delay them.
+        for run, local in sorted(
+            self._runs.items(), key=lambda item: item[1].first_start_call_s < now_s
+        ):
             if local.call_pending or now_s - local.last_call_s < CALL_RETRY_INTERVAL_S:
                 continue
             if local.stopping and local.stop_confirmed_s == float("inf"):
@@ -421,6 +427,8 @@
                 if not self._fits_at_call(run, local):
                     self._on_refused(run, local, "room", now_s)
                     continue
+                if self.may_have_crashed:
+                    continue
                 start_order = local.start_order
                 local.first_start_call_s = min(local.first_start_call_s, now_s)
                 due.append(
@@ -432,6 +440,24 @@
             local.last_call_s = now_s
         return due
 
+    def _forget_start_call(self, local: LocalRun) -> None:
+        """Take back that a start was called, unless an earlier call was made."""
+        if local.first_start_call_s == local.last_call_s:
+            local.first_start_call_s = float("inf")
+
+    def on_no_reply(self, now_s: float) -> None:
+        """Record that a call to the target got no reply."""
+        self._unanswered_s = now_s
+
+    @property
+    def may_have_crashed(self) -> bool:
+        """Whether no list was requested since a call got no reply.
+
+        A start would be carried out by the next incarnation of the same name as well:
+        one that has crashed this one would crash that one too, unnoticed.
+        """
+        return self._unanswered_s > self._listing_asked_s
+
     def _note_suspension(self, now_s: float) -> None:
         if self._looked_s < now_s - MAX_PAUSE_S and self._looked_s > float("-inf"):
             self._suspended_s, self._resumed_s = self._looked_s, now_s
@@ -449,19 +475,22 @@
         -------
         float or None
             The end of the lease on the target's clock; None if the call is not to be
-            made, since the run was refused or stopped, or waits for a lease or a
-            heartbeat.
+            made, since the run was refused or stopped, or waits for a lease, a
+            heartbeat or a list.
         """
         self._note_suspension(now_s)
         local = self._runs.get(run)
         if local is None or local.stopping:
             return None
         until_s = self.take_lease_end_on_target_s(now_s)
-        if until_s is None or self.target_terminated or self._awaits_heartbeat(now_s):
+        waits = self._awaits_heartbeat(now_s) or self.may_have_crashed
+        if until_s is None or self.target_terminated or waits:
             local.call_pending = False
+            self._forget_start_call(local)
             return None
         if not self._fits_at_call(run, local):
             local.call_pending = False
+            self._forget_start_call(local)
             self._on_refused(run, local, "room", now_s)
             return None
         return until_s
@@ -485,6 +514,8 @@
 
     def on_started(self, run: RunId, outcome: StartOutcome, now_s: float) -> None:
         """Process the target's reply to a start."""
+        if not outcome.known:
+            self.on_no_reply(now_s)
         local = self._runs.get(run)
         if local is None:
             return
@@ -493,8 +524,8 @@
             local.call_pending = False
         if not outcome.known:
             local.may_start_late = True
-            if not outcome.received and local.first_start_call_s == local.last_call_s:
-                local.first_start_call_s = float("inf")
+            if not outcome.received:
+                self._forget_start_call(local)
             return
         if not outcome.refused:
             local.known_on_target_since_s = min(local.known_on_target_since_s, now_s)
@@ -550,6 +581,7 @@
         if previous is not None and listing.target_s < previous.target_s:
             return False  # overtaken by a list that the target made later
         self._listing = listing
+        self._listing_asked_s = max(self._listing_asked_s, asked_s)
         first_under_fence = fence > self._listed_fence
         self._listed_fence = max(self._listed_fence, fence)
         self._clock_sample = (listing.target_s, now_s)
--- a/tests/cover/test_agent_calls.py
+++ b/tests/cover/test_agent_calls.py
@@ -46,6 +46,9 @@
         self.started.append(run.index)
         return StartOutcome(self.released.wait(self.timeout_s))
 
+    def hold(self, *arguments) -> Listing:
+        return Listing(HEARTBEAT.started_ms, 50.0, (), ())
+
 
 @pytest.fixture
 def agent():
--- a/tests/cover/test_target_controller.py
+++ b/tests/cover/test_target_controller.py
@@ -231,8 +231,30 @@
         assert [c.kind for c in controller.take_due_calls(11.0)] == ["start"]
         assert controller.take_due_calls(11.1) == []
         controller.on_started(RUN, StartOutcome(False), 11.5)
+        list_runs(controller, listing(target_s=51.5), 11.5, 11.6)
         assert [c.kind for c in controller.take_due_calls(11.6)] == ["start"]
 
+    # Guards against a start that crashes one incarnation after the other of a target
+    # with a constant name, and that the agent repeats before it notices.
+    def test_a_start_without_a_reply_waits_for_a_list_of_its_incarnation(
+        self, controller
+    ):
+        controller.on_orders(batch(controller, starts=[start()]), 11.0)
+        controller.take_due_calls(11.0)
+        controller.on_started(RUN, StartOutcome(False), 11.5)
+        list_runs(controller, listing(target_s=51.0), 11.4, 11.6)
+        assert controller.take_due_calls(11.9) == []
+        list_runs(controller, listing(started_ms=2, target_s=0.1), 14.0, 14.0)
+        assert controller.take_due_calls(14.0) == []
+
+    # Guards against a start that is sent to a target that has just crashed.
+    def test_a_start_waits_for_a_list_while_the_target_does_not_reply(self, controller):
+        controller.on_no_reply(11.0)
+        controller.on_orders(batch(controller, starts=[start()]), 11.1)
+        assert controller.take_due_calls(11.1) == []
+        list_runs(controller, listing(target_s=52.0), 12.0, 12.0)
+        assert [c.kind for c in controller.take_due_calls(12.0)] == ["start"]
+
     def test_a_started_run_is_reported_before_it_is_listed(self, controller):
         controller.on_orders(batch(controller, starts=[start()]), 11.0)
         controller.take_due_calls(11.0)
@@ -480,6 +502,7 @@
         controller.on_orders(batch(controller, starts=[start()]), 11.0)
         controller.take_due_calls(11.0)
         controller.on_started(RUN, StartOutcome(False), 11.5)
+        list_runs(controller, listing(), 11.5, 11.5)
         assert [c.kind for c in controller.take_due_calls(11.5)] == ["start"]
         return controller
 
@@ -921,6 +944,7 @@
     def test_a_start_that_never_reached_the_target_is_not_blamed(self, controller):
         controller.on_orders(batch(controller, starts=[start()]), 10.5)
         for now_s in (10.5, 11.0, 11.5):
+            list_runs(controller, listing(target_s=now_s + 40.0), now_s, now_s)
             assert controller.take_due_calls(now_s)
             controller.on_started(RUN, StartOutcome(False, received=False), now_s)
         adopt(controller, heartbeat(started_ms=2), 15.0)
@@ -932,10 +956,21 @@
         controller.on_orders(batch(controller, starts=[start()]), 10.5)
         controller.take_due_calls(10.5)
         controller.on_started(RUN, StartOutcome(False), 10.6)
-        controller.take_due_calls(11.0)
+        list_runs(controller, listing(), 10.6, 10.6)
+        assert controller.take_due_calls(11.0)
         controller.on_started(RUN, StartOutcome(False, received=False), 11.0)
         adopt(controller, heartbeat(started_ms=2), 15.0)
-        assert crashes(controller)[0].runs == (CrashedRun(RUN, 0.0),)
+        (blamed,) = crashes(controller)[0].runs
+        assert blamed == CrashedRun(RUN, pytest.approx(0.1))
+
+    # Guards against blaming a start that waited for a thread, and was not called then.
+    def test_a_delayed_start_that_was_not_made_is_not_blamed(self, controller):
+        controller.on_orders(batch(controller, starts=[start()]), 10.5)
+        assert controller.take_due_calls(10.5)
+        controller.on_no_reply(10.8)
+        assert controller.check_delayed_start(RUN, 11.2) is None
+        adopt(controller, heartbeat(started_ms=2), 15.0)
+        assert crashes(controller)[0].runs == ()
 
     def test_a_start_that_was_never_called_is_not_blamed(self, controller):
         controller.on_orders(batch(controller, starts=[start()]), 30.0)
