End an agent's queued calls with the agent

What operators would see: an agent that takes up to 30 s to end, and is killed, if it is stopped while starts wait for a thread.

Evidence: test_no_thread_goes_on_with_delayed_starts failed on the code before (six threads still there after 2 s).

Why it works: once the actor has ended, queued calls are dropped, and a thread waits at most 1 s for the check. Without an answer the call counts as failed, as with any other error.

--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -55,6 +55,8 @@
 TARGET_CALL_THREADS = 6
 # A start that waited longer for a thread is checked again before its call.
 MAX_START_WAIT_S = 0.5
+# Longest time for which a thread waits for that check.
+DELAYED_CHECK_TIMEOUT_S = 1.0
 # Threads that serve orders and the store calls relayed for entries.
 SERVER_THREADS = 8
 HEARTBEAT_LIMITS = Limits(body_bytes=4_194_304, open_requests=8, connections=64)
@@ -278,7 +280,11 @@
         calls = self.parts.calls
         try:
             if call.kind == "start" and clock_s() - due_s > MAX_START_WAIT_S:
-                until_s = self.ask(self._check_delayed_start, call)
+                until_s = self.ask(
+                    self._check_delayed_start,
+                    call,
+                    timeout_s=DELAYED_CHECK_TIMEOUT_S,
+                )
                 if until_s is None:
                     return
             if call.kind == "stop":
@@ -415,6 +421,10 @@
         except Exception:
             logger.exception("unexpected error in a call to the target")
 
+    def cancel_calls(self) -> None:
+        """Drop the calls that wait for a thread; call it once the actor has ended."""
+        self._call_threads.shutdown(wait=False, cancel_futures=True)
+
     def store_address(self) -> bool:
         """Store this agent's address; return whether that succeeded."""
         row = pack(AgentRow(self.parts.peer))
@@ -460,6 +470,7 @@
         ),
     ]
     with ExitStack() as stack:
+        stack.callback(actor.cancel_calls)
         stack.enter_context(running(actor))
         stack.enter_context(serve(parts.peer_listen, services, SERVER_THREADS))
         stack.enter_context(running(heartbeats))
--- a/tests/cover/test_agent_calls.py
+++ b/tests/cover/test_agent_calls.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
+import socket
 import threading
 import time
-from contextlib import ExitStack
+from contextlib import contextmanager
 
 import pytest
 from cicadabank.control.internal.agent import (
     TARGET_CALL_THREADS,
-    AgentActor,
     AgentParts,
+    agent_running,
 )
 from cicadabank.control.internal.target_messages import (
     Listing,
@@ -19,8 +20,12 @@
 )
 from cicadabank.scheduling import Resources
 from cicadabank.standin import MemoryTable
-from cicadabank.tasks import clock_s, running
-from cicadabank.wire import ChannelPool, fleet_pb2
+from cicadabank.store import UnavailableError
+from cicadabank.tasks import clock_s
+from cicadabank.web.messages import ApiReply
+from cicadabank.wire import fleet_pb2
+
+from tests.support.addresses import unused_address
 
 RUNS = TARGET_CALL_THREADS + 1  # one has to wait for a thread
 HEARTBEAT = TargetHeartbeat(
@@ -46,20 +51,39 @@
         self.started.append(run.index)
         return StartOutcome(self.released.wait(self.timeout_s))
 
+    def hold(self, *arguments) -> Listing:
+        raise UnavailableError("no list")
+
+
+@contextmanager
+def running_agent():
+    """Run an agent that has a lease."""
+    calls = SlowCalls()
+    address = unused_address()
+    with socket.create_server(("127.0.0.1", 0)) as control_socket:
+        parts = AgentParts(
+            name="a",
+            cell="cell",
+            control_socket=control_socket,
+            peer=address,
+            peer_listen=address,
+            cells=MemoryTable(),
+            tables={},
+            calls=calls,
+            dispatch_for=lambda actor: lambda call: ApiReply(404, b""),
+        )
+        with agent_running(parts) as actor:
+            actor.ask(actor.on_heartbeat, HEARTBEAT)
+            actor.ask(take_lease, actor)
+            try:
+                yield actor
+            finally:
+                calls.released.set()
+
 
 @pytest.fixture
 def agent():
-    """Run the actor of an agent that has a lease."""
-    calls = SlowCalls()
-    parts = AgentParts("a", "cell", None, "a:2", "a:2", MemoryTable(), {}, calls, None)
-    pool = ChannelPool()
-    actor = AgentActor(parts, pool)
-    with ExitStack() as stack:
-        stack.callback(pool.close)
-        stack.enter_context(running(actor))
-        actor.ask(actor.on_heartbeat, HEARTBEAT)
-        stack.callback(calls.released.set)
-        actor.ask(take_lease, actor)
+    with running_agent() as actor:
         yield actor
 
 
@@ -122,3 +146,20 @@
             if len(started) + len(refused) == RUNS:
                 break
         return started, [run.reason for run in refused]
+
+
+class TestShutdown:
+    # Guards against an agent that the platform has to kill: threads wait for answers of
+    # an actor that has ended.
+    def test_no_thread_goes_on_with_delayed_starts(self):
+        before = self.call_threads()
+        with running_agent() as agent:
+            agent.ask(order_starts, agent, 4 * TARGET_CALL_THREADS)
+            time.sleep(1.0)
+        end_s = time.monotonic() + 2.0
+        while self.call_threads() - before and time.monotonic() < end_s:
+            time.sleep(0.05)
+        assert not self.call_threads() - before
+
+    def call_threads(self) -> set[threading.Thread]:
+        return {t for t in threading.enumerate() if t.name.startswith("target_")}
