--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -57,6 +57,8 @@
 MAX_START_WAIT_S = 0.5
 # How often a list is requested for such a start while other calls get no reply.
 MAX_LISTS_BEFORE_START = 3
+# Longest time for which a thread waits for that check.
+DELAYED_CHECK_TIMEOUT_S = 1.0
 # Threads that serve orders and the store calls relayed for entries.
 SERVER_THREADS = 8
 HEARTBEAT_LIMITS = Limits(body_bytes=4_194_304, open_requests=8, connections=64)
@@ -295,7 +297,11 @@
                 for _ in range(MAX_LISTS_BEFORE_START):
                     if self.controller.may_have_crashed:
                         self.renew_lease(0.0)
-                until_s = self.ask(self._check_delayed_start, call)
+                until_s = self.ask(
+                    self._check_delayed_start,
+                    call,
+                    timeout_s=DELAYED_CHECK_TIMEOUT_S,
+                )
                 if until_s is None:
                     return
             if call.kind == "stop":
@@ -439,6 +445,10 @@
         except Exception:
             logger.exception("unexpected error in a call to the target")
 
+    def cancel_calls(self) -> None:
+        """Drop the calls that wait for a thread; call it once the actor has ended."""
+        self._call_threads.shutdown(wait=False, cancel_futures=True)
+
     def store_address(self) -> bool:
         """Store this agent's address; return whether that succeeded."""
         row = pack(AgentRow(self.parts.peer))
@@ -484,6 +494,7 @@
         ),
     ]
     with ExitStack() as stack:
+        stack.callback(actor.cancel_calls)
         stack.enter_context(running(actor))
         stack.enter_context(serve(parts.peer_listen, services, SERVER_THREADS))
         stack.enter_context(running(heartbeats))
