Count a crash as soon as the agent gives the target up, if nothing listens there

A task could crash more targets than rule BUDGET allows if they stay away for longer than their lease (8 s): its next start came when the lease had expired, and the crash counted only once the target was back.

Cause: a crash was known by the next incarnation only. Where the agent's last call was refused a connection, nothing listens at the target's address, so the target has ended and doesn't merely hang; the agent now reports the crash with the end of the incarnation, once. Connections that time out, or stay without a reply, still say nothing.

The new test of TestCrashes fails on the code before (True: no crash reported; False: no such argument). The one of TestReports checks that the holder counts such a report before it requeues the unit; it passes on the code before.

--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -23,7 +23,11 @@
 )
 from cicadabank.model import new_id
 from cicadabank.scheduling import AGENT_PREFIX, AgentRow, RunId, TargetCrash, pack
-from cicadabank.store import PartitionedTable, PlatformError
+from cicadabank.store import (
+    PartitionedTable,
+    PlatformError,
+    RefusedConnectionError,
+)
 from cicadabank.tasks import (
     FLUSH_TIMEOUT_S,
     Actor,
@@ -149,6 +153,7 @@
         self._pool = pool
         self.controller = TargetController(parts.peer, new_id("agent"), parts.cell)
         self.report_due = threading.Event()
+        self._logged_crash: TargetCrash | None = None
         self.target_registered = threading.Event()
         self._call_threads = ThreadPoolExecutor(TARGET_CALL_THREADS, "target")
 
@@ -162,8 +167,6 @@
 
     def _on_new_heartbeat(self, previous_incarnation: str) -> None:
         heartbeat = self.controller.heartbeat
-        if self.controller.crashes:
-            self._log_crash(self.controller.crashes[-1], previous_incarnation)
         log_event(
             "target_beat",
             target=heartbeat.target,
@@ -175,9 +178,11 @@
         )
         self.report_due.set()
 
-    def _log_crash(self, crash: TargetCrash, previous_incarnation: str) -> None:
-        """Log the latest crash if it ended the previous incarnation."""
-        if crash.incarnation == previous_incarnation:
+    def _log_new_crash(self) -> None:
+        """Log the latest crash, once."""
+        crash = self.controller.crashes[-1] if self.controller.crashes else None
+        if crash != self._logged_crash:
+            self._logged_crash = crash
             log_event(
                 "target_crashed",
                 target=crash.target,
@@ -374,13 +379,13 @@
         wait_s = wait_s if until_s is not None else min(wait_s, 0.2)
         try:
             listing = self.parts.calls.hold(fence, recorded, until_s, wait_s, target)
-        except PlatformError:
-            self.post(self._on_no_reply)
+        except PlatformError as error:
+            self.post(self._on_no_reply, isinstance(error, RefusedConnectionError))
             raise
         self.post(self._on_listing, listing, asked_s, fence)
 
-    def _on_no_reply(self) -> None:
-        self.controller.on_no_reply(clock_s())
+    def _on_no_reply(self, connection_refused: bool) -> None:
+        self.controller.on_no_reply(clock_s(), connection_refused)
 
     def renew_lease_step(self) -> None:
         """Renew the lease if a target has registered, else wait for one."""
@@ -395,7 +400,9 @@
         self._make_due_calls()
 
     def _prepare_report(self) -> tuple[str, fleet_pb2.TargetReport | None]:
-        return self.controller.holder, self.controller.report(clock_s())
+        report = self.controller.report(clock_s())
+        self._log_new_crash()
+        return self.controller.holder, report
 
     def report_step(self) -> None:
         """Send a report as soon as one is due, at the latest after the interval."""
--- a/packages/control/src/cicadabank/control/internal/target_controller.py
+++ b/packages/control/src/cicadabank/control/internal/target_controller.py
@@ -91,6 +91,8 @@
         self._last_reply_s = float("-inf")
         # When a call last got no reply, and when the latest list was requested.
         self._unanswered_s = self._listing_asked_s = float("-inf")
+        # Whether nothing listened at the target's address then.
+        self._connection_refused = False
         # Whether this process has seen the incarnation from its start, since it
         # replaced one that a list had confirmed.
         self._seen_from_start = False
@@ -169,8 +171,8 @@
     def _adopt(self, heartbeat: TargetHeartbeat, now_s: float) -> None:
         previous = self.heartbeat
         same_name = previous is not None and heartbeat.target == previous.target
-        if self._has_crashed():
-            self.crashes.append(self._crash())
+        if self._has_ended_without_notice():
+            self._record_crash()
         self._stray_lease_until_s = (
             now_s + MAX_TARGET_LEASE_S if same_name else float("-inf")
         )
@@ -179,8 +181,8 @@
         self.heartbeat = heartbeat
         self._unchecked.clear()
 
-    def _has_crashed(self) -> bool:
-        """Return whether the known incarnation, now replaced, ended without notice.
+    def _has_ended_without_notice(self) -> bool:
+        """Return whether the known incarnation gave no notice, if it has ended.
 
         Only one that this process has seen running counts.
         """
@@ -191,6 +193,11 @@
             and not self.target_terminated
         )
 
+    def _record_crash(self) -> None:
+        """Record that the known incarnation has crashed, unless that is known."""
+        if all(crash.incarnation != self.incarnation for crash in self.crashes):
+            self.crashes.append(self._crash())
+
     def _crash(self) -> TargetCrash:
         """Return the crash of the known incarnation, with the runs it may have had."""
         listed = {run.id for run in self._listing.running}
@@ -271,6 +278,7 @@
         self._listed_fence = -1
         self._last_reply_s = self._adopted_s = now_s
         self._unanswered_s = self._listing_asked_s = float("-inf")
+        self._connection_refused = False
         self._replaced_s = float("-inf")
 
     def on_orders(self, batch: fleet_pb2.OrderBatch, now_s: float) -> bool:
@@ -445,9 +453,10 @@
         if local.first_start_call_s == local.last_call_s:
             local.first_start_call_s = float("inf")
 
-    def on_no_reply(self, now_s: float) -> None:
+    def on_no_reply(self, now_s: float, connection_refused: bool = False) -> None:
         """Record that a call to the target got no reply."""
         self._unanswered_s = now_s
+        self._connection_refused = connection_refused
 
     @property
     def may_have_crashed(self) -> bool:
@@ -582,6 +591,7 @@
             return False  # overtaken by a list that the target made later
         self._listing = listing
         self._listing_asked_s = max(self._listing_asked_s, asked_s)
+        self._connection_refused = False
         first_under_fence = fence > self._listed_fence
         self._listed_fence = max(self._listed_fence, fence)
         self._clock_sample = (listing.target_s, now_s)
@@ -690,6 +700,9 @@
         if heartbeat is None:
             return None
         self._report_number += 1
+        has_ended = self.has_target_ended(now_s)
+        if has_ended and self._connection_refused and self._has_ended_without_notice():
+            self._record_crash()
         message = fleet_pb2.TargetReport(
             cell=self.cell,
             epoch=self.epoch,
@@ -704,7 +717,7 @@
             registration=self.registration,
             crashes=[crash_to_message(crash) for crash in self.crashes],
         )
-        if self.has_target_ended(now_s):
+        if has_ended:
             self._give_up_runs()
             # Reported as a new incarnation without runs, so that the holder releases
             # the members of the old one.
--- a/packages/store/src/cicadabank/store/__init__.py
+++ b/packages/store/src/cicadabank/store/__init__.py
@@ -10,6 +10,7 @@
 from cicadabank.store.errors import (
     HistoryLostError,
     PlatformError,
+    RefusedConnectionError,
     RowConflictError,
     UnavailableError,
     UnknownOutcomeError,
@@ -31,6 +32,7 @@
     "Page",
     "PartitionedTable",
     "PlatformError",
+    "RefusedConnectionError",
     "Row",
     "RowConflictError",
     "StoredRow",
--- a/packages/store/src/cicadabank/store/errors.py
+++ b/packages/store/src/cicadabank/store/errors.py
@@ -21,6 +21,10 @@
     code = "platform-unavailable"
 
 
+class RefusedConnectionError(UnavailableError):
+    """Nothing listens at the address."""
+
+
 class UnknownOutcomeError(PlatformError):
     """The reply to a write was lost; the write may have taken effect."""
 
--- a/tests/cover/test_crashing_tasks.py
+++ b/tests/cover/test_crashing_tasks.py
@@ -355,6 +355,28 @@
 
 
 class TestReports:
+    # Guards against a crash that counts only once the target is back.
+    def test_a_crash_counts_as_the_agent_gives_up_the_incarnation(self):
+        cell = cell_of(1)
+        cell.submit("deadly", "batch", [step()])
+        cell.run(1.0)
+        (target,) = cell.targets.values()
+        crashed = target.target_incarnation
+        runs = tuple(CrashedRun(run, 0.1) for run in target.active_runs)
+        target.restart()
+        ended = crashed._replace(incarnation=f"{crashed.incarnation}/ended")
+        crash = TargetCrash(crashed.target, crashed.incarnation, runs)
+        for _ in range(2):  # the first one registers the agent
+            report = target.report()._replace(
+                target_incarnation=ended, capacity=Resources(0, 0, 0), crashes=(crash,)
+            )
+            reply = cell.scheduler.on_report(report, cell.now_s, True)
+            target.registration = reply.registration
+        (counted,) = events(cell, "crash_counted")
+        assert counted["target"] == crashed.target
+        (waits,) = events(cell, "unit_waits")
+        assert waits["reason"] == "target crashed"
+
     def test_runs_of_unknown_jobs_in_a_crash_are_ignored(self):
         cell = cell_of(1)
         (target,) = cell.targets.values()
--- a/tests/cover/test_target_controller.py
+++ b/tests/cover/test_target_controller.py
@@ -990,6 +990,26 @@
         adopt(controller, heartbeat(started_ms=2), 15.0)
         assert crashes(controller)[0].runs == ()
 
+    # Guards against crashes that are counted only after the next starts, since the
+    # target is away for longer than its lease.
+    @pytest.mark.parametrize("connection_refused", [True, False])
+    def test_a_target_that_is_away_beyond_its_lease_has_crashed_if_nothing_listens(
+        self, controller, connection_refused
+    ):
+        controller.on_orders(batch(controller, starts=[start()]), 10.5)
+        controller.take_due_calls(10.5)
+        controller.on_started(RUN, StartOutcome(True), 10.6)
+        incarnation = controller.incarnation
+        for now_s in (11.0, 15.0, 30.0):
+            controller.on_no_reply(now_s, connection_refused)
+        assert controller.report(30.0).incarnation.endswith("/ended")
+        expected = TargetCrash("t", incarnation, (CrashedRun(RUN, 0.0),))
+        assert crashes(controller, 30.0) == (expected,) * connection_refused
+        adopt(controller, heartbeat(started_ms=2), 40.0)
+        assert [crash.incarnation for crash in crashes(controller, 40.0)] == [
+            incarnation
+        ]
+
     def test_a_replaced_target_that_had_announced_its_end_has_not_crashed(
         self, controller
     ):
