--- a/packages/scheduling/src/cicadabank/scheduling/internal/crashes.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/crashes.py
@@ -191,7 +191,8 @@
 
 def end_probations(state: CellState) -> None:
     """Let units that have run alone for long enough share their targets again."""
-    for unit in isolated_units(state):
+    state.isolated_units = isolated_units(state)
+    for unit in state.isolated_units:
         if _stays_alone(unit) or not _has_survived(state, unit):
             continue
         unit.isolated = False
@@ -227,12 +228,11 @@
 
 def isolated_units(state: CellState) -> list[Unit]:
     """Return the units that run, or are about to run, alone on their targets."""
-    state.isolated_units = [
+    return [
         unit
         for unit in state.isolated_units
         if unit.isolated and unit.phase not in (Phase.WAITING, Phase.DONE)
     ]
-    return list(state.isolated_units)
 
 
 class Isolation:
--- a/packages/scheduling/src/cicadabank/scheduling/internal/state.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/state.py
@@ -213,7 +213,9 @@
         self.forecast = Forecast()
         # Incarnations whose crashes this holder has counted; agents report them again.
         self.counted_crashes: set[str] = set()
-        self.isolated_units: list[Unit] = []  # see `crashes.isolated_units`
+        # Units that were placed alone; `crashes.isolated_units` returns those that still
+        # are.
+        self.isolated_units: list[Unit] = []
         self.urgent_sizes: deque[int] = deque(maxlen=URGENT_SIZE_HISTORY)
         # By queue: number of jobs and their mean work in core-seconds.
         self.mean_work: dict[str, tuple[int, float]] = {}
--- a/packages/scheduling/src/cicadabank/scheduling/internal/units.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/units.py
@@ -51,7 +51,7 @@
     recent : bool
         Whether the run had begun shortly before.
     suspected : bool
-        Whether the run was among the latest that had begun on the target.
+        Whether the run had begun shortly before, or no run on the target had.
     explained : bool
         Whether another unit is found to have crashed the target.
     """
@@ -153,7 +153,7 @@
         self.checkpoint_stored_s = 0.0  # when its checkpoint was last stored in a row
         self.done_s = float("-inf")
         self.stop_reason = ""
-        # On which a run of the unit failed, or which crashed under it.
+        # Targets on which a run of the unit failed, or which crashed under it.
         self.avoided_targets: set[str] = set()
         self.crashes: tuple[Crash, ...] = ()
         # Whether its current run shares its targets with no other unit.
