--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -27,6 +27,7 @@
     PartitionedTable,
     PlatformError,
     RefusedConnectionError,
+    UnknownOutcomeError,
 )
 from cicadabank.tasks import (
     FLUSH_TIMEOUT_S,
@@ -379,7 +380,7 @@
         wait_s = wait_s if until_s is not None else min(wait_s, 0.2)
         try:
             listing = self.parts.calls.hold(fence, recorded, until_s, wait_s, target)
-        except PlatformError as error:
+        except (RefusedConnectionError, UnknownOutcomeError) as error:
             self.post(self._on_no_reply, isinstance(error, RefusedConnectionError))
             raise
         self.post(self._on_listing, listing, asked_s, fence)
--- a/packages/scheduling/src/cicadabank/scheduling/internal/state.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/state.py
@@ -211,7 +211,7 @@
         self.in_flight: Commit | None = None
         self.orders: dict[str, AgentOrders] = {}
         self.forecast = Forecast()
-        # Incarnations whose crashes this holder has counted; agents report them again.
+        # Incarnations whose crashes this holder has counted; agents repeat them.
         self.counted_crashes: set[str] = set()
         # Units that were placed alone; `crashes.isolated_units` returns those that still
         # are.
--- a/tests/cover/test_agent_calls.py
+++ b/tests/cover/test_agent_calls.py
@@ -20,6 +20,12 @@
 )
 from cicadabank.scheduling import Resources
 from cicadabank.standin import MemoryTable
+from cicadabank.store import (
+    PlatformError,
+    RefusedConnectionError,
+    UnavailableError,
+    UnknownOutcomeError,
+)
 from cicadabank.tasks import clock_s
 from cicadabank.web.messages import ApiReply
 from cicadabank.wire import fleet_pb2
@@ -39,12 +45,15 @@
     ----------
     timeout_s : float
         After this time, a start counts as unanswered.
+    list_error : PlatformError or None
+        Raised by requests for a list.
     """
 
     def __init__(self) -> None:
         self.started: list[int] = []
         self.released = threading.Event()
         self.timeout_s = 10.0
+        self.list_error: PlatformError | None = None
 
     def start(self, run, *arguments) -> StartOutcome:
         self.started.append(run.index)
@@ -52,6 +61,8 @@
 
     def hold(self, fence, recorded, lease_end_s, wait_s, target) -> Listing:
         time.sleep(wait_s)
+        if self.list_error is not None:
+            raise self.list_error
         return Listing(HEARTBEAT.started_ms, 50.0, (), ())
 
 
@@ -148,6 +159,23 @@
         return started, [run.reason for run in refused]
 
 
+class TestLists:
+    # Guards against starts that wait although the target replies: it is only busy.
+    @pytest.mark.parametrize(
+        ("error", "waits"),
+        [
+            (UnavailableError("status 503"), False),
+            (UnknownOutcomeError("no reply"), True),
+            (RefusedConnectionError("nothing listens"), True),
+        ],
+    )
+    def test_starts_wait_if_a_list_gets_no_reply(self, agent, error, waits):
+        agent.parts.calls.list_error = error
+        with pytest.raises(type(error)):
+            agent.renew_lease(0.0)
+        assert agent.ask(lambda: agent.controller.may_have_crashed) is waits
+
+
 class TestShutdown:
     # Guards against an agent that the platform has to kill: threads wait for answers of
     # an actor that has ended.
