Request a list again at once if a busy target refuses it after a start without a reply

Cause: after a start without a reply, a list refused with 503 raised an error in the start's call, which counted as another start without a reply; starts waited until the regular list. The list is now requested up to four times, and its failure is logged, not counted as the start's. The new test of TestUnansweredStarts covers it. Threads that make calls wait at most 1 s for the actor, as the check of delayed starts does: TestShutdown failed once with the longer wait.

--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -30,6 +30,7 @@
     UnknownOutcomeError,
 )
 from cicadabank.tasks import (
+    ASK_TIMEOUT_S,
     FLUSH_TIMEOUT_S,
     Actor,
     StopSignal,
@@ -60,10 +61,11 @@
 TARGET_CALL_THREADS = 6
 # A start that waited longer for a thread is checked again before its call.
 MAX_START_WAIT_S = 0.5
-# How often a list is requested for such a start while other calls get no reply.
-MAX_LISTS_BEFORE_START = 3
-# Longest time for which a thread waits for that check.
-DELAYED_CHECK_TIMEOUT_S = 1.0
+# How often a list is requested at once before a start may be called.
+MAX_LISTS_BEFORE_START = 4
+LIST_RETRY_PAUSE_S = 0.1
+# Longest time for which a thread that makes calls waits for the actor.
+CALL_ASK_TIMEOUT_S = 1.0
 # Threads that serve orders and the store calls relayed for entries.
 SERVER_THREADS = 8
 HEARTBEAT_LIMITS = Limits(body_bytes=4_194_304, open_requests=8, connections=64)
@@ -300,13 +302,11 @@
         calls = self.parts.calls
         try:
             if call.kind == "start" and clock_s() - due_s > MAX_START_WAIT_S:
-                for _ in range(MAX_LISTS_BEFORE_START):
-                    if self.controller.may_have_crashed:
-                        self.renew_lease(0.0)
+                self._list_until_confirmed()
                 until_s = self.ask(
                     self._check_delayed_start,
                     call,
-                    timeout_s=DELAYED_CHECK_TIMEOUT_S,
+                    timeout_s=CALL_ASK_TIMEOUT_S,
                 )
                 if until_s is None:
                     return
@@ -316,15 +316,17 @@
                 if confirmed:
                     # A list requested after the stop shows that the run has ended, so
                     # that its resources are released without delay.
-                    self.renew_lease(0.0)
+                    self.renew_lease(0.0, CALL_ASK_TIMEOUT_S)
             else:
                 outcome = calls.start(
                     call.run, call.payload, call.checkpoint, until_s, fence, target
                 )
                 self.post(self._on_start_reply, call, outcome)
-                if outcome.refused == "old" or not outcome.known:
-                    # A list shows whether the run is done, or has begun.
-                    self.renew_lease(0.0)
+                if not outcome.known:
+                    self._list_until_confirmed()
+                elif outcome.refused == "old":
+                    # A list shows whether the run is done.
+                    self.renew_lease(0.0, CALL_ASK_TIMEOUT_S)
         except PlatformError as error:
             logger.bind(event="call_failed", **call.run._asdict()).warning("{}", error)
             self.post(self._on_call_failed, call)
@@ -367,9 +369,17 @@
             controller.heartbeat.target,
         )
 
-    def renew_lease(self, wait_s: float) -> None:
-        """Renew the target's lease by a hold call, and process the returned list."""
-        arguments = self.ask(self._hold_call_arguments)
+    def renew_lease(self, wait_s: float, ask_timeout_s: float = ASK_TIMEOUT_S) -> None:
+        """Renew the target's lease by a hold call, and process the returned list.
+
+        Parameters
+        ----------
+        wait_s : float
+            How long the target may delay its reply until a run ends.
+        ask_timeout_s : float, default=ASK_TIMEOUT_S
+            How long to wait for the actor.
+        """
+        arguments = self.ask(self._hold_call_arguments, timeout_s=ask_timeout_s)
         if arguments is None:
             self.target_registered.clear()
             return
@@ -444,10 +454,30 @@
                 self._call_threads.submit(self._list_runs)
         self._make_due_calls()
 
+    def _list_until_confirmed(self) -> None:
+        """Request lists until one shows that the target has not crashed.
+
+        Runs in a thread of the pool, and gives up after some attempts: a target may be
+        busy, or other calls go on without a reply.
+        """
+        for _ in range(MAX_LISTS_BEFORE_START):
+            if not self.ask(
+                self._may_target_have_crashed, timeout_s=CALL_ASK_TIMEOUT_S
+            ):
+                return
+            try:
+                self.renew_lease(0.0, CALL_ASK_TIMEOUT_S)
+            except PlatformError as error:
+                logger.bind(event="list_failed").warning("{}", error)
+                time.sleep(LIST_RETRY_PAUSE_S)
+
+    def _may_target_have_crashed(self) -> bool:
+        return self.controller.may_have_crashed
+
     def _list_runs(self) -> None:
         """Request the target's list of runs at once; runs in a thread of the pool."""
         try:
-            self.renew_lease(0.0)
+            self.renew_lease(0.0, CALL_ASK_TIMEOUT_S)
         except PlatformError as error:
             logger.bind(event="list_failed").warning("{}", error)
         except Exception:
--- a/packages/scheduling/src/cicadabank/scheduling/internal/state.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/state.py
@@ -213,8 +213,7 @@
         self.forecast = Forecast()
         # Incarnations whose crashes this holder has counted; agents repeat them.
         self.counted_crashes: set[str] = set()
-        # Units that were placed alone; `crashes.isolated_units` returns those that still
-        # are.
+        # Units that were placed alone; some may share their targets again.
         self.isolated_units: list[Unit] = []
         self.urgent_sizes: deque[int] = deque(maxlen=URGENT_SIZE_HISTORY)
         # By queue: number of jobs and their mean work in core-seconds.
--- a/packages/tasks/src/cicadabank/tasks/__init__.py
+++ b/packages/tasks/src/cicadabank/tasks/__init__.py
@@ -1,7 +1,7 @@
 """Actors on circuits event loops, with their clocks, logs and metrics."""
 
 from cicadabank.tasks.internal.clocks import clock_s, unix_s
-from cicadabank.tasks.internal.loop import Actor, running
+from cicadabank.tasks.internal.loop import ASK_TIMEOUT_S, Actor, running
 from cicadabank.tasks.internal.observability import (
     FLUSH_TIMEOUT_S,
     Metrics,
@@ -10,6 +10,7 @@
 from cicadabank.tasks.internal.stop import StopSignal
 
 __all__ = [
+    "ASK_TIMEOUT_S",
     "FLUSH_TIMEOUT_S",
     "Actor",
     "Metrics",
--- a/tests/cover/test_agent_calls.py
+++ b/tests/cover/test_agent_calls.py
@@ -176,6 +176,20 @@
         assert agent.ask(lambda: agent.controller.may_have_crashed) is waits
 
 
+class TestUnansweredStarts:
+    # Guards against a start that is delayed since a list failed once: the target was
+    # busy, and its refusal of the list counted as another start without a reply.
+    def test_a_list_that_a_busy_target_refuses_is_requested_again(self, agent):
+        calls = agent.parts.calls
+        calls.timeout_s = 0.0
+        calls.list_error = UnavailableError("status 503")
+        agent.ask(order_starts, agent, 1)
+        time.sleep(0.15)
+        calls.list_error = None
+        time.sleep(0.1)
+        assert not agent.ask(lambda: agent.controller.may_have_crashed)
+
+
 class TestShutdown:
     # Guards against an agent that the platform has to kill: threads wait for answers of
     # an actor that has ended.
