Ask for more crashes before a task is given up for those of one VM

Cause: two clear crashes gave a unit up, also if all of its crashes were on one VM, and a suspect took an empty target of that VM at once. On one VM it now takes three clear crashes (or four crashes, as before), and a suspect waits for a target of another VM, which it reserves.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/crashes.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/crashes.py
@@ -13,7 +13,12 @@
 from cicadabank.scheduling.internal import lifecycle
 from cicadabank.scheduling.internal.state import CellState
 from cicadabank.scheduling.internal.targets import CrashedRun, Target, TargetCrash
-from cicadabank.scheduling.internal.units import Crash, Phase, Unit
+from cicadabank.scheduling.internal.units import (
+    Crash,
+    Phase,
+    TargetIncarnation,
+    Unit,
+)
 
 # A run that began within this time before a crash is a suspect. Its age is counted up
 # to the target's last reply, which may be one second older than the crash.
@@ -21,8 +26,10 @@
 # A suspect that its target has listed for this long shares the target again.
 PROBATION_S = 2.0
 # A unit is given up after this many crashes soon after its start, with no other unit on
-# the target. Targets that crash for other causes seldom do so at such a moment.
+# the target. Targets that crash for other causes seldom do so at such a moment, but a
+# bad VM may do so again.
 MAX_CLEAR_CRASHES = 2
+MAX_CLEAR_CRASHES_ON_ONE_VM = 3
 # A unit is given up after this many crashes of any kind, one of them without another
 # unit on the target.
 MAX_CRASHES = 4
@@ -53,7 +60,8 @@
     Crashes that another unit explains count too: both may crash their targets.
     """
     clear = sum(crash.alone and crash.recent for crash in unit.crashes)
-    if clear >= MAX_CLEAR_CRASHES:
+    is_one_vm = len({crash.agent for crash in unit.crashes}) == 1
+    if clear >= (MAX_CLEAR_CRASHES_ON_ONE_VM if is_one_vm else MAX_CLEAR_CRASHES):
         return True
     is_any_alone = any(crash.alone for crash in unit.crashes)
     return len(unit.crashes) >= MAX_CRASHES and is_any_alone
@@ -67,7 +75,7 @@
 
 
 def record_crashes(
-    state: CellState, crashes: tuple[TargetCrash, ...], successor: str
+    state: CellState, crashes: tuple[TargetCrash, ...], successor: TargetIncarnation
 ) -> None:
     """Count crashes of targets under the units that were on them.
 
@@ -79,8 +87,8 @@
     state : CellState
     crashes : tuple of TargetCrash
         Crashes on one VM.
-    successor : str
-        Name of the target that now runs there.
+    successor : TargetIncarnation
+        The one that runs there now.
     """
     for crash in crashes:
         if crash.incarnation in state.counted_crashes:
@@ -89,7 +97,7 @@
         for run in crash.runs:
             unit = _unit_of(state, run)
             if unit is not None:
-                unit.avoided_targets |= {crash.target, successor}
+                unit.avoided_targets |= {crash.target, successor.target}
         uncounted = _uncounted_units(state, crash)
         alone = len(_distinct_units(state, crash)) == 1
         any_recent = any(run.age_s <= RECENT_START_S for run in crash.runs)
@@ -102,6 +110,7 @@
                     run.id.run,
                     crash.target,
                     crash.incarnation,
+                    successor.agent,
                     alone,
                     recent,
                     recent or not any_recent,
--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -194,15 +194,22 @@
     state, reservations = planning.state, planning.reservations
     tasks_by_target = _step_tasks_by_target(unit, state.jobs[unit.job])
     empty = crashes.empty_targets(reservations.available_to(unit, planning.targets))
-    preferred = [
-        t for t in empty if t.target_incarnation.target not in unit.avoided_targets
+    others = [
+        target
+        for target in planning.targets
+        if target.target_incarnation.target not in unit.avoided_targets
     ]
     placement = find_placement(
-        unit, preferred, tasks_by_target, False
-    ) or find_placement(unit, empty, tasks_by_target, False)
+        unit, [t for t in empty if t in others], tasks_by_target, False
+    )
     if placement is None:
         if not reservations.can_reserve_empty():
             return False
+        # A crash on another VM is better evidence, so a suspect waits for one.
+        if reservations.reserve_empty(unit, others):
+            return True
+        placement = find_placement(unit, empty, tasks_by_target, False)
+    if placement is None:
         if reservations.reserve_empty(unit, planning.targets):
             return True
         placement = find_placement(unit, empty, tasks_by_target, True)
--- a/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
@@ -61,7 +61,7 @@
         registers = report.registration is not None
         return ReportReply(0.0, 0, (), register(state, report) if registers else 0)
     if state.loaded:
-        crashes.record_crashes(state, report.crashes, report.target_incarnation.target)
+        crashes.record_crashes(state, report.crashes, report.target_incarnation)
     if known is not None and known.target_incarnation != report.target_incarnation:
         remove_target(
             state,
--- a/packages/scheduling/src/cicadabank/scheduling/internal/units.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/units.py
@@ -46,6 +46,8 @@
     run : int
         Number of the run.
     target, incarnation : str
+    agent : str
+        Address of the agent; the same for all targets of a VM.
     alone : bool
         Whether the target ran no other unit.
     recent : bool
@@ -59,6 +61,7 @@
     run: int
     target: str
     incarnation: str
+    agent: str
     alone: bool
     recent: bool
     suspected: bool
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -68,6 +68,11 @@
         "an agent ignored the next incarnation of its target, whose clock was set back",
         {**SMALL, "length_s": 4.0},
     ),
+    Regression(
+        3110,
+        "a task was given up since its VM crashed three times under it within seconds",
+        {},
+    ),
     # Open, see KNOWN-RED.txt.
     Regression(
         3101,
