Choose targets that a unit doesn't avoid in one place, without a search in a list

Found on reading the change again; behaviour stays as it is. Other units have the same filter, so both call it. tests/cover and tests/nocover/test_crashing_cells.py: 1,117 passed.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -194,19 +194,14 @@
     state, reservations = planning.state, planning.reservations
     tasks_by_target = _step_tasks_by_target(unit, state.jobs[unit.job])
     empty = crashes.empty_targets(reservations.available_to(unit, planning.targets))
-    others = [
-        target
-        for target in planning.targets
-        if target.target_incarnation.target not in unit.avoided_targets
-    ]
     placement = find_placement(
-        unit, [t for t in empty if t in others], tasks_by_target, False
+        unit, _without_avoided(unit, empty), tasks_by_target, False
     )
     if placement is None:
         if not reservations.can_reserve_empty():
             return False
         # A crash on another VM is better evidence, so a suspect waits for one.
-        if reservations.reserve_empty(unit, others):
+        if reservations.reserve_empty(unit, _without_avoided(unit, planning.targets)):
             return True
         placement = find_placement(unit, empty, tasks_by_target, False)
     if placement is None:
@@ -456,6 +451,15 @@
     return counts
 
 
+def _without_avoided(unit: Unit, targets: list[Target]) -> list[Target]:
+    """Return the targets that a unit does not avoid, see `Unit.avoided_targets`."""
+    return [
+        target
+        for target in targets
+        if target.target_incarnation.target not in unit.avoided_targets
+    ]
+
+
 def _choose_targets(
     state: CellState,
     unit: Unit,
@@ -465,12 +469,8 @@
 ) -> Placement | None:
     job = state.jobs[unit.job]
     tasks_by_target = _step_tasks_by_target(unit, job)
-    # Targets on which the unit has not failed are preferred.
-    preferred = [
-        t for t in targets if t.target_incarnation.target not in unit.avoided_targets
-    ]
     placement = find_placement(
-        unit, preferred, tasks_by_target, False
+        unit, _without_avoided(unit, targets), tasks_by_target, False
     ) or find_placement(unit, targets, tasks_by_target, False)
     if placement is not None:
         return placement
