Look up the unit of each crashed run once

Found on reading the change again: record_crashes went over a crash's runs three times, and scanned the job's units for each. One pass does it. One difference: units of a job that an earlier run of the same crash has ended are no longer counted and logged.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/crashes.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/crashes.py
@@ -68,9 +68,9 @@
 
 
 class _UnitRun(NamedTuple):
-    """A unit with its run on a target that crashed."""
+    """A run on a target that crashed, with its unit; None if its job is unknown."""
 
-    unit: Unit
+    unit: Unit | None
     run: CrashedRun
 
 
@@ -94,14 +94,15 @@
         if crash.incarnation in state.counted_crashes:
             continue
         state.counted_crashes.add(crash.incarnation)
-        for run in crash.runs:
-            unit = _unit_of(state, run)
-            if unit is not None:
-                unit.avoided_targets |= {crash.target, successor.target}
-        uncounted = _uncounted_units(state, crash)
-        alone = len(_distinct_units(state, crash)) == 1
+        unit_runs = [_UnitRun(_unit_of(state, run), run) for run in crash.runs]
+        alone = len({_unit_key(unit_run) for unit_run in unit_runs}) == 1
         any_recent = any(run.age_s <= RECENT_START_S for run in crash.runs)
-        for unit, run in uncounted:
+        for unit, run in unit_runs:
+            if unit is None:
+                continue
+            unit.avoided_targets |= {crash.target, successor.target}
+            if _is_counted(state, unit, run):
+                continue
             recent = run.age_s <= RECENT_START_S
             _record(
                 state,
@@ -118,14 +119,11 @@
             )
 
 
-def _distinct_units(state: CellState, crash: TargetCrash) -> set[tuple[str, int, int]]:
-    """Return the job, step and first index of the units that a target had."""
-    units = set()
-    for run in crash.runs:
-        unit = _unit_of(state, run)
-        first_index = run.id.index if unit is None else unit.first_index
-        units.add((run.id.job, run.id.step, first_index))
-    return units
+def _unit_key(unit_run: _UnitRun) -> tuple[str, int, int]:
+    """Return the job, step and first index of a unit, also of one of an unknown job."""
+    unit, run = unit_run
+    first_index = run.id.index if unit is None else unit.first_index
+    return run.id.job, run.id.step, first_index
 
 
 def _unit_of(state: CellState, run: CrashedRun) -> Unit | None:
@@ -133,17 +131,13 @@
     return job.unit_of(run.id.step, run.id.index) if job else None
 
 
-def _uncounted_units(state: CellState, crash: TargetCrash) -> list[_UnitRun]:
-    """Return the units for which a crash has not been counted yet."""
-    found: dict[int, _UnitRun] = {}
-    for run in crash.runs:
-        unit = _unit_of(state, run)
-        if unit is None or state.jobs[unit.job].ended or unit.phase is Phase.DONE:
-            continue
-        is_counted = any(known.run == run.id.run for known in unit.crashes)
-        if not is_counted and run.id.run <= unit.run:
-            found.setdefault(id(unit), _UnitRun(unit, run))
-    return list(found.values())
+def _is_counted(state: CellState, unit: Unit, run: CrashedRun) -> bool:
+    """Return whether a crash under a run counts no more, or has been counted."""
+    if state.jobs[unit.job].ended or unit.phase is Phase.DONE:
+        return True
+    if any(known.run == run.id.run for known in unit.crashes):
+        return True
+    return run.id.run > unit.run
 
 
 def _record(state: CellState, unit: Unit, crash: Crash) -> None:
