Make planning rounds cheaper: no search that grows with targets times tasks

Each read of a target's free resources summed all amounts anew, the width of a step's waves was counted over all targets for each job, a second search repeated the first where a unit avoids no target, and packing sorted targets without room.

Change: a target keeps its unallocated resources while neither capacity nor allocations change; the cell keeps how many tasks of a need fit until a capacity changes; only targets with room are sorted; the search for a unit's earliest start ends with its last member.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/placement.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/placement.py
@@ -13,7 +13,13 @@
 from typing import NamedTuple
 
 from cicadabank.scheduling.internal.jobs import Resources, StepSpec
-from cicadabank.scheduling.internal.targets import Target, fits, max_tasks
+from cicadabank.scheduling.internal.targets import (
+    Target,
+    add,
+    fits,
+    max_tasks,
+    subtract,
+)
 from cicadabank.scheduling.internal.units import TargetIncarnation, Unit
 
 NO_RESOURCES = Resources(0, 0, 0)
@@ -141,8 +147,10 @@
     free accelerators, then those whose racks have the fewest.
     """
     need, limit = unit.spec.need, unit.spec.per_target
+    # In a busy cell, few targets have room, so only those are sorted.
+    with_room = [target for target in group if fits(need, target.free)]
     chosen: list[Target] = []
-    for target in sorted(group, key=lambda t: _packing_key(t, need, racks)):
+    for target in sorted(with_room, key=lambda t: _packing_key(t, racks)):
         count = max_tasks(need, target.free)
         if limit:
             count = min(
@@ -154,7 +162,7 @@
     return None
 
 
-def _packing_key(target: Target, need: Resources, racks: dict[str, int]) -> tuple:
+def _packing_key(target: Target, racks: dict[str, int]) -> tuple:
     free = target.free
     return (
         target.consecutive_failures,
@@ -263,7 +271,7 @@
             stopped[id(victim.unit)] = victim
             _add_released(victim.unit, free, withheld)
         name = target.target_incarnation.target
-        free[name] = _subtract(free[name], need)
+        free[name] = subtract(free[name], need)
         counts[name] = counts.get(name, 0) + 1
         chosen.append(target)
     waste = sum(v.waste_core_s for v in stopped.values())
@@ -288,9 +296,9 @@
         if id(victim.unit) in stopped:
             continue
         chosen.append(victim)
-        free = _add(free, victim.unit.spec.need)
+        free = add(free, victim.unit.spec.need)
         if victim.unit.isolated:
-            free = _add(free, withheld)
+            free = add(free, withheld)
     return chosen if fits(need, free) else None
 
 
@@ -300,20 +308,12 @@
     for member in unit.members:
         name = member.target_incarnation.target
         if name in free and not member.released:
-            free[name] = _add(free[name], unit.spec.need)
+            free[name] = add(free[name], unit.spec.need)
             if unit.isolated:
-                free[name] = _add(free[name], withheld[name])
+                free[name] = add(free[name], withheld[name])
                 withheld[name] = NO_RESOURCES
 
 
-def _add(free: Resources, released: Resources) -> Resources:
-    return Resources(*(r + n for r, n in zip(free, released, strict=True)))
-
-
-def _subtract(free: Resources, need: Resources) -> Resources:
-    return Resources(*(r - n for r, n in zip(free, need, strict=True)))
-
-
 def infeasible_reason(step: StepSpec, targets: Iterable[Target]) -> str:
     """Return why a step can never be placed on these targets.
 
--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -21,7 +21,7 @@
 )
 from cicadabank.scheduling.internal.reservations import Reservations
 from cicadabank.scheduling.internal.state import CellState
-from cicadabank.scheduling.internal.targets import Target, largest, max_tasks
+from cicadabank.scheduling.internal.targets import Target, largest
 from cicadabank.scheduling.internal.units import (
     Job,
     Phase,
@@ -367,7 +367,7 @@
     """Return the expected number of successive waves of a step's tasks."""
     if step.gang or not state.targets:
         return 1
-    max_running = sum(max_tasks(step.need, t.capacity) for t in state.targets.values())
+    max_running = state.max_running(step.need)
     return max(1, math.ceil(step.count / max(1.0, max_running * WAVE_SHARE)))
 
 
@@ -453,6 +453,8 @@
 
 def _without_avoided(unit: Unit, targets: list[Target]) -> list[Target]:
     """Return the targets that a unit does not avoid, see `Unit.avoided_targets`."""
+    if not unit.avoided_targets:
+        return targets
     return [
         target
         for target in targets
@@ -471,7 +473,9 @@
     tasks_by_target = _step_tasks_by_target(unit, job)
     placement = find_placement(
         unit, _without_avoided(unit, targets), tasks_by_target, False
-    ) or find_placement(unit, targets, tasks_by_target, False)
+    )
+    if placement is None and unit.avoided_targets:
+        placement = find_placement(unit, targets, tasks_by_target, False)
     if placement is not None:
         return placement
     if id(unit) in guaranteed:
--- a/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
@@ -73,8 +73,10 @@
         )
         known = None
     target = known or _add_target(state, report)
-    was_draining = target.draining
+    was_draining, capacity = target.draining, target.capacity
     target.update(report, state.now_s)
+    if target.capacity != capacity:
+        state.on_capacity_changed()
     if target.draining and not was_draining:
         state.log(
             "target_drains",
@@ -179,6 +181,7 @@
     )
     if state.targets.get(target.agent) is target:
         del state.targets[target.agent]
+        state.on_capacity_changed()
     if any(target.largest_capacity):
         state.removed_targets[target.agent] = (target, state.now_s)
     state.targets_by_incarnation.pop(target.target_incarnation, None)
--- a/packages/scheduling/src/cicadabank/scheduling/internal/reservations.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/reservations.py
@@ -7,7 +7,7 @@
 from cicadabank.scheduling.internal.jobs import Resources
 from cicadabank.scheduling.internal.placement import local_groups, targets_with_label
 from cicadabank.scheduling.internal.state import CellState
-from cicadabank.scheduling.internal.targets import Target, max_tasks
+from cicadabank.scheduling.internal.targets import Target, add, max_tasks
 from cicadabank.scheduling.internal.units import Phase, Unit
 
 # Limits the share of targets that may be reserved; the others stay open to all units.
@@ -111,17 +111,15 @@
     def _slot_times(self, unit: Unit, target: Target) -> list[float]:
         """Return the times at which a target has room for one more member each."""
         need, free = unit.spec.need, target.free
-        slots: list[float] = []
-        events = [
-            (self._state.now_s, Resources(0, 0, 0)),
-            *self._expected_releases(target),
-        ]
-        for at_s, released in events:
-            free = Resources(*(r + b for r, b in zip(free, released, strict=True)))
-            count = min(max_tasks(need, free), unit.size)
+        wanted = min(unit.size, unit.spec.per_target or unit.size)
+        slots = [self._state.now_s] * min(max_tasks(need, free), wanted)
+        for at_s, released in self._expected_releases(target):
+            if len(slots) == wanted:
+                break
+            free = add(free, released)
+            count = min(max_tasks(need, free), wanted)
             slots += [at_s] * (count - len(slots))
-        limit = unit.spec.per_target
-        return slots[:limit] if limit else slots
+        return slots
 
     def _empty_slot_times(self, unit: Unit, target: Target) -> list[float]:
         """Return when a target is empty, once for each member that fits then."""
--- a/packages/scheduling/src/cicadabank/scheduling/internal/state.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/state.py
@@ -14,7 +14,7 @@
     Resources,
     RunId,
 )
-from cicadabank.scheduling.internal.targets import Target
+from cicadabank.scheduling.internal.targets import Target, max_tasks
 from cicadabank.scheduling.internal.units import (
     Job,
     Member,
@@ -216,6 +216,8 @@
         # Units that were placed alone; some may share their targets again.
         self.isolated_units: list[Unit] = []
         self.urgent_sizes: deque[int] = deque(maxlen=URGENT_SIZE_HISTORY)
+        # By need of a task: how many fit into the capacity of all targets.
+        self._max_running_by_need: dict[Resources, int] = {}
         # By queue: number of jobs and their mean work in core-seconds.
         self.mean_work: dict[str, tuple[int, float]] = {}
 
@@ -254,6 +256,18 @@
         elapsed_s = self.now_s - unit.started_s
         return max(self.expected_s(unit) - elapsed_s, OVERRUN_SHARE * elapsed_s, 0.2)
 
+    def max_running(self, need: Resources) -> int:
+        """Return how many tasks with this need the capacity of all targets can hold."""
+        if need not in self._max_running_by_need:
+            self._max_running_by_need[need] = sum(
+                max_tasks(need, target.capacity) for target in self.targets.values()
+            )
+        return self._max_running_by_need[need]
+
+    def on_capacity_changed(self) -> None:
+        """Recompute what fits after a target came, went, shrank or grew."""
+        self._max_running_by_need.clear()
+
     def mark_dirty(self, job: Job) -> None:
         """Schedule a job's row to be written."""
         self.dirty[job.record.job] = job
--- a/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
@@ -14,6 +14,8 @@
 FAILURES_TO_QUARANTINE = 2
 INITIAL_QUARANTINE_S = 4.0
 MAX_QUARANTINE_S = 8.0
+# Tasks that need no resources fit this often into a target.
+MAX_TASKS = 1_000_000
 
 
 class RunningRun(NamedTuple):
@@ -139,6 +141,7 @@
     """An incarnation of a target, as known to the holder."""
 
     __slots__ = (
+        "_unused_cache",
         "agent",
         "agent_run",
         "allocated",
@@ -197,6 +200,8 @@
         self.stored_sequence = 0  # highest sequence number of a stored ended run
         self.consecutive_failures = 0
         self.quarantined_until_s = float("-inf")
+        # Capacity, allocated and unallocated resources; see `_unused`.
+        self._unused_cache = (self.capacity, self.allocated, Resources(0, 0, 0))
 
     @property
     def free(self) -> Resources:
@@ -220,10 +225,15 @@
 
     @property
     def _unused(self) -> Resources:
-        used = [self.allocated, *self.unexpected.values()]
-        return Resources(
-            *(c - sum(u) for c, *u in zip(self.capacity, *used, strict=True))
-        )
+        # A planning round reads this far more often than it changes. Both inputs are
+        # immutable, so their identities show whether the cached value still holds.
+        capacity, allocated, unused = self._unused_cache
+        if capacity is not self.capacity or allocated is not self.allocated:
+            unused = subtract(self.capacity, self.allocated)
+            self._unused_cache = (self.capacity, self.allocated, unused)
+        for need in self.unexpected.values():
+            unused = subtract(unused, need)
+        return unused
 
     def allocate(
         self, task: tuple[str, int, int], need: Resources, exclusive: bool = False
@@ -233,9 +243,7 @@
             self.exclusive_tasks.add(task)
         if task not in self.allocations:
             self.allocations[task] = need
-            self.allocated = Resources(
-                *(u + n for u, n in zip(self.allocated, need, strict=True))
-            )
+            self.allocated = add(self.allocated, need)
 
     def share(self, task: tuple[str, int, int]) -> None:
         """Let other units share the target with a task."""
@@ -246,9 +254,7 @@
         self.share(task)
         need = self.allocations.pop(task, None)
         if need is not None:
-            self.allocated = Resources(
-                *(u - n for u, n in zip(self.allocated, need, strict=True))
-            )
+            self.allocated = subtract(self.allocated, need)
 
     def record_outcome(self, outcome: str, now_s: float) -> None:
         """Update the failure count and quarantine with a run's outcome."""
@@ -289,17 +295,36 @@
     return Resources(*map(max, zip(*amounts, strict=True)))
 
 
+def add(amounts: Resources, others: Resources) -> Resources:
+    """Return the sums of two amounts of each resource."""
+    return Resources(
+        amounts[0] + others[0], amounts[1] + others[1], amounts[2] + others[2]
+    )
+
+
+def subtract(amounts: Resources, others: Resources) -> Resources:
+    """Return the differences of two amounts of each resource."""
+    return Resources(
+        amounts[0] - others[0], amounts[1] - others[1], amounts[2] - others[2]
+    )
+
+
 def fits(need: Resources, available: Resources) -> bool:
     """Return whether a task fits into the given resources."""
-    return all(n <= r for n, r in zip(need, available, strict=True))
+    return (
+        need[0] <= available[0] and need[1] <= available[1] and need[2] <= available[2]
+    )
 
 
 def max_tasks(need: Resources, available: Resources) -> int:
-    """Return how many equal tasks fit, or 1,000,000 if a task needs no resources.
+    """Return how many equal tasks fit, or `MAX_TASKS` if a task needs none.
 
     None fit if any resource is negative, also one that a task does not need.
     """
-    if min(available) < 0:
-        return 0
-    counts = [r // n for n, r in zip(need, available, strict=True) if n > 0]
-    return max(0, min(counts)) if counts else 1_000_000
+    count = MAX_TASKS
+    for amount, present in zip(need, available, strict=True):
+        if present < 0:
+            return 0
+        if amount > 0:
+            count = min(count, present // amount)
+    return count
