Back off from a holder that doesn't reply, with jitter

Cause, one part of it: an agent repeated a report 0.3 s after each failure, always through a new connection. A holder that was late because it was busy got more connections to set up, and all agents' attempts coincided.

Change: pauses double up to 1.2 s, with jitter, and end when a holder contacts the agent.

--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -13,6 +13,7 @@
 import grpc
 from cicadabank.control.internal.cell_holder import log_event
 from cicadabank.control.internal.feed import repeating_thread
+from cicadabank.control.internal.pacing import Backoff
 from cicadabank.control.internal.relay import RelayService
 from cicadabank.control.internal.target_controller import TargetController
 from cicadabank.control.internal.target_messages import (
@@ -52,8 +53,13 @@
 # Longest time between two reports. The interval in the holder's replies is not used.
 REPORT_INTERVAL_S = 1.0
 REPORT_TIMEOUT_S = 0.9
-# Pause before a report is retried while the holder doesn't reply.
+# Means of the first and of the longest pause before a report is retried while the
+# holder doesn't reply. A holder that has just taken over contacts the agent itself.
 REPORT_RETRY_PAUSE_S = 0.3
+MAX_REPORT_RETRY_PAUSE_S = 1.2
+# A connection on which this many reports in a row had no reply may be dead. A single
+# one may be due to a busy holder, which new connections would keep busier still.
+UNANSWERED_REPORTS_TO_DROP = 2
 ADDRESS_RETRY_PAUSE_S = 0.7
 # While ended runs are not stored yet, the target replies to each hold call at once, so
 # the calls are spaced by this pause.
@@ -156,6 +162,8 @@
         self._pool = pool
         self.controller = TargetController(parts.peer, new_id("agent"), parts.cell)
         self.report_due = threading.Event()
+        self._contacted_by_holder = threading.Event()
+        self._report_backoff = Backoff(REPORT_RETRY_PAUSE_S, MAX_REPORT_RETRY_PAUSE_S)
         self._logged_crash: TargetCrash | None = None
         self.target_registered = threading.Event()
         self._call_threads = ThreadPoolExecutor(TARGET_CALL_THREADS, "target")
@@ -252,6 +260,8 @@
             # Reports that failed before the holder listened have left the channel in
             # backoff.
             self._pool.drop(batch.holder)
+        if new_epoch or not batch.incarnation:
+            self._contacted_by_holder.set()
         if batch.starts or batch.stops:
             log_event(
                 "orders_taken",
@@ -427,16 +437,23 @@
             stub = fleet_pb2_grpc.HolderStub(self._pool.get(holder))
             reply = stub.Report(message, timeout=REPORT_TIMEOUT_S)
         except grpc.RpcError as error:
-            if error.code() == grpc.StatusCode.DEADLINE_EXCEEDED:
-                self._pool.drop(holder)
-            logger.bind(event="report_failed", holder=holder).warning(
-                "{}", error.code().name
-            )
-            time.sleep(REPORT_RETRY_PAUSE_S)
-            self.report_due.set()
+            self._on_report_failed(holder, error.code())
             return
+        self._report_backoff.on_success()
         self.post(self._on_report_reply, reply, sent_s, message.incarnation)
 
+    def _on_report_failed(self, holder: str, code: grpc.StatusCode) -> None:
+        pause_s = self._report_backoff.on_failure()
+        if code == grpc.StatusCode.DEADLINE_EXCEEDED:
+            if self._report_backoff.failures % UNANSWERED_REPORTS_TO_DROP == 0:
+                self._pool.drop(holder)
+        logger.bind(
+            event="report_failed", holder=holder, pause_s=round(pause_s, 3)
+        ).warning("{}", code.name)
+        self._contacted_by_holder.clear()
+        self._contacted_by_holder.wait(pause_s)
+        self.report_due.set()
+
     def _on_report_reply(
         self, reply: fleet_pb2.ReportReply, sent_s: float, incarnation: str
     ) -> None:
--- a/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
@@ -35,6 +35,10 @@
 # Below the store's limit of 100 entries per transaction, not counting conditions. The
 # holder adds its lease row to each commit.
 MAX_ROWS_PER_COMMIT = 80
+# Agents that are contacted at a time and have not reported yet. Each registers with two
+# reports and a connection in both directions, so that a new holder that contacted all
+# at once would reply to none in time.
+MAX_OPEN_CONTACTS = 8
 
 
 class CellScheduler:
@@ -200,21 +204,30 @@
     def agents_to_contact(self, now_s: float) -> list[str]:
         """Return the agents to tell now which entry holds the cell.
 
-        These are newly started agents and those that have neither reported nor been
-        contacted for ``Timings.contact_retry_s``. They are marked as contacted now.
+        These are newly started agents and those that have not reported for
+        ``Timings.contact_after_s``, nor been contacted for ``contact_retry_s``. Of the
+        latter, only as many are returned as report; the ones contacted longest ago come
+        first. They are marked as contacted now.
         """
-        state = self.state
-        due = []
+        state, timings = self.state, self.state.timings
+        silent, open_contacts = [], 0
         for agent, last_attempt_s in state.last_contact_attempt_s.items():
+            if agent in state.started_agents:
+                continue
             target = state.targets.get(agent)
             last_report_s = target.last_report_s if target else float("-inf")
-            silent = (
-                now_s - max(last_report_s, last_attempt_s)
-                >= state.timings.contact_retry_s
-            )
-            if silent or agent in state.started_agents:
-                due.append(agent)
-                state.last_contact_attempt_s[agent] = now_s
+            since_attempt_s = now_s - last_attempt_s
+            if since_attempt_s < timings.contact_retry_s:
+                is_open = last_report_s < last_attempt_s
+                open_contacts += is_open and since_attempt_s < timings.contact_reply_s
+            elif now_s - last_report_s >= timings.contact_after_s:
+                silent.append((last_attempt_s, agent))
+        silent.sort()
+        room = max(0, MAX_OPEN_CONTACTS - open_contacts)
+        started = state.started_agents & state.last_contact_attempt_s.keys()
+        due = [*started, *(agent for _, agent in silent[:room])]
+        for agent in due:
+            state.last_contact_attempt_s[agent] = now_s
         state.started_agents.clear()
         return due
 
--- a/packages/scheduling/src/cicadabank/scheduling/internal/state.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/state.py
@@ -52,8 +52,13 @@
         report intervals.
     order_retry_s : float
         Time after which an order without effect is sent again.
+    contact_after_s : float
+        Time without reports after which an agent is contacted. Longer than the report
+        interval and a report's way, so that only reports that are missing count.
     contact_retry_s : float
         Time between attempts to contact a silent agent.
+    contact_reply_s : float
+        Time within which a contacted agent usually reports.
     report_wait_s : float
         Longest time for which a new holder waits for most agents to report before it
         places tasks.
@@ -73,7 +78,9 @@
     outage_s: float = 16.0
     silent_after_s: float = 2.5
     order_retry_s: float = 0.4
+    contact_after_s: float = 1.7
     contact_retry_s: float = 1.0
+    contact_reply_s: float = 0.8
     report_wait_s: float = 0.5
     infeasible_after_s: float = 6.0
     stop_s: float = 0.9
