--- a/tests/cover/test_load_patterns.py
+++ b/tests/cover/test_load_patterns.py
@@ -3,7 +3,13 @@
 from __future__ import annotations
 
 import pytest
-from cicadabank.scheduling import QueueConfig, Resources, StepSpec
+from cicadabank.scheduling import (
+    CellScheduler,
+    QueueConfig,
+    Resources,
+    StepSpec,
+    Timings,
+)
 from cicadabank.scheduling.internal import lifecycle
 from cicadabank.scheduling.internal.planner import waste_cost_per_core_s
 from cicadabank.scheduling.internal.units import Phase
@@ -295,3 +301,99 @@
         assert self.waste_cost_after_jobs(cell, 13, 2) == pytest.approx(
             before, rel=0.25
         )
+
+
+class SlowHolder:
+    """A holder that needs a fixed time for each report, on a virtual clock.
+
+    Each contacted agent registers with two reports, the second after the reply to the
+    first, and then reports each second.
+
+    Attributes
+    ----------
+    waits_s : list of float
+        How long each report waited for its reply.
+    silent : set of str
+        Agents that never report.
+    """
+
+    STEP_S = 0.01
+    NETWORK_S = 0.01
+    REPORT_INTERVAL_S = 1.0
+
+    def __init__(self, agents: int, report_s: float):
+        self.agents = [f"agent-{number}" for number in range(agents)]
+        self.scheduler = CellScheduler("cell", 2, 0.0)
+        self.scheduler.load([], [], 0.0)
+        for agent in self.agents:
+            self.scheduler.on_agent(agent)
+        self._report_s = report_s
+        self._busy_until_s = 0.0
+        self.now_s = 0.0
+        self.waits_s: list[float] = []
+        self.silent: set[str] = set()
+        self.registered_s: dict[str, float] = {}
+        self._targets = {
+            agent: ModelTarget(str(number), "d", f"r{number // 12}")
+            for number, agent in enumerate(self.agents)
+        }
+
+    def _serve(self, sent_s: float) -> float:
+        """Return when the reply to a report arrives."""
+        begun_s = max(sent_s + self.NETWORK_S, self._busy_until_s)
+        self._busy_until_s = begun_s + self._report_s
+        self.waits_s.append(self._busy_until_s - sent_s)
+        return self._busy_until_s
+
+    def run_until_registered(self, limit_s: float) -> None:
+        """Contact agents as a holder does until all have registered."""
+        replies: list[tuple[float, str]] = []
+        next_reports: list[tuple[float, str]] = []
+        while len(self.registered_s) < len(self.agents) - len(self.silent):
+            assert self.now_s < limit_s, f"{len(self.registered_s)} agents registered"
+            for agent in self.scheduler.agents_to_contact(self.now_s):
+                if agent not in self.registered_s and agent not in self.silent:
+                    sent_s = self.now_s + self.NETWORK_S
+                    replies.append((self._serve(sent_s), agent))
+            for reply in sorted(r for r in replies if r[0] <= self.now_s):
+                replies.remove(reply)
+                at_s, agent = reply
+                target = self._targets[agent]
+                answer = self.scheduler.on_report(target.report(), at_s, True)
+                if answer.registration:
+                    target.registration = answer.registration
+                    replies.append((self._serve(at_s), agent))
+                else:
+                    self.registered_s.setdefault(agent, at_s)
+                    next_reports.append((at_s + self.REPORT_INTERVAL_S, agent))
+            for report in [r for r in next_reports if r[0] <= self.now_s]:
+                next_reports.remove(report)
+                replies.append((self._serve(report[0]), report[1]))
+            self.now_s += self.STEP_S
+
+
+class TestTakeoverOfManyAgents:
+    """A new holder that is short of processor time takes in all agents of a cell.
+
+    Guards against a takeover that keeps the holder too busy to reply: all agents were
+    contacted at once, their reports timed out and were repeated, and the next holder
+    fared no better.
+    """
+
+    # Less than the timeout of a report.
+    MAX_WAIT_S = 0.9
+
+    # The holder has time for each agent's report of each second.
+    @pytest.mark.parametrize(
+        ("agents", "report_s"), [(15, 0.002), (15, 0.06), (160, 0.006), (600, 0.0015)]
+    )
+    def test_no_report_waits_for_longer_than_its_timeout(self, agents, report_s):
+        holder = SlowHolder(agents, report_s)
+        # A lease that no report renews for longer lapses.
+        holder.run_until_registered(Timings().lease_s)
+        assert max(holder.waits_s) < self.MAX_WAIT_S
+
+    def test_a_failure_domain_that_is_away_does_not_keep_others_waiting(self):
+        holder = SlowHolder(160, 0.003)
+        holder.silent = set(holder.agents[:32])
+        holder.run_until_registered(Timings().lease_s)
