Tell a busy holder from a dead one

A holder that had just loaded the cell renewed its lease no more for 1.6 s, was taken for dead, and the next one was busier still.

Cause: the lease was renewed by the loop that plans and takes in reports; planning could take all of the loop's time; pings waited behind reports for a thread; and nothing told other entries that a holder is late because it is busy.

Change: a thread of its own renews the lease while the loop runs; planning takes at most half of the time, measured by its own duration; reports beyond 32 open ones are refused, so that pings find a thread; a holder announces how late its renewals are, and what it may need while it takes in a cell; others wait for that much longer, unless a ping shows that its process has ended. Before it takes over, an entry waits in inverse proportion to its speed, so that a fast one holds the cell.

--- a/packages/control/src/cicadabank/control/internal/cell_holder.py
+++ b/packages/control/src/cicadabank/control/internal/cell_holder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 import time
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
@@ -13,13 +14,16 @@
     start_to_message,
 )
 from cicadabank.control.internal.feed import OperatorView
+from cicadabank.control.internal.pacing import LatenessMeter, RoundPacer
 from cicadabank.control.internal.replica import Replica
 from cicadabank.scheduling import (
     HOLDER_KEY,
+    HOLDER_LOAD_KEY,
     LEASE_KEY,
     AgentOrders,
     CellScheduler,
     Commit,
+    HolderLoadRow,
     LeaseRow,
     Timings,
     pack,
@@ -37,8 +41,20 @@
 TICK_INTERVAL_S = 0.05
 # Least time between two planning rounds, so that a burst of events causes only one.
 MIN_PLAN_INTERVAL_S = 0.02
+# Share of the time that planning may take, so that reports and orders of a holder with
+# little processor time are not delayed by it.
+MAX_PLAN_SHARE = 0.5
 # Two renewals fit into the time after which other entries ping this one.
 RENEW_INTERVAL_S = 0.45
+# A holder whose loop has not run for this long renews no more: it serves no agents.
+MAX_TICK_AGE_S = 4.0
+# A new holder renews late while many agents report to it at once.
+TAKE_IN_LATENESS_S = 3.0
+# It is done when this share of the agents has reported, but at the latest after a time.
+TAKEN_IN_SHARE = 0.9
+MAX_TAKE_IN_S = 5.0
+# A change of the expected lateness is stored if it is at least this large.
+MIN_LATENESS_CHANGE_S = 0.3
 # Pause before a failed write is retried.
 WRITE_RETRY_PAUSE_S = 0.15
 ORDER_TIMEOUT_S = 0.8
@@ -94,9 +110,16 @@
         self._writer = ThreadPoolExecutor(1, f"commit-{cell}")
         self._last_write_s = taken_over_s
         self._renew_due_s = 0.0
-        self._last_plan_s = float("-inf")
+        self._pacer = RoundPacer(MIN_PLAN_INTERVAL_S, MAX_PLAN_SHARE)
+        self._lateness = LatenessMeter()
+        self._stored_lateness_s = TAKE_IN_LATENESS_S  # written with the takeover
+        self._last_tick_s = clock_s()
+        self._is_released = threading.Event()
         self._writing = False
         self.scheduler = CellScheduler(cell, epoch, clock_s(), timings, log_event)
+        threading.Thread(
+            target=self._renew_until_released, name=f"renew-{cell}", daemon=True
+        ).start()
 
     def load(self, operator: OperatorView, lease_expiry_s: float) -> None:
         """Load all rows of the cell from the replica.
@@ -173,6 +196,8 @@
         reply = self.scheduler.on_report(
             report_from_message(message), now_s, self._may_renew_leases(now_s)
         )
+        if not self._has_taken_in:
+            self._notify_silent_agents(now_s)
         self._plan_and_send()
         return fleet_pb2.ReportReply(
             accepted=True,
@@ -202,14 +227,69 @@
         return in_time and not self.scheduler.state.stopping
 
     def on_tick(self) -> None:
-        """Plan, renew the cell's lease if due, and notify silent agents."""
+        """Plan, and notify silent agents."""
+        self._last_tick_s = clock_s()
         self._update_clock_offset()
         self._plan_and_send()
-        now_s = clock_s()
-        if now_s >= self._renew_due_s and not self._writing:
-            self._write(None)
         if self.scheduler.state.loaded:
-            self._notify_silent_agents(now_s)
+            self._notify_silent_agents(clock_s())
+
+    def _renew_until_released(self) -> None:
+        """Renew the cell's lease whenever it is due.
+
+        Runs in a thread of its own: the loop may be busy for seconds with planning, or
+        with the reports of many agents.
+        """
+        while not self._is_released.is_set():
+            now_s = clock_s()
+            due_s = self._renew_due_s
+            if now_s < due_s:
+                self._is_released.wait(due_s - now_s)
+            elif now_s - self._last_tick_s > MAX_TICK_AGE_S:
+                self._is_released.wait(TICK_INTERVAL_S)
+            else:
+                self._renew_lease(due_s or now_s)
+
+    def _renew_lease(self, due_s: float) -> None:
+        lateness_s = self._expected_lateness_s()
+        puts = {}
+        if abs(lateness_s - self._stored_lateness_s) >= MIN_LATENESS_CHANGE_S:
+            puts[HOLDER_LOAD_KEY] = pack(HolderLoadRow(self.epoch, lateness_s))
+        self._renew_due_s = clock_s() + RENEW_INTERVAL_S
+        try:
+            _, sent_s = self._commit({}, puts)
+        except RowConflictError as error:
+            self._is_released.set()
+            self.post(self._on_conflict, None, error)
+        except (UnavailableError, UnknownOutcomeError) as error:
+            logger.bind(event="renewal_failed", cell=self.cell, code=error.code).info(
+                "{}", error.message
+            )
+            self._renew_due_s = clock_s() + WRITE_RETRY_PAUSE_S
+        except Exception:
+            logger.exception("unexpected error in a renewal of a lease")
+            self._renew_due_s = clock_s() + WRITE_RETRY_PAUSE_S
+        else:
+            self._last_write_s = max(self._last_write_s, sent_s)
+            self._lateness.on_renewal(due_s, clock_s())
+            if puts:
+                self._stored_lateness_s = lateness_s
+                log_event("holder_load", cell=self.cell, lateness_s=lateness_s)
+
+    def _expected_lateness_s(self) -> float:
+        """Return how much later than usual renewals may be, for other entries."""
+        expected_s = self._lateness.expected_s()
+        return expected_s if self._has_taken_in else TAKE_IN_LATENESS_S
+
+    @property
+    def _has_taken_in(self) -> bool:
+        """Whether most agents have reported since this entry took over."""
+        state = self.scheduler.state
+        if not state.loaded:
+            return False
+        if clock_s() - state.loaded_s > MAX_TAKE_IN_S:
+            return True
+        return len(state.targets) >= TAKEN_IN_SHARE * len(state.last_contact_attempt_s)
 
     def _notify_silent_agents(self, now_s: float) -> None:
         """Tell agents that have not reported who holds the cell."""
@@ -219,9 +299,9 @@
     def _plan_and_send(self) -> None:
         """Run a planning round if due, write the next commit and send orders."""
         now_s = clock_s()
-        if now_s - self._last_plan_s >= MIN_PLAN_INTERVAL_S:
-            self._last_plan_s = now_s
+        if self._pacer.is_due(now_s):
             self.scheduler.tick(now_s)
+            self._pacer.on_round(now_s, clock_s())
         if not self._writing:
             commit = self.scheduler.take_commit()
             if commit is not None:
@@ -229,24 +309,34 @@
         for orders in self.scheduler.take_orders():
             self._send(orders)
 
-    def _write(self, commit: Commit | None) -> None:
-        """Write a commit in the writer thread; None only renews the cell's lease."""
+    def _write(self, commit: Commit) -> None:
+        """Write a commit in the writer thread."""
         self._writing = True
-        self._renew_due_s = clock_s() + RENEW_INTERVAL_S
         future = self._writer.submit(self._write_now, commit)
         future.add_done_callback(lambda f: self.post(self._on_write_done, commit, f))
 
-    def _write_now(self, commit: Commit | None) -> tuple[int, float]:
-        """Write to the store; return the new version and when the write was sent."""
-        rows = commit.rows if commit else ()
-        expected = {HOLDER_KEY: self.version}
-        expected.update({row.key: row.expected for row in rows})
-        puts = {row.key: row.value for row in rows}
+    def _write_now(self, commit: Commit) -> tuple[int, float]:
+        """Write a commit; return the new version and when the write was sent."""
+        self._renew_due_s = clock_s() + RENEW_INTERVAL_S
+        return self._commit(
+            {row.key: row.expected for row in commit.rows},
+            {row.key: row.value for row in commit.rows},
+        )
+
+    def _commit(
+        self, expected: dict[str, int], puts: dict[str, bytes]
+    ) -> tuple[int, float]:
+        """Write rows and the lease; return the new version and when it was sent."""
         sent_s = clock_s()
-        puts[LEASE_KEY] = pack(LeaseRow(self.epoch, self._replica.store_now_s()))
-        return self._table.commit(self.cell, expected, puts), sent_s
+        lease = LeaseRow(self.epoch, self._replica.store_now_s())
+        version = self._table.commit(
+            self.cell,
+            {HOLDER_KEY: self.version, **expected},
+            {**puts, LEASE_KEY: pack(lease)},
+        )
+        return version, sent_s
 
-    def _on_write_done(self, commit: Commit | None, future: Future) -> None:
+    def _on_write_done(self, commit: Commit, future: Future) -> None:
         self._writing = False
         error = future.exception()
         if isinstance(error, RowConflictError):
@@ -263,20 +353,16 @@
             self._retry_write(commit)
         else:
             version, sent_s = future.result()
-            self._last_write_s = sent_s
-            if commit is not None:
-                self.scheduler.on_committed(commit, version, clock_s())
+            self._last_write_s = max(self._last_write_s, sent_s)
+            self.scheduler.on_committed(commit, version, clock_s())
             self._plan_and_send()
 
-    def _retry_write(self, commit: Commit | None) -> None:
+    def _retry_write(self, commit: Commit) -> None:
         """Write the same rows again after a pause.
 
         If an earlier attempt took effect, or does so later, the conditions let only one
         of the two succeed.
         """
-        if commit is None:
-            self._renew_due_s = clock_s() + WRITE_RETRY_PAUSE_S
-            return
         self._writing = True
         future = self._writer.submit(self._write_after_pause, commit)
         future.add_done_callback(lambda f: self.post(self._on_write_done, commit, f))
@@ -355,5 +441,6 @@
         self.scheduler.state.stopping = True
 
     def close(self) -> None:
-        """Shut down the writer thread without waiting for it."""
+        """Let the threads that write end, without waiting for them."""
+        self._is_released.set()
         self._writer.shutdown(wait=False, cancel_futures=True)
--- a/packages/control/src/cicadabank/control/internal/entry.py
+++ b/packages/control/src/cicadabank/control/internal/entry.py
@@ -2,14 +2,21 @@
 
 from __future__ import annotations
 
+import random
 import socket
+import threading
 import time
 from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack, contextmanager
 from typing import NamedTuple
 
-from cicadabank.control.internal.cell_holder import CellActor, log_event
+import grpc
+from cicadabank.control.internal.cell_holder import (
+    TAKE_IN_LATENESS_S,
+    CellActor,
+    log_event,
+)
 from cicadabank.control.internal.feed import (
     UNREAD_VIEW,
     CellsFeed,
@@ -35,8 +42,10 @@
 from cicadabank.scheduling import (
     EARLIER_LEASES_KEY,
     HOLDER_KEY,
+    HOLDER_LOAD_KEY,
     LEASE_KEY,
     EarlierLeasesRow,
+    HolderLoadRow,
     HolderRow,
     LeaseRow,
     Timings,
@@ -66,11 +75,18 @@
 PING_AFTER_S = 1.0
 UNRESPONSIVE_LEASE_S = 1.6
 PING_INTERVAL_S = 0.3
+# An entry waits before it takes over a free cell, in inverse proportion to its speed,
+# so that a fast one holds the cell and several seldom try at once.
+TAKEOVER_DELAY_CORE_S = 0.08
+MAX_TAKEOVER_DELAY_S = 0.6
 # An entry whose last contact with the store is older than this reports not ready, so
 # that the balancer sends clients to others. It also takes over no cells.
 READY_MAX_AGE_S = 2.2
 # Each feed that is relayed for another entry occupies a thread.
-SERVER_THREADS = 16
+SERVER_THREADS = 48
+# Reports that are processed or wait for the cell's loop at a time. Further ones are
+# refused, so that threads are left for pings and relayed calls.
+MAX_OPEN_REPORTS = 32
 CLIENT_LIMITS = Limits(body_bytes=1_048_576, open_requests=24, connections=2_000)
 READY_LIMITS = Limits(open_requests=4)
 REPORT_TIMEOUT_S = 2.0
@@ -99,6 +115,8 @@
         Decodes the rows that operators write.
     dispatch_for : callable
         Returns the handler of clients' requests for a job service.
+    speed_cores : float, default=1.0
+        Processor time available to this process, in seconds of a core for each second.
     """
 
     name: str
@@ -112,6 +130,7 @@
     read_operator: Callable[[dict[str, StoredRow]], OperatorView]
     dispatch_for: Callable[[JobService], Callable[[ApiCall], ApiReply]]
     timings: Timings = Timings()
+    speed_cores: float = 1.0
 
 
 class HolderService(fleet_pb2_grpc.HolderServicer):
@@ -119,9 +138,18 @@
 
     def __init__(self, entry: EntryActor):
         self._entry = entry
+        self._open_reports = threading.Semaphore(MAX_OPEN_REPORTS)
 
     def Report(self, request, context):  # noqa: N802 (named by the protocol)
         """Process a report, or name the entry that holds the cell."""
+        if not self._open_reports.acquire(blocking=False):
+            context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, "too many open reports")
+        try:
+            return self._process(request)
+        finally:
+            self._open_reports.release()
+
+    def _process(self, request: fleet_pb2.TargetReport) -> fleet_pb2.ReportReply:
         actor = self._entry.held_cells.get(request.cell)
         if actor is None:
             holder = self._entry.replica.cell(request.cell).holder
@@ -156,6 +184,10 @@
         # By cell: the epoch of the holder whose last ping was not answered, or answered
         # by an entry that doesn't hold the cell.
         self._unresponsive_epochs: dict[str, int] = {}
+        # By cell: the holder that a ping has found to have ended.
+        self._ended_holders: dict[str, HolderRow] = {}
+        # By cell that is free: when this entry takes it over.
+        self._takeover_due_s: dict[str, float] = {}
         self.stopping = False
 
     def _relay_addresses(self) -> list[str]:
@@ -220,8 +252,23 @@
         cells = {q.cell for q in self.operator_view.config.queues().values()}
         for cell in cells | set(replica.cells):
             if cell not in self.held_cells and cell not in self._takeover_epochs:
-                if self._is_free(cell, replica.cell(cell)):
-                    self._take_over(cell)
+                self._take_over_if_due(cell, replica.cell(cell))
+
+    def _take_over_if_due(self, cell: str, rows: CellRows) -> None:
+        """Take over a cell if it has been free for this entry's delay."""
+        ended = rows.holder is not None and self._ended_holders.get(cell) == rows.holder
+        if not ended and not self._is_free(cell, rows):
+            self._takeover_due_s.pop(cell, None)
+            return
+        if cell not in self._takeover_due_s:
+            self._takeover_due_s[cell] = clock_s() + self._takeover_delay_s()
+        if clock_s() >= self._takeover_due_s[cell]:
+            del self._takeover_due_s[cell]
+            self._take_over(cell, holder_ended=ended)
+
+    def _takeover_delay_s(self) -> float:
+        delay_s = TAKEOVER_DELAY_CORE_S / self.parts.speed_cores
+        return min(MAX_TAKEOVER_DELAY_S, delay_s) * random.uniform(0.5, 1.5)
 
     def _is_free(self, cell: str, rows: CellRows) -> bool:
         """Return whether a cell's holder has released it, or its lease has expired.
@@ -233,7 +280,7 @@
             return True
         last_renewal_s = max(rows.lease_seen_s, self.replica.continuous_contact_since_s)
         since_renewal_s = self.replica.store_now_s() - last_renewal_s
-        if since_renewal_s > HOLDER_LEASE_S:
+        if since_renewal_s > HOLDER_LEASE_S + rows.holder_lateness_s:
             return True
         # The first sight of a lease row tells nothing about its age, so the holder is
         # pinged once at this process's start: it may have ended long ago.
@@ -243,7 +290,8 @@
             return False
         self._ping_holder(cell, rows.holder)
         unresponsive = self._unresponsive_epochs.get(cell) == rows.holder.epoch
-        return unresponsive and since_renewal_s > UNRESPONSIVE_LEASE_S
+        limit_s = UNRESPONSIVE_LEASE_S + rows.holder_lateness_s
+        return unresponsive and since_renewal_s > limit_s
 
     def _ping_holder(self, cell: str, holder: HolderRow) -> None:
         now_s = clock_s()
@@ -265,15 +313,9 @@
             self._unresponsive_epochs.pop(cell, None)
         else:
             self._unresponsive_epochs[cell] = holder.epoch
-        holder_unchanged = self.replica.cell(cell).holder == holder
-        vacant = cell not in self.held_cells and cell not in self._takeover_epochs
-        if (
-            status is HolderStatus.GONE
-            and holder_unchanged
-            and vacant
-            and not self.stopping
-        ):
-            self._take_over(cell, holder_ended=True)
+        if status is HolderStatus.GONE:
+            self._ended_holders[cell] = holder
+            self._take_over_free_cells()
 
     def _take_over(self, cell: str, holder_ended: bool = False) -> None:
         """Start to take over a cell.
@@ -365,6 +407,7 @@
             {
                 EARLIER_LEASES_KEY: pack(earlier_leases),
                 HOLDER_KEY: pack(holder),
+                HOLDER_LOAD_KEY: pack(HolderLoadRow(epoch, TAKE_IN_LATENESS_S)),
                 LEASE_KEY: pack(lease),
             },
         )
--- a/packages/control/src/cicadabank/control/internal/replica.py
+++ b/packages/control/src/cicadabank/control/internal/replica.py
@@ -9,16 +9,19 @@
 from typing import Any, NamedTuple
 
 from cicadabank.control.bounds import check_steps, is_address
+from cicadabank.control.internal.pacing import MAX_LATENESS_S
 from cicadabank.scheduling import (
     AGENT_PREFIX,
     CANCEL_PREFIX,
     EARLIER_LEASES_KEY,
     HOLDER_KEY,
+    HOLDER_LOAD_KEY,
     JOB_PREFIX,
     LEASE_KEY,
     RUN_PREFIX,
     AgentRow,
     EarlierLeasesRow,
+    HolderLoadRow,
     HolderRow,
     JobProgressRow,
     JobRecord,
@@ -44,6 +47,7 @@
         "cancelled",
         "earlier_leases",
         "holder",
+        "holder_load",
         "holder_version",
         "jobs",
         "lease_seen_s",
@@ -58,10 +62,18 @@
         self.agents: set[str] = set()
         self.holder: HolderRow | None = None
         self.holder_version = 0
+        self.holder_load: HolderLoadRow | None = None
         self.earlier_leases: EarlierLeasesRow | None = None
         self.lease_seen_s = float("-inf")  # on the store's clock
         self.lease_version = 0
 
+    @property
+    def holder_lateness_s(self) -> float:
+        """How much later than usual the holder's lease renewals may be."""
+        load, holder = self.holder_load, self.holder
+        is_current = load is not None and holder and load.epoch == holder.epoch
+        return load.lateness_s if is_current else 0.0
+
 
 class Replica:
     """The latest known rows of all cells.
@@ -177,6 +189,8 @@
             cell.lease_seen_s = self._last_store_s
         elif kind == EARLIER_LEASES_KEY:
             cell.earlier_leases = value
+        elif kind == HOLDER_LOAD_KEY:
+            cell.holder_load = value
         elif kind == LEASE_KEY:
             cell.lease_seen_s = self._last_store_s
             cell.lease_version = row.version
@@ -190,6 +204,7 @@
     AGENT_PREFIX: AgentRow,
     HOLDER_KEY: HolderRow,
     EARLIER_LEASES_KEY: EarlierLeasesRow,
+    HOLDER_LOAD_KEY: HolderLoadRow,
 }
 
 
@@ -235,6 +250,12 @@
         raise ValueError(f"leases expire at {value.until_s} s")
 
 
+@_check.register
+def _(value: HolderLoadRow, name: str) -> None:
+    if not 0.0 <= value.lateness_s <= MAX_LATENESS_S:
+        raise ValueError(f"a holder that renews {value.lateness_s} s late")
+
+
 def _remove(cell: CellRows, kind: str, name: str) -> None:
     if kind == JOB_PREFIX:
         cell.jobs.pop(name, None)
--- a/packages/scheduling/src/cicadabank/scheduling/internal/rows.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/rows.py
@@ -25,6 +25,7 @@
 HOLDER_KEY = "holder"
 LEASE_KEY = "lease"
 EARLIER_LEASES_KEY = "earlier-leases"
+HOLDER_LOAD_KEY = "holder-load"
 
 
 class UnitRow(NamedTuple):
@@ -110,6 +111,22 @@
     until_s: float
 
 
+class HolderLoadRow(NamedTuple):
+    """How busy the holder of a cell is.
+
+    Attributes
+    ----------
+    epoch : int
+        Epoch of the holder.
+    lateness_s : float
+        How much later than usual its lease renewals may be. Other entries wait for this
+        much longer before they take over.
+    """
+
+    epoch: int
+    lateness_s: float
+
+
 class CancelRow(NamedTuple):
     """A client's request to cancel a job."""
 
--- a/tests/cover/test_cell_holder.py
+++ b/tests/cover/test_cell_holder.py
@@ -14,11 +14,13 @@
 from cicadabank.scheduling import (
     AGENT_PREFIX,
     HOLDER_KEY,
+    HOLDER_LOAD_KEY,
     JOB_PREFIX,
     LEASE_KEY,
     RUN_PREFIX,
     AgentRow,
     Configuration,
+    HolderLoadRow,
     HolderRow,
     JobProgressRow,
     JobRecord,
@@ -150,6 +152,54 @@
         assert not holder.fenced
 
 
+# Guards against a holder that is taken for dead while it plans, or while many agents
+# report to it: the next one had all of them to take in, and was busier still.
+class TestRenewalsOfABusyHolder:
+    def renewals(self, table, seconds: float) -> int:
+        """Return how often the lease is renewed in this time."""
+        versions = set()
+        until_s = time.monotonic() + seconds
+        while time.monotonic() < until_s:
+            row = table.rows.get(("cell", LEASE_KEY))
+            if row is not None:
+                versions.add(row.version)
+            time.sleep(0.01)
+        return len(versions)
+
+    def test_the_lease_is_renewed_while_the_loop_is_busy(
+        self, table, stack, monkeypatch
+    ):
+        monkeypatch.setattr(cell_holder_module, "RENEW_INTERVAL_S", 0.1)
+        holder = Holder(table, 1, stack)
+        holder.wait_for_first_renewal()
+        holder.actor.post(time.sleep, 2.0)
+        assert self.renewals(table, 1.5) >= 5
+
+    def test_it_is_not_renewed_while_the_loop_stands_still(
+        self, table, stack, monkeypatch
+    ):
+        monkeypatch.setattr(cell_holder_module, "RENEW_INTERVAL_S", 0.1)
+        monkeypatch.setattr(cell_holder_module, "MAX_TICK_AGE_S", 0.3)
+        holder = Holder(table, 1, stack)
+        holder.wait_for_first_renewal()
+        holder.actor.post(time.sleep, 4.0)
+        time.sleep(1.5)
+        assert self.renewals(table, 1.0) == 1
+
+    def test_late_renewals_are_announced(self, table, stack, monkeypatch):
+        monkeypatch.setattr(cell_holder_module, "RENEW_INTERVAL_S", 0.1)
+        monkeypatch.setattr(cell_holder_module, "MAX_TAKE_IN_S", 0.0)
+        holder = Holder(table, 1, stack)
+        holder.wait_for_first_renewal()
+        holder.actor._lateness.on_renewal(0.0, 0.6)
+
+        def announced() -> bool:
+            row = table.rows.get(("cell", HOLDER_LOAD_KEY))
+            return row is not None and unpack(row.value, HolderLoadRow).lateness_s > 1.0
+
+        wait_for(announced, 5.0)
+
+
 class ListeningAgent:
     """An agent that only records that it was told who holds its cell."""
 
--- a/tests/cover/test_cell_takeover.py
+++ b/tests/cover/test_cell_takeover.py
@@ -14,9 +14,11 @@
     AGENT_PREFIX,
     EARLIER_LEASES_KEY,
     HOLDER_KEY,
+    HOLDER_LOAD_KEY,
     LEASE_KEY,
     AgentRow,
     EarlierLeasesRow,
+    HolderLoadRow,
     HolderRow,
     LeaseRow,
     pack,
@@ -264,6 +266,46 @@
         assert renewed == [0.0]
 
 
+# Guards against a busy holder that loses its cell, though it only renews late.
+class TestBusyHolders:
+    def taken_over_s(self, stack, table, load: HolderLoadRow) -> float:
+        """Return how long after its last renewal a silent holder loses the cell."""
+        written_s = write_holder(table, 1, stack.enter_context(silent_address()))
+        table.commit(CELL, {}, {HOLDER_LOAD_KEY: pack(load)})
+        entry = start_entry(stack, table, "e")
+        entry.wait_for_holder()
+        return clock_s() - written_s
+
+    def test_a_holder_that_announced_late_renewals_is_given_more_time(
+        self, stack, table
+    ):
+        assert self.taken_over_s(stack, table, HolderLoadRow(1, 2.0)) > 2.0
+
+    def test_what_an_earlier_holder_announced_does_not_count(self, stack, table):
+        assert self.taken_over_s(stack, table, HolderLoadRow(7, 4.0)) < 4.0
+
+    def test_a_holder_that_has_ended_is_replaced_without_a_wait(self, stack, table):
+        written_s = write_holder(table, 1, unused_address())
+        table.commit(CELL, {}, {HOLDER_LOAD_KEY: pack(HolderLoadRow(1, 4.0))})
+        start_entry(stack, table, "e").wait_for_holder()
+        assert clock_s() - written_s < 4.0
+
+
+# Guards against a slow entry that holds a large cell while faster ones are free.
+class TestOrderOfTakeovers:
+    def test_the_fastest_entry_takes_a_free_cell(self, stack, table):
+        write_holder(table, 1, "")
+        entries = []
+        for speed_cores in (0.05, 4.0):
+            entry = CellEntry(table, f"e{speed_cores}", speed_cores)
+            stack.callback(entry.kill)
+            entries.append(entry)
+        for entry in entries:
+            entry.start()
+        assert entries[1].wait_for_holder().epoch == 2
+        assert not entries[0].actor.held_cells
+
+
 class HolderRowOfOlderBuilds(NamedTuple):
     epoch: int
     entry: str
--- a/tests/support/cell_entries.py
+++ b/tests/support/cell_entries.py
@@ -121,7 +121,7 @@
 class CellEntry:
     """An entry that serves other entries, but neither clients nor agents."""
 
-    def __init__(self, table: MemoryTable, name: str):
+    def __init__(self, table: MemoryTable, name: str, speed_cores: float = 1.0):
         self.table = EntryTable(table)
         self.address = unused_address()
         parts = EntryParts(
@@ -136,6 +136,7 @@
             read_operator=None,
             dispatch_for=None,
             timings=TIMINGS,
+            speed_cores=speed_cores,
         )
         self.actor = EntryActor(parts, ChannelPool())
         self._stack = ExitStack()
