Let requests come back instead of waiting while the store is known to be away

Change: while the store has been away for 1.5 s, a request whose client has time to come back waits for 0.2 s and is told to come back in a second. In the client's last 1.5 s the entry waits as before, so that no return of the store falls between two tries. The test of clients that retry holds unchanged; another one lets the store return at four moments.

--- a/packages/control/src/cicadabank/control/errors.py
+++ b/packages/control/src/cicadabank/control/errors.py
@@ -69,19 +69,19 @@
 
     Parameters
     ----------
-    waited : bool, default=False
-        Whether the request has waited for the store. The client should then retry at
-        once, since another entry may reach the store.
+    retry_at_once : bool, default=False
+        Whether the client should retry at once, since another entry may reach the
+        store; else it should come back in a second.
     """
 
     code = "store-away"
     status = 503
     retry_after_s = 1
 
-    def __init__(self, message: str, waited: bool = False):
-        action = "retry at another entry" if waited else "retry in a second"
+    def __init__(self, message: str, retry_at_once: bool = False):
+        action = "retry at another entry" if retry_at_once else "retry in a second"
         super().__init__(message, action)
-        if waited:
+        if retry_at_once:
             self.retry_after_s = 0
 
 
--- a/packages/control/src/cicadabank/control/internal/job_service.py
+++ b/packages/control/src/cicadabank/control/internal/job_service.py
@@ -49,6 +49,13 @@
 REPLY_DEADLINE_SHARE = 0.45
 # Longest wait of a request, whatever its deadline.
 MAX_WAIT_S = 10.0
+# A store without contact for this long, half of the usual deadline, may stay away for
+# seconds. A request then does better to come back than to use up its time waiting.
+KNOWN_OUTAGE_AGE_S = 1.5
+# Longest wait of a request that arrives during a known outage: it may just be ending.
+OUTAGE_WAIT_S = 0.2
+# With less time than this, a client that comes back in a second may come too late.
+MIN_TIME_TO_COME_BACK_S = 1.5
 # Requests that may wait at a time: half of those that an entry handles, so that
 # requests that need no store are still answered.
 MAX_WAITING_REQUESTS = 12
@@ -121,11 +128,17 @@
         Limits how many requests wait at a time.
     until_s : float
         When the wait ends, on this process's clock.
+    in_outage : bool, default=False
+        Whether the store was known to be away when the request arrived, and its client
+        has time to come back.
     """
 
-    def __init__(self, slots: threading.Semaphore, until_s: float):
+    def __init__(
+        self, slots: threading.Semaphore, until_s: float, in_outage: bool = False
+    ):
         self._slots = slots
         self.until_s = until_s
+        self.in_outage = in_outage
         self.holds_slot = False
         self.is_logged = False
 
@@ -192,13 +205,24 @@
     @contextmanager
     def _waiting(self, timing: RequestTiming) -> Iterator[RequestWait]:
         """Let a request wait; its slot is free again at the end."""
-        wait = RequestWait(self._wait_slots, timing.reply_by_s())
+        until_s = timing.reply_by_s()
+        in_outage = self._is_store_away() and (
+            timing.deadline_s >= MIN_TIME_TO_COME_BACK_S
+        )
+        if in_outage:
+            until_s = min(until_s, timing.received_s + OUTAGE_WAIT_S)
+        wait = RequestWait(self._wait_slots, until_s, in_outage)
         try:
             yield wait
         finally:
             if wait.holds_slot:
                 self._wait_slots.release()
 
+    def _is_store_away(self) -> bool:
+        """Return whether the store has been away for a while."""
+        contact_age_s = self._replica.contact_age_s()
+        return self._replica.loaded and contact_age_s > KNOWN_OUTAGE_AGE_S
+
     def route(
         self, host: str, path: str, timing: RequestTiming
     ) -> tuple[RouteConfig, str]:
@@ -486,7 +510,7 @@
                 if not wait.pause(FIRST_READ_PAUSE_S):
                     raise StoreUnavailableError(
                         "the jobs have not been read from the store yet",
-                        waited=wait.holds_slot,
+                        retry_at_once=wait.holds_slot,
                     )
         rows = self._replica.cells.get(route.queue.cell)
         if rows is None:
@@ -504,7 +528,8 @@
     error: PlatformError, wait: RequestWait
 ) -> StoreUnavailableError:
     return StoreUnavailableError(
-        f"the store is unavailable: {error.message}", waited=wait.holds_slot
+        f"the store is unavailable: {error.message}",
+        retry_at_once=wait.holds_slot and not wait.in_outage,
     )
 
 
--- a/tests/cover/test_job_service.py
+++ b/tests/cover/test_job_service.py
@@ -263,6 +263,37 @@
         harness.submit(deadline_s=3.0)
         assert harness.stored_row() is not None
 
+    # Guards against requests that use up their clients' time, and the entry's slots,
+    # while nobody knows when the store is back.
+    def test_a_client_is_told_to_come_back_during_a_known_outage(self, harness):
+        harness.table.down = True
+        harness.replica.last_contact_s -= 2.0
+        start_s = time.monotonic()
+        with pytest.raises(errors.StoreUnavailableError) as caught:
+            harness.submit(deadline_s=3.0)
+        assert time.monotonic() - start_s < 0.4
+        assert caught.value.retry_after_s == 1
+
+    @pytest.mark.parametrize("returns_after_s", [0.1, 0.9, 1.9, 2.6])
+    def test_a_client_that_comes_back_misses_no_end_of_a_known_outage(
+        self, harness, returns_after_s
+    ):
+        harness.table.down = True
+        harness.replica.last_contact_s -= 2.0
+        timer = threading.Timer(
+            returns_after_s, setattr, (harness.table, "down", False)
+        )
+        timer.start()
+        end_s = clock_s() + 3.0
+        for _ in range(5):
+            try:
+                harness.submit(deadline_s=end_s - clock_s())
+                break
+            except errors.StoreUnavailableError as error:
+                time.sleep(error.retry_after_s)
+        assert harness.stored_row() is not None
+        assert clock_s() < end_s
+
     def test_requests_over_the_limit_of_waiting_ones_are_refused_at_once(self, harness):
         harness.submit()
         harness.update_replica()
