Report to a new holder without waiting for the reply of the one before

Cause: an agent that is asked for a report first waits for the reply of the earlier holder, 0.9 s at most. With contacts in a window each of them held a slot for that long; without it the wait was the same, but for all agents at a time.

Change: a new holder ends the wait; the earlier report is cancelled.

TestNewHolder in test_agent_reports.py fails without the change.

--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -162,7 +162,10 @@
         self._pool = pool
         self.controller = TargetController(parts.peer, new_id("agent"), parts.cell)
         self.report_due = threading.Event()
+        # Set by a holder that asks for a report; the second one by a new holder only, and
+        # at the end of a report.
         self._contacted_by_holder = threading.Event()
+        self._report_interrupted = threading.Event()
         self._report_backoff = Backoff(REPORT_RETRY_PAUSE_S, MAX_REPORT_RETRY_PAUSE_S)
         self._logged_crash: TargetCrash | None = None
         self.target_registered = threading.Event()
@@ -260,6 +263,7 @@
             # Reports that failed before the holder listened have left the channel in
             # backoff.
             self._pool.drop(batch.holder)
+            self._report_interrupted.set()
         if new_epoch or not batch.incarnation:
             self._contacted_by_holder.set()
         if batch.starts or batch.stops:
@@ -429,18 +433,27 @@
         """Send a report as soon as one is due, at the latest after the interval."""
         self.report_due.wait(REPORT_INTERVAL_S)
         self.report_due.clear()
+        self._contacted_by_holder.clear()
+        self._report_interrupted.clear()
         holder, message = self.ask(self._prepare_report)
         if not holder or message is None:
             return
         sent_s = clock_s()
-        try:
-            stub = fleet_pb2_grpc.HolderStub(self._pool.get(holder))
-            reply = stub.Report(message, timeout=REPORT_TIMEOUT_S)
-        except grpc.RpcError as error:
+        stub = fleet_pb2_grpc.HolderStub(self._pool.get(holder))
+        call = stub.Report.future(message, timeout=REPORT_TIMEOUT_S)
+        call.add_done_callback(lambda _: self._report_interrupted.set())
+        self._report_interrupted.wait()
+        if not call.done():
+            # Another holder waits for a report; the earlier one may never reply.
+            call.cancel()
+            self.report_due.set()
+            return
+        error = call.exception()
+        if error is not None:
             self._on_report_failed(holder, error.code())
             return
         self._report_backoff.on_success()
-        self.post(self._on_report_reply, reply, sent_s, message.incarnation)
+        self.post(self._on_report_reply, call.result(), sent_s, message.incarnation)
 
     def _on_report_failed(self, holder: str, code: grpc.StatusCode) -> None:
         pause_s = self._report_backoff.on_failure()
@@ -450,7 +463,6 @@
         logger.bind(
             event="report_failed", holder=holder, pause_s=round(pause_s, 3)
         ).warning("{}", code.name)
-        self._contacted_by_holder.clear()
         self._contacted_by_holder.wait(pause_s)
         self.report_due.set()
 
--- a/tests/cover/test_agent_reports.py
+++ b/tests/cover/test_agent_reports.py
@@ -71,6 +71,41 @@
             assert holder.reported.wait(0.5)
 
 
+class SilentHolder(ListeningHolder):
+    """A holder that doesn't reply to reports until the test ends."""
+
+    def __init__(self, address: str) -> None:
+        super().__init__(address)
+        self.ended = threading.Event()
+
+    def Report(self, request, context):  # noqa: N802 (named by the protocol)
+        self.reported.set()
+        self.ended.wait(5.0)
+        return fleet_pb2.ReportReply()
+
+
+class TestNewHolder:
+    # Guards against takeovers in which each agent first waits for the reply of a holder
+    # that has lost power.
+    def test_it_gets_a_report_though_the_one_before_does_not_reply(self, agent):
+        with ExitStack() as stack:
+            holders = [
+                SilentHolder(unused_address()),
+                ListeningHolder(unused_address()),
+            ]
+            stack.callback(holders[0].ended.set)
+            for holder in holders:
+                service = (fleet_pb2_grpc.add_HolderServicer_to_server, holder)
+                stack.enter_context(serve(holder.address, [service], 2))
+            for epoch, holder in enumerate(holders, 1):
+                order = fleet_pb2.OrderBatch(
+                    cell="cell", epoch=epoch, holder=holder.address
+                )
+                agent.ask(agent.on_orders, order)
+                assert holder.reported.wait(0.4)
+                time.sleep(0.1)
+
+
 class TestRefusals:
     # Guards against a task that waits for the next regular report of its refusal.
     def test_a_start_refused_right_before_its_call_is_reported_at_once(self, agent):
