Spare victims whose room isn't needed

Cause: victims on a target are taken cheapest first until the urgent task fits; where that needs a large one after all, the small ones before it had been stopped for nothing.

Change: once the task fits, each victim but the last is spared if it also fits without it. TestSmallAndLargeTasksShareATarget fails without it.

--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -162,7 +162,7 @@
         self._pool = pool
         self.controller = TargetController(parts.peer, new_id("agent"), parts.cell)
         self.report_due = threading.Event()
-        # Set by a holder that asks for a report; the second one by a new holder only, and
+        # Set by a holder that asks for a report; the second by a new holder only, and
         # at the end of a report.
         self._contacted_by_holder = threading.Event()
         self._report_interrupted = threading.Event()
--- a/packages/scheduling/src/cicadabank/scheduling/internal/placement.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/placement.py
@@ -292,7 +292,8 @@
 ) -> list[Victim] | None:
     """Return the victims, cheapest first, that make room for a task, or None.
 
-    Stopping an isolated unit also frees what is withheld from others because of it.
+    Victims whose room isn't needed once a larger one is stopped are spared. Stopping an
+    isolated unit also frees what is withheld from others because of it.
     """
     chosen: list[Victim] = []
     for victim in sorted(victims, key=lambda v: v.waste_core_s):
@@ -304,7 +305,14 @@
         free = add(free, victim.unit.spec.need)
         if victim.unit.isolated:
             free = add(free, withheld)
-    return chosen if fits(need, free) else None
+    if not fits(need, free):
+        return None
+    for victim in reversed(chosen[:-1]):
+        without = subtract(free, victim.unit.spec.need)
+        if not victim.unit.isolated and fits(need, without):
+            chosen.remove(victim)
+            free = without
+    return chosen
 
 
 def _add_released(
--- a/tests/cover/test_load_patterns.py
+++ b/tests/cover/test_load_patterns.py
@@ -55,6 +55,27 @@
         assert not any(run.outcome == "stopped" for run in cell.history)
 
 
+class TestSmallAndLargeTasksShareATarget:
+    """Small batch tasks and a large one fill a target before an urgent task arrives.
+
+    Guards against preempting the small tasks, the cheaper ones, although the large one
+    had to be stopped too and alone made enough room.
+    """
+
+    def test_only_units_whose_room_is_needed_are_preempted(self):
+        cell = ModelCell([ModelTarget("t", "d", "r")], [URGENT, BATCH])
+        cell.run(1.0)
+        cell.submit("large", "batch", [StepSpec(1, Resources(5000, 20_000, 6), 60.0)])
+        cell.run(0.5)
+        cell.submit("small", "batch", [StepSpec(2, Resources(1000, 4000, 1), 60.0)])
+        cell.run(0.5)
+        cell.submit("urgent", "urgent", [StepSpec(1, Resources(3000, 9000, 4), 4.0)])
+        cell.run_until(lambda: cell.state("urgent") == "completed")
+        stopped = {run.id.job for run in cell.history if run.outcome == "stopped"}
+        assert stopped == {"large"}
+        cell.check()
+
+
 class TestDeferrableWorkBeforeUrgentBurst:
     """Work with slack arrives at an idle cell, shortly before urgent gangs.
 
