Notice that a draining target has terminated without notice

Cause: without a notice of its end, a target counted as running until its lease had expired, also one whose announced time was over and on whose port nothing listened.

Change: a draining target counts as terminated once its announced time is over and its port has refused all connections for 0.3 s. One that doesn't drain, one that replies, and calls that time out are treated as before. TestDrainingTargetsThatTerminateWithoutNotice; its first case fails without the change (there on_no_reply returned nothing).

--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -410,7 +410,13 @@
         self.post(self._on_listing, listing, asked_s, fence)
 
     def _on_no_reply(self, connection_refused: bool) -> None:
-        self.controller.on_no_reply(clock_s(), connection_refused)
+        if self.controller.on_no_reply(clock_s(), connection_refused):
+            log_event(
+                "target_left",
+                target=self.controller.heartbeat.target,
+                refuses_connections=True,
+            )
+            self.report_due.set()
 
     def renew_lease_step(self) -> None:
         """Renew the lease if a target has registered, else wait for one."""
--- a/packages/control/src/cicadabank/control/internal/target_controller.py
+++ b/packages/control/src/cicadabank/control/internal/target_controller.py
@@ -29,6 +29,9 @@
 # A target that has replied to no hold call for this long is reported as unhealthy, and
 # its lease is not extended.
 UNRESPONSIVE_AFTER_S = 1.2
+# A draining target whose announced time is over has terminated if its port refuses
+# connections for this long; they are tried several times meanwhile.
+MIN_REFUSED_S = 0.3
 # Largest fraction by which the target's clock may run slow.
 MAX_CLOCK_DRIFT = 0.02
 # Targets reject longer leases.
@@ -279,6 +282,7 @@
         self._last_reply_s = self._adopted_s = now_s
         self._unanswered_s = self._listing_asked_s = float("-inf")
         self._connection_refused = False
+        self._refused_since_s = float("inf")
         self._replaced_s = float("-inf")
 
     def on_orders(self, batch: fleet_pb2.OrderBatch, now_s: float) -> bool:
@@ -453,10 +457,25 @@
         if local.first_start_call_s == local.last_call_s:
             local.first_start_call_s = float("inf")
 
-    def on_no_reply(self, now_s: float, connection_refused: bool = False) -> None:
-        """Record that a call to the target got no reply."""
+    def on_no_reply(self, now_s: float, connection_refused: bool = False) -> bool:
+        """Record that a call to the target got no reply.
+
+        Returns whether that shows that the target has terminated. A draining one may do
+        so without notice, and later than announced; then nothing listens on its port.
+        """
         self._unanswered_s = now_s
         self._connection_refused = connection_refused
+        if not connection_refused:
+            self._refused_since_s = float("inf")
+            return False
+        self._refused_since_s = min(self._refused_since_s, now_s)
+        if self.heartbeat is None or not self.heartbeat.draining:
+            return False
+        announced_end_s = self._heard_s + self.heartbeat.remaining_s
+        refused_s = now_s - max(self._refused_since_s, announced_end_s)
+        return refused_s >= MIN_REFUSED_S and self.on_target_terminated(
+            self.heartbeat.target
+        )
 
     @property
     def may_have_crashed(self) -> bool:
@@ -592,6 +611,7 @@
         self._listing = listing
         self._listing_asked_s = max(self._listing_asked_s, asked_s)
         self._connection_refused = False
+        self._refused_since_s = float("inf")
         first_under_fence = fence > self._listed_fence
         self._listed_fence = max(self._listed_fence, fence)
         self._clock_sample = (listing.target_s, now_s)
--- a/tests/cover/test_target_controller.py
+++ b/tests/cover/test_target_controller.py
@@ -1023,3 +1023,44 @@
         fresh.on_orders(batch(fresh, incarnation=""), 10.0)
         adopt(fresh, heartbeat(started_ms=2), 15.0)
         assert crashes(fresh) == ()
+
+
+# Guards against gangs that stand still for the lease of a draining target that has
+# terminated without notice, at short notice before.
+class TestDrainingTargetsThatTerminateWithoutNotice:
+    def refuse(self, controller, until_s: float) -> float | None:
+        """Have all connections refused from 12.0; return when it counts as ended."""
+        for tenth in range(120, round(until_s * 10)):
+            if controller.on_no_reply(tenth / 10, True):
+                return tenth / 10
+        return None
+
+    def test_it_counts_as_ended_once_its_port_refuses_connections(self, controller):
+        controller.on_heartbeat(heartbeat(sequence=2, draining=True), 10.5)
+        ended_s = self.refuse(controller, 15.0)
+        # Announced until 12.5; its lease lasts until 18.
+        assert 12.5 < ended_s < 13.0
+        report = controller.report(ended_s)
+        assert report.incarnation.endswith("/ended")
+        assert report.observed
+
+    def test_it_does_not_before_the_announced_end(self, controller):
+        controller.on_heartbeat(
+            heartbeat(sequence=2, draining=True, remaining_s=9.0), 10.5
+        )
+        assert self.refuse(controller, 17.0) is None
+
+    def test_one_that_does_not_drain_keeps_its_lease(self, controller):
+        assert self.refuse(controller, 17.0) is None
+
+    def test_a_reply_shows_that_it_still_runs(self, controller):
+        controller.on_heartbeat(heartbeat(sequence=2, draining=True), 10.5)
+        assert not controller.on_no_reply(12.7, True)
+        list_runs(controller, listing(running=[RUN]), 12.9, 12.9)
+        assert not controller.on_no_reply(13.1, True)
+        assert not controller.has_target_ended(13.1)
+
+    def test_calls_without_a_reply_do_not_count(self, controller):
+        controller.on_heartbeat(heartbeat(sequence=2, draining=True), 10.5)
+        for tenth in range(125, 140):
+            assert not controller.on_no_reply(tenth / 10, tenth % 2 == 0)
