Give each report an end of its own

Cause: the end of a cancelled report set the event on which the next one waited, which was then cancelled in turn: an agent that had changed its holder sent reports without a pause.

--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -162,10 +162,11 @@
         self._pool = pool
         self.controller = TargetController(parts.peer, new_id("agent"), parts.cell)
         self.report_due = threading.Event()
-        # Set by a holder that asks for a report; the second by a new holder only, and
-        # at the end of a report.
+        # Set by a holder that asks for a report.
         self._contacted_by_holder = threading.Event()
-        self._report_interrupted = threading.Event()
+        # Set at the end of the latest report, and by a new holder. Each report has its
+        # own: a cancelled one may end after the next one has begun.
+        self._report_ended = threading.Event()
         self._report_backoff = Backoff(REPORT_RETRY_PAUSE_S, MAX_REPORT_RETRY_PAUSE_S)
         self._logged_crash: TargetCrash | None = None
         self.target_registered = threading.Event()
@@ -263,7 +264,7 @@
             # Reports that failed before the holder listened have left the channel in
             # backoff.
             self._pool.drop(batch.holder)
-            self._report_interrupted.set()
+            self._report_ended.set()
         if new_epoch or not batch.incarnation:
             self._contacted_by_holder.set()
         if batch.starts or batch.stops:
@@ -440,15 +441,15 @@
         self.report_due.wait(REPORT_INTERVAL_S)
         self.report_due.clear()
         self._contacted_by_holder.clear()
-        self._report_interrupted.clear()
+        ended = self._report_ended = threading.Event()
         holder, message = self.ask(self._prepare_report)
         if not holder or message is None:
             return
         sent_s = clock_s()
         stub = fleet_pb2_grpc.HolderStub(self._pool.get(holder))
         call = stub.Report.future(message, timeout=REPORT_TIMEOUT_S)
-        call.add_done_callback(lambda _: self._report_interrupted.set())
-        self._report_interrupted.wait()
+        call.add_done_callback(lambda _: ended.set())
+        ended.wait()
         if not call.done():
             # Another holder waits for a report; the earlier one may never reply.
             call.cancel()
--- a/tests/cover/test_agent_reports.py
+++ b/tests/cover/test_agent_reports.py
@@ -77,8 +77,10 @@
     def __init__(self, address: str) -> None:
         super().__init__(address)
         self.ended = threading.Event()
+        self.reports = 0
 
     def Report(self, request, context):  # noqa: N802 (named by the protocol)
+        self.reports += 1
         self.reported.set()
         self.ended.wait(5.0)
         return fleet_pb2.ReportReply()
@@ -105,6 +107,23 @@
                 assert holder.reported.wait(0.4)
                 time.sleep(0.1)
 
+    # Guards against reports that cancel each other: the end of the first cancelled one
+    # interrupted the next, and so on.
+    def test_a_cancelled_report_does_not_interrupt_the_next(self, agent):
+        with ExitStack() as stack:
+            holders = [SilentHolder(unused_address()) for _ in range(2)]
+            for epoch, holder in enumerate(holders, 1):
+                stack.callback(holder.ended.set)
+                service = (fleet_pb2_grpc.add_HolderServicer_to_server, holder)
+                stack.enter_context(serve(holder.address, [service], 20))
+                order = fleet_pb2.OrderBatch(
+                    cell="cell", epoch=epoch, holder=holder.address
+                )
+                agent.ask(agent.on_orders, order)
+                assert holder.reported.wait(0.4)
+            time.sleep(0.7)
+            assert holders[1].reports == 1
+
 
 class TestRefusals:
     # Guards against a task that waits for the next regular report of its refusal.
