Keep once that a target refuses connections

The time since which it does so says all that the flag beside it said; the flag was set and cleared at the same four places. The time also has a value from the start of the agent on, not only from its first target on. No change of behaviour.

--- a/packages/control/src/cicadabank/control/internal/target_controller.py
+++ b/packages/control/src/cicadabank/control/internal/target_controller.py
@@ -94,8 +94,9 @@
         self._last_reply_s = float("-inf")
         # When a call last got no reply, and when the latest list was requested.
         self._unanswered_s = self._listing_asked_s = float("-inf")
-        # Whether nothing listened at the target's address then.
-        self._connection_refused = False
+        # Since when nothing has listened at the target's address; infinite once a later
+        # call finds that something does, or gets no reply at all.
+        self._refused_since_s = float("inf")
         # Whether this process has seen the incarnation from its start, since it
         # replaced one that a list had confirmed.
         self._seen_from_start = False
@@ -281,7 +282,6 @@
         self._listed_fence = -1
         self._last_reply_s = self._adopted_s = now_s
         self._unanswered_s = self._listing_asked_s = float("-inf")
-        self._connection_refused = False
         self._refused_since_s = float("inf")
         self._replaced_s = float("-inf")
 
@@ -464,7 +464,6 @@
         so without notice, and later than announced; then nothing listens on its port.
         """
         self._unanswered_s = now_s
-        self._connection_refused = connection_refused
         if not connection_refused:
             self._refused_since_s = float("inf")
             return False
@@ -610,7 +609,6 @@
             return False  # overtaken by a list that the target made later
         self._listing = listing
         self._listing_asked_s = max(self._listing_asked_s, asked_s)
-        self._connection_refused = False
         self._refused_since_s = float("inf")
         first_under_fence = fence > self._listed_fence
         self._listed_fence = max(self._listed_fence, fence)
@@ -721,7 +719,8 @@
             return None
         self._report_number += 1
         has_ended = self.has_target_ended(now_s)
-        if has_ended and self._connection_refused and self._has_ended_without_notice():
+        refuses_connections = self._refused_since_s < float("inf")
+        if has_ended and refuses_connections and self._has_ended_without_notice():
             self._record_crash()
         message = fleet_pb2.TargetReport(
             cell=self.cell,
