Simulate targets of different speed, and a loss of all power

Its jobs and failures no longer depend on what the scheduler does, so that two versions of it are compared on the same jobs.

--- a/benchmarks/steps.py
+++ b/benchmarks/steps.py
@@ -2,7 +2,7 @@
 
 Seeded jobs of several steps, distributed as the users describe theirs, run through the
 scheduler's decisions without a network. Run as
-``python -m benchmarks.steps [--seeds N] [--load X] [--burst X]``.
+``python -m benchmarks.steps [--seeds N] [--load X] [--burst X] [--power-loss S]``.
 """
 
 from __future__ import annotations
@@ -23,6 +23,10 @@
 
 from tests.support.in_memory_cell import ModelCell, ModelTarget
 
+# How much longer tasks take on a target than on an average one.
+SLOWNESS = (0.8, 1.0, 1.25)
+# How long all targets are down after a loss of all power.
+POWER_OFF_S = 1.4
 SUBMIT_PERIOD_S = 34.0
 FINISH_PERIOD_S = 40.0
 # Value lost per wasted core-second, between the prices of the users' two sites.
@@ -98,16 +102,23 @@
 class Simulation:
     """Simulates one seeded sequence of submissions and cancellations."""
 
-    def __init__(self, seed: int, load: float, burst: float):
+    def __init__(
+        self, seed: int, load: float, burst: float, power_loss_s: float = math.inf
+    ):
+        self.seed = seed
         self.random = random.Random(seed)
+        self.power_loss_s = power_loss_s
         self.actual_duration_s: dict[tuple[str, int, int], float] = {}
         self.submitted: dict[str, SubmittedJob] = {}
         workspaces = [WorkspaceConfig(f"w{n}", frozenset(), 14) for n in range(4)]
         queues = [job_class.queue for job_class in CLASSES]
         self.failure_points: dict[RunId, float] = {}
         self.cancellations: list[tuple[float, str]] = []
+        targets = make_targets()
+        for target in targets:
+            target.slowness = self.random.choice(SLOWNESS)
         self.cell = ModelCell(
-            make_targets(), queues, workspaces, self._duration_s, seed, self._fails_at
+            targets, queues, workspaces, self._duration_s, seed, self._fails_at
         )
         self.arrivals = sorted(
             (at_s, job_class)
@@ -122,10 +133,11 @@
 
     def _fails_at(self, run: RunId) -> float:
         if run not in self.failure_points:
+            rng = random.Random(f"{self.seed}/{run}")
             failure_share = self.submitted[run.job].job_class.failure_share
-            failure_point = self.random.random()
+            failure_point = rng.random()
             self.failure_points[run] = (
-                failure_point if self.random.random() < failure_share else math.inf
+                failure_point if rng.random() < failure_share else math.inf
             )
         return self.failure_points[run]
 
@@ -141,7 +153,9 @@
         return times[:-1]
 
     def _submit(self, number: int, job_class: JobClass) -> None:
-        rng, job = self.random, f"{job_class.queue.name}{number}"
+        # The same jobs arrive whatever the scheduler does.
+        rng = random.Random(f"{self.seed}/{number}")
+        job = f"{job_class.queue.name}{number}"
         mean_s = job_class.median_duration_s * rng.lognormvariate(
             0, job_class.duration_sigma
         )
@@ -205,6 +219,10 @@
         self.cell.run(1.0)
         start_s = self.cell.now_s + 6.0
         for number, (at_s, job_class) in enumerate(self.arrivals):
+            if at_s >= self.power_loss_s:
+                self._advance_to(start_s + self.power_loss_s)
+                self.power_loss_s = math.inf
+                self.cell.lose_power(POWER_OFF_S)
             self._advance_to(start_s + at_s)
             self._submit(number, job_class)
         self._advance_to(self.cell.now_s + FINISH_PERIOD_S)
@@ -258,12 +276,13 @@
     parser.add_argument("--seeds", type=int, default=12)
     parser.add_argument("--load", type=float, default=1.0)
     parser.add_argument("--burst", type=float, default=2.4)
+    parser.add_argument("--power-loss", type=float, default=math.inf)
     options = parser.parse_args()
     totals: dict[str, list[float]] = defaultdict(lambda: [0.0, 0.0, 0.0, 0.0])
     wasted: Counter[str] = Counter()
     earned, attainable = 0.0, 0.0
     for seed in range(options.seeds):
-        simulation = Simulation(seed, options.load, options.burst)
+        simulation = Simulation(seed, options.load, options.burst, options.power_loss)
         simulation.run()
         simulation.cell.check()
         wasted.update(simulation.cell.wasted_core_s)
--- a/tests/support/in_memory_cell.py
+++ b/tests/support/in_memory_cell.py
@@ -91,6 +91,8 @@
         Address of the agent; stays the same if another target replaces this one.
     capacity : Resources
         May be changed at any time.
+    slowness : float
+        How much longer runs take than on a target of average speed, as a factor.
     largest_capacity : Resources
         The largest amounts that the agent's process has seen of this incarnation.
     former_capacities : list of (float, Resources)
@@ -119,6 +121,7 @@
     ):
         self.name = name
         self.agent = f"agent-{name}"
+        self.slowness = 1.0
         self.domain = domain
         self.rack = rack
         self.capacity = self._known_capacity = capacity
@@ -423,15 +426,29 @@
             self._record_end(target, active, "crashed")
         target.crash(self.now_s)
 
+    def lose_power(self, down_s: float) -> None:
+        """Restart all targets and agents after a time, and replace the holder."""
+        for target in self.targets.values():
+            for active in target.active_runs.values():
+                self._record_end(target, active, "lost")
+            target.restart()
+            target.down_until_s = self.now_s + down_s
+        self.take_over()
+
     def _slowdown(self, target: ModelTarget, active: ActiveRun) -> float:
-        """Return the slowdown of a run off its data rack, or in a gang across racks."""
+        """Return the slowdown of a run, compared with a local one at average speed.
+
+        A gang is as slow as its slowest member.
+        """
         spec = active.spec
-        if spec.data_rack and target.rack != spec.data_rack:
-            return REMOTE_SLOWDOWN
-        if spec.gang and spec.same_rack:
-            racks = {target.rack for target, _ in self._gang_runs(active)}
-            return REMOTE_SLOWDOWN if len(racks) > 1 else 1.0
-        return 1.0
+        targets = [target]
+        if spec.gang:
+            targets = [target for target, _ in self._gang_runs(active)]
+        slowness = max(target.slowness for target in targets)
+        is_remote = bool(spec.data_rack and target.rack != spec.data_rack) or (
+            spec.same_rack and len({target.rack for target in targets}) > 1
+        )
+        return slowness * (REMOTE_SLOWDOWN if is_remote else 1.0)
 
     def _update_checkpoint(self, active: ActiveRun) -> None:
         if (
