Place work on the fastest targets, as learned from the durations of tasks

The job that decides ran 1.25 to 1.55 times as long on one target as on another.

Cause: placement took all targets for equally fast. Beside that, a duration measured on a slow target counted as the task's everywhere, also for the time by which its job is due.

Change: each measured task is compared with the others of its step, corrected by the present estimates of their targets, in constant time; a target of which little is known counts as average. Work goes to the fastest targets with room, and among equally fast ones to the tightest, as before. Forecasts are for a target of average speed. unit_placed logs the estimates.

The three tests of TestTargetsOfDifferentSpeed fail without the change (a slow target was chosen; a forecast of 10.0 s for a task of 8 s).

--- a/packages/scheduling/src/cicadabank/scheduling/internal/forecast.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/forecast.py
@@ -79,7 +79,7 @@
     def add(self, duration_s: float) -> None:
         """Add the duration of a task."""
         self._count += 1
-        self._mean += (_log_duration(duration_s) - self._mean) / self._count
+        self._mean += (log_duration(duration_s) - self._mean) / self._count
 
     def combine(self, expected: float) -> float:
         """Return a forecast log duration of the step's other tasks.
@@ -106,11 +106,11 @@
 
     def add_declared(self, queue: str, declared_s: float) -> None:
         """Record the declared duration of a step of a new job."""
-        self._model(queue).add_declared(_log_duration(declared_s))
+        self._model(queue).add_declared(log_duration(declared_s))
 
     def observe(self, queue: str, declared_s: float, actual_s: float) -> None:
         """Record how long a run takes that does all of a task's work."""
-        self._model(queue).observe(_log_duration(declared_s), _log_duration(actual_s))
+        self._model(queue).observe(log_duration(declared_s), log_duration(actual_s))
 
     def expected_s(
         self, queue: str, declared_s: float, measured: MeasuredDurations | None = None
@@ -126,7 +126,7 @@
             Durations of other tasks of the same step.
         """
         model = self._models.get(queue)
-        expected = _log_duration(declared_s)
+        expected = log_duration(declared_s)
         if model is not None:
             expected = model.expected(expected)
         return math.exp(measured.combine(expected) if measured else expected)
@@ -135,5 +135,6 @@
         return self._models.setdefault(queue, _DurationModel())
 
 
-def _log_duration(duration_s: float) -> float:
+def log_duration(duration_s: float) -> float:
+    """Return the logarithm of a duration in seconds, or of `MIN_DURATION_S`."""
     return math.log(max(MIN_DURATION_S, duration_s))
--- a/packages/scheduling/src/cicadabank/scheduling/internal/lifecycle.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/lifecycle.py
@@ -82,7 +82,16 @@
 
 
 def record_duration(state: CellState, unit: Unit, duration_s: float) -> None:
-    """Record the measured duration of a unit; learn from its first measurement."""
+    """Record the measured duration of a unit on its targets.
+
+    The forecast learns from the first measurement, the speeds of targets from each.
+    """
+    agents = {member.target_incarnation.agent for member in unit.members}
+    if len(agents) == 1:
+        step = (unit.job, unit.step)
+        state.speeds.observe(step, unit.first_index, agents.pop(), duration_s)
+    # Forecasts are for a target of average speed.
+    duration_s /= state.slowness(unit)
     if unit.duration_s is None:
         job = state.jobs[unit.job]
         if unit.step not in job.measured_by_step:
--- a/packages/scheduling/src/cicadabank/scheduling/internal/placement.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/placement.py
@@ -1,6 +1,8 @@
 """Selection of targets for a unit.
 
-Targets are packed tightly, so that whole racks stay free for gangs that need them.
+The fastest targets come first, so that work ends soon and less of it is lost with its
+targets. Those of about the same speed are packed tightly, so that whole racks stay free
+for gangs that need them.
 
 A placement is local if the unit runs at full speed there: on the rack of its data, and
 on a single rack if it is a gang that needs that. Other placements are remote.
@@ -13,6 +15,7 @@
 from typing import NamedTuple
 
 from cicadabank.scheduling.internal.jobs import Resources, StepSpec
+from cicadabank.scheduling.internal.speeds import speed_class
 from cicadabank.scheduling.internal.targets import (
     Target,
     add,
@@ -125,14 +128,16 @@
     racks = _free_by_rack(targets)
     one_rack = needs_one_rack(unit)
     best: list[Target] | None = None
-    best_rack_free = float("inf")
+    best_rank = (float("inf"), float("inf"))
     for group in local_groups(unit, candidates):
         chosen = _pack(unit, group, tasks_by_target, racks)
         if chosen is None:
             continue
-        rack_free = racks[chosen[0].rack] if one_rack else 0
-        if rack_free < best_rack_free:
-            best, best_rack_free = chosen, rack_free
+        # A gang is as slow as its slowest member.
+        slowest = max(speed_class(target.slowness) for target in chosen)
+        rank = (slowest, racks[chosen[0].rack] if one_rack else 0)
+        if rank < best_rank:
+            best, best_rank = chosen, rank
     if best is not None:
         return Placement(best, [], True)
     if allow_remote and (one_rack or step.data_rack):
@@ -150,8 +155,8 @@
 ) -> list[Target] | None:
     """Fill targets one by one.
 
-    First come those with the fewest consecutive failures, then those with the fewest
-    free accelerators, then those whose racks have the fewest.
+    First come those with the fewest consecutive failures, then the fastest, then those
+    with the fewest free accelerators, then those whose racks have the fewest.
     """
     need, limit = unit.spec.need, unit.spec.per_target
     chosen: list[Target] = []
@@ -171,6 +176,7 @@
     free = target.free
     return (
         target.consecutive_failures,
+        speed_class(target.slowness),
         free.accelerators,
         racks[target.rack],
         free.cpu_millicores,
@@ -266,7 +272,7 @@
             if victims is None:
                 continue
             cost = sum(v.waste_core_s for v in victims)
-            rank = (cost, free[name].accelerators)
+            rank = (cost, speed_class(target.slowness), free[name].accelerators)
             if best is None or rank < best[0]:
                 best = (rank, target, victims)
         if best is None:
--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -127,6 +127,8 @@
         )
     )
     targets = usable_targets(state)
+    for target in targets:
+        target.slowness = state.speeds.slowness(target.agent)
     is_idle = _is_cell_idle(state)
     planning = _PlanningRound(
         state,
@@ -595,6 +597,7 @@
         run=unit.run + 1,
         targets=[t.target_incarnation.target for t in placement.targets],
         near=placement.local,
+        slowness=[round(target.slowness, 2) for target in placement.targets],
         entitled=guaranteed,
         alone=isolated,
         waited_s=round(age_s(state, job), 3),
--- a/packages/scheduling/src/cicadabank/scheduling/internal/reservations.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/reservations.py
@@ -43,11 +43,12 @@
         """Return the targets that a unit may use without delaying a reservation."""
         if not self._needed_at_s:
             return targets
-        ends_s = self._state.now_s + self._state.remaining_s(unit)
+        now_s, remaining_s = self._state.now_s, self._state.remaining_s(unit)
         return [
             target
             for target in targets
-            if ends_s <= self._needed_at_s.get(target.agent, float("inf"))
+            if now_s + remaining_s * target.slowness
+            <= self._needed_at_s.get(target.agent, float("inf"))
         ]
 
     def can_reserve(self, targets: list[Target]) -> bool:
--- a/packages/scheduling/src/cicadabank/scheduling/internal/state.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/state.py
@@ -14,6 +14,7 @@
     Resources,
     RunId,
 )
+from cicadabank.scheduling.internal.speeds import TargetSpeeds
 from cicadabank.scheduling.internal.targets import Target, max_tasks
 from cicadabank.scheduling.internal.units import (
     Job,
@@ -218,6 +219,7 @@
         self.in_flight: Commit | None = None
         self.orders: dict[str, AgentOrders] = {}
         self.forecast = Forecast()
+        self.speeds = TargetSpeeds()
         # Incarnations whose crashes this holder has counted; agents repeat them.
         self.counted_crashes: set[str] = set()
         # Units that were placed alone; some may share their targets again.
@@ -238,7 +240,10 @@
         return known or QueueConfig(record.queue, self.cell, 2, 3, 3.0, 3.0)
 
     def expected_s(self, unit: Unit) -> float:
-        """Return the expected duration of a complete run of a unit, in seconds."""
+        """Return the expected duration of a complete run of a unit, in seconds.
+
+        On targets of average speed, as all forecasts of steps and waiting units.
+        """
         if unit.duration_s is not None:
             return unit.duration_s
         return self.expected_step_s(self.jobs[unit.job], unit.step)
@@ -250,6 +255,11 @@
             record.queue, record.steps[step].estimate_s, job.measured_by_step.get(step)
         )
 
+    def slowness(self, unit: Unit) -> float:
+        """Return how much longer a unit takes where it is placed, as a factor."""
+        agents = {member.target_incarnation.agent for member in unit.members}
+        return max((self.speeds.slowness(agent) for agent in agents), default=1.0)
+
     def remaining_s(self, unit: Unit) -> float:
         """Return the expected remaining duration of a unit, in seconds.
 
@@ -261,7 +271,8 @@
         if measured_s is not None:
             return max(measured_s, 0.2)
         elapsed_s = self.now_s - unit.started_s
-        return max(self.expected_s(unit) - elapsed_s, OVERRUN_SHARE * elapsed_s, 0.2)
+        expected_s = self.expected_s(unit) * self.slowness(unit)
+        return max(expected_s - elapsed_s, OVERRUN_SHARE * elapsed_s, 0.2)
 
     def max_running(self, need: Resources) -> int:
         """Return how many tasks with this need the capacity of all targets can hold."""
--- a/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
@@ -163,6 +163,7 @@
         "rack",
         "registration",
         "report_number",
+        "slowness",
         "stored_sequence",
         "target_incarnation",
         "terminates_s",
@@ -200,6 +201,8 @@
         self.stored_sequence = 0  # highest sequence number of a stored ended run
         self.consecutive_failures = 0
         self.quarantined_until_s = float("-inf")
+        # How much longer tasks take here, as estimated when planning began.
+        self.slowness = 1.0
         # Capacity, allocated and unallocated resources; see `_unused`.
         self._unused_cache = (self.capacity, self.allocated, Resources(0, 0, 0))
 
--- a/packages/scheduling/src/cicadabank/scheduling/internal/units.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/units.py
@@ -149,7 +149,8 @@
         self.is_timed = True
         # Progress of the current run, once its target has listed it.
         self.progress: RunProgress | None = None
-        # Measured duration of a run that does all of the task's work.
+        # Measured duration of a run that does all of the task's work, converted to a
+        # target of average speed.
         self.duration_s: float | None = None
         self.saved_percent = 0  # share of the work that the checkpoint contains
         self.checkpointed_s = 0.0
--- a/tests/cover/test_load_patterns.py
+++ b/tests/cover/test_load_patterns.py
@@ -468,3 +468,57 @@
         holder = SlowHolder(160, 0.003)
         holder.silent = set(holder.agents[:32])
         holder.run_until_registered(Timings().lease_s)
+
+
+class TestTargetsOfDifferentSpeed:
+    """Urgent work arrives while targets differ in speed.
+
+    Guards against urgent jobs that end late because they got a slow target while a
+    faster one was free.
+    """
+
+    URGENT_STEP = StepSpec(1, Resources(3700, 11_000, 8), 8.0)
+
+    @pytest.fixture
+    def cell(self) -> ModelCell:
+        targets = [ModelTarget(f"t{n}", "d", f"r{n // 3}") for n in range(6)]
+        for number, target in enumerate(targets):
+            target.slowness = (1.25, 1.0, 0.8)[number % 3]
+        model = ModelCell(targets, [URGENT, BATCH])
+        model.run(1.0)
+        model.submit("wide", "batch", [StepSpec(48, Resources(2800, 8200, 1), 6.0)])
+        model.run_until(lambda: model.state("wide") == "completed")
+        return model
+
+    def target_of(self, cell: ModelCell, job: str) -> ModelTarget:
+        """Return the target on which a job's only task runs."""
+        return next(
+            target
+            for target in cell.targets.values()
+            if any(run.job == job for run in target.active_runs)
+        )
+
+    def test_an_urgent_task_gets_the_fastest_free_target(self, cell):
+        for number in range(2):
+            cell.submit(f"urgent{number}", "urgent", [self.URGENT_STEP])
+            cell.run(0.5)
+            assert self.target_of(cell, f"urgent{number}").slowness == 0.8
+
+    def test_a_gang_goes_to_the_rack_whose_slowest_target_is_fastest(self, cell):
+        for target in cell.targets.values():
+            target.slowness = 1.25 if target.rack == "r0" else 0.8
+        cell.submit("again", "batch", [StepSpec(48, Resources(2800, 8200, 1), 6.0)])
+        cell.run_until(lambda: cell.state("again") == "completed")
+        gang = StepSpec(2, Resources(3700, 11_000, 8), 8.0, gang=True, same_rack=True)
+        cell.submit("gang", "urgent", [gang])
+        cell.run(0.5)
+        assert self.target_of(cell, "gang").rack == "r1"
+
+    def test_forecasts_are_for_a_target_of_average_speed(self, cell):
+        # Guards against jobs that count as late since one of their tasks ran slowly.
+        cell.submit("urgent0", "urgent", [self.URGENT_STEP])
+        cell.run(6.0)
+        job = cell.scheduler.state.jobs["urgent0"]
+        (unit,) = job.units
+        assert cell.scheduler.state.expected_s(unit) == pytest.approx(8.0, rel=0.1)
+        assert cell.scheduler.state.remaining_s(unit) < 0.8 * 8.0 - 5.0
--- /dev/null
+++ b/tests/cover/test_speeds.py
@@ -0,0 +1,82 @@
+"""Speeds of targets, learned from the durations of tasks."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from cicadabank.scheduling.internal.speeds import (
+    MAX_COMPARISONS,
+    TargetSpeeds,
+    speed_class,
+)
+
+SLOWNESS = {"slow": 1.25, "usual": 1.0, "fast": 0.8}
+
+
+def learned_speeds(steps: int = 12, unevenness: float = 0.0) -> TargetSpeeds:
+    """Return the speeds after steps with a task on each of three targets."""
+    rng = random.Random(1)
+    speeds = TargetSpeeds()
+    for step in range(steps):
+        step_s = rng.uniform(2.0, 20.0)
+        for task, (agent, slowness) in enumerate(SLOWNESS.items()):
+            duration_s = step_s * slowness * rng.lognormvariate(0.0, unevenness)
+            speeds.observe(("job", step), task, agent, duration_s)
+    return speeds
+
+
+class TestEstimates:
+    @pytest.mark.parametrize("unevenness", [0.0, 0.2])
+    def test_the_order_of_speeds_is_learned(self, unevenness):
+        speeds = learned_speeds(20, unevenness)
+        assert speeds.slowness("slow") > 1.05 > speeds.slowness("usual")
+        assert speeds.slowness("usual") > 0.95 > speeds.slowness("fast")
+
+    def test_without_other_tasks_of_its_step_a_task_tells_nothing(self):
+        speeds = TargetSpeeds()
+        for step in range(9):
+            speeds.observe(("job", step), 0, "alone", 1.0 + 10.0 * step)
+        assert speeds.slowness("alone") == 1.0
+
+    def test_tasks_of_a_step_on_one_target_tell_nothing(self):
+        speeds = TargetSpeeds()
+        for task in range(9):
+            speeds.observe(("job", 0), task, "alone", 7.0)
+        assert speeds.slowness("alone") == 1.0
+
+    def test_a_task_counts_once_however_often_it_is_measured(self):
+        # Guards against an estimate that the reports of one running task make certain.
+        # One comparison of two tasks weighs half as much as the prior.
+        speeds = TargetSpeeds()
+        speeds.observe(("job", 0), 0, "b", 10.0)
+        for _ in range(50):
+            speeds.observe(("job", 0), 1, "a", 12.0)
+        assert 1.0 < speeds.slowness("a") <= 1.2 ** (1 / 3)
+
+    def test_one_run_that_stood_still_does_not_outweigh_the_others(self):
+        speeds = learned_speeds()
+        before = speeds.slowness("fast")
+        speeds.observe(("stuck", 0), 0, "usual", 10.0)
+        speeds.observe(("stuck", 0), 1, "fast", 1000.0)
+        assert speeds.slowness("fast") < min(1.0, before * 1.1)
+
+    def test_a_target_that_becomes_faster_is_known_as_such(self):
+        speeds = learned_speeds(MAX_COMPARISONS)
+        for step in range(MAX_COMPARISONS):
+            speeds.observe(("later", step), 0, "usual", 10.0)
+            speeds.observe(("later", step), 1, "slow", 8.0)
+        assert speeds.slowness("slow") < 0.9
+
+    def test_an_unknown_or_forgotten_target_is_of_average_speed(self):
+        speeds = learned_speeds()
+        speeds.forget("slow")
+        assert speeds.slowness("slow") == speeds.slowness("unknown") == 1.0
+
+
+class TestSpeedClasses:
+    def test_estimates_that_hardly_differ_share_a_class(self):
+        assert speed_class(1.0) == speed_class(1.04) == speed_class(0.97)
+
+    def test_faster_targets_come_first(self):
+        assert speed_class(0.8) < speed_class(1.0) < speed_class(1.25)
