Store what is known of the speeds of targets for the next holder

Cause: the speeds that a holder has learned ended with its process, when nearly all work has to be placed again.

Change: the holder stores its estimates with a renewal of its lease, every 5 s at most and only if they have changed, so no further call; a new holder starts from them, each as one old comparison. A row with an impossible value is left out.

test_a_task_that_lost_its_target_gets_a_fast_one_from_a_new_holder and test_a_new_holder_knows_what_the_last_one_has_learned fail with the restored row ignored (a target of slowness 1.25; 1.0 for a known slow one).

--- a/packages/control/src/cicadabank/control/bounds.py
+++ b/packages/control/src/cicadabank/control/bounds.py
@@ -13,6 +13,9 @@
 # A holder lists each task of a job in memory.
 MAX_JOB_TASKS = 100_000
 MAX_ESTIMATE_S = 31_536_000.0  # a year
+# Of what is stored of a target's speed.
+MAX_LOG_SLOWNESS = 1.0
+MAX_SPEED_WEIGHT = 1000.0
 
 
 def is_address(text: str) -> bool:
--- a/packages/control/src/cicadabank/control/internal/cell_holder.py
+++ b/packages/control/src/cicadabank/control/internal/cell_holder.py
@@ -20,11 +20,13 @@
     HOLDER_KEY,
     HOLDER_LOAD_KEY,
     LEASE_KEY,
+    TARGET_SPEEDS_KEY,
     AgentOrders,
     CellScheduler,
     Commit,
     HolderLoadRow,
     LeaseRow,
+    TargetSpeedsRow,
     Timings,
     pack,
 )
@@ -55,6 +57,8 @@
 MAX_TAKE_IN_S = 5.0
 # A change of the expected lateness is stored if it is at least this large.
 MIN_LATENESS_CHANGE_S = 0.3
+# Least time between two writes of what is known of the speeds of targets.
+SPEEDS_INTERVAL_S = 5.0
 # Pause before a failed write is retried.
 WRITE_RETRY_PAUSE_S = 0.15
 ORDER_TIMEOUT_S = 0.8
@@ -113,6 +117,9 @@
         self._pacer = RoundPacer(MIN_PLAN_INTERVAL_S, MAX_PLAN_SHARE)
         self._lateness = LatenessMeter()
         self._stored_lateness_s = TAKE_IN_LATENESS_S  # written with the takeover
+        # What the next renewal stores of the speeds of targets, if not None.
+        self._unstored_speeds: TargetSpeedsRow | None = None
+        self._speeds_read_s = clock_s()
         self._last_tick_s = clock_s()
         self._is_released = threading.Event()
         self._writing = False
@@ -143,7 +150,9 @@
                 (record, rows.runs.get(job)) for job, record in list(rows.jobs.items())
             )
         ]
-        self.scheduler.load(jobs, list(rows.cancelled), now_s, lease_expiry_s)
+        self.scheduler.load(
+            jobs, list(rows.cancelled), now_s, lease_expiry_s, rows.target_speeds
+        )
         log_event(
             "cell_loaded",
             cell=self.cell,
@@ -233,6 +242,15 @@
         self._plan_and_send()
         if self.scheduler.state.loaded:
             self._notify_silent_agents(clock_s())
+            self._read_speeds(clock_s())
+
+    def _read_speeds(self, now_s: float) -> None:
+        """Have what is known of the speeds of targets stored with the next renewal."""
+        if now_s - self._speeds_read_s >= SPEEDS_INTERVAL_S:
+            self._speeds_read_s = now_s
+            speeds = self.scheduler.target_speeds()
+            if speeds != self._replica.cell(self.cell).target_speeds:
+                self._unstored_speeds = speeds
 
     def _renew_until_released(self) -> None:
         """Renew the cell's lease whenever it is due.
@@ -255,6 +273,9 @@
         puts = {}
         if abs(lateness_s - self._stored_lateness_s) >= MIN_LATENESS_CHANGE_S:
             puts[HOLDER_LOAD_KEY] = pack(HolderLoadRow(self.epoch, lateness_s))
+        speeds, self._unstored_speeds = self._unstored_speeds, None
+        if speeds is not None:
+            puts[TARGET_SPEEDS_KEY] = pack(speeds)
         self._renew_due_s = clock_s() + RENEW_INTERVAL_S
         try:
             _, sent_s = self._commit({}, puts)
@@ -272,7 +293,7 @@
         else:
             self._last_write_s = max(self._last_write_s, sent_s)
             self._lateness.on_renewal(due_s, clock_s())
-            if puts:
+            if HOLDER_LOAD_KEY in puts:
                 self._stored_lateness_s = lateness_s
                 log_event("holder_load", cell=self.cell, lateness_s=lateness_s)
 
--- a/packages/control/src/cicadabank/control/internal/replica.py
+++ b/packages/control/src/cicadabank/control/internal/replica.py
@@ -8,7 +8,12 @@
 from functools import singledispatch
 from typing import Any, NamedTuple
 
-from cicadabank.control.bounds import check_steps, is_address
+from cicadabank.control.bounds import (
+    MAX_LOG_SLOWNESS,
+    MAX_SPEED_WEIGHT,
+    check_steps,
+    is_address,
+)
 from cicadabank.control.internal.pacing import MAX_LATENESS_S
 from cicadabank.scheduling import (
     AGENT_PREFIX,
@@ -19,12 +24,14 @@
     JOB_PREFIX,
     LEASE_KEY,
     RUN_PREFIX,
+    TARGET_SPEEDS_KEY,
     AgentRow,
     EarlierLeasesRow,
     HolderLoadRow,
     HolderRow,
     JobProgressRow,
     JobRecord,
+    TargetSpeedsRow,
     unpack,
 )
 from cicadabank.store import StoredRow
@@ -53,6 +60,7 @@
         "lease_seen_s",
         "lease_version",
         "runs",
+        "target_speeds",
     )
 
     def __init__(self) -> None:
@@ -64,6 +72,7 @@
         self.holder_version = 0
         self.holder_load: HolderLoadRow | None = None
         self.earlier_leases: EarlierLeasesRow | None = None
+        self.target_speeds: TargetSpeedsRow | None = None
         self.lease_seen_s = float("-inf")  # on the store's clock
         self.lease_version = 0
 
@@ -187,10 +196,8 @@
             cell.holder = value
             cell.holder_version = row.version
             cell.lease_seen_s = self._last_store_s
-        elif kind == EARLIER_LEASES_KEY:
-            cell.earlier_leases = value
-        elif kind == HOLDER_LOAD_KEY:
-            cell.holder_load = value
+        elif kind in ATTRIBUTES:
+            setattr(cell, ATTRIBUTES[kind], value)
         elif kind == LEASE_KEY:
             cell.lease_seen_s = self._last_store_s
             cell.lease_version = row.version
@@ -198,6 +205,12 @@
 
 # Kinds of rows whose values are not read.
 PLAIN_KINDS = (CANCEL_PREFIX, LEASE_KEY)
+# Kinds of rows of which a cell has one, with the attributes of `CellRows` for them.
+ATTRIBUTES = {
+    EARLIER_LEASES_KEY: "earlier_leases",
+    HOLDER_LOAD_KEY: "holder_load",
+    TARGET_SPEEDS_KEY: "target_speeds",
+}
 ROW_TYPES = {
     JOB_PREFIX: JobRecord,
     RUN_PREFIX: JobProgressRow,
@@ -205,6 +218,7 @@
     HOLDER_KEY: HolderRow,
     EARLIER_LEASES_KEY: EarlierLeasesRow,
     HOLDER_LOAD_KEY: HolderLoadRow,
+    TARGET_SPEEDS_KEY: TargetSpeedsRow,
 }
 
 
@@ -256,6 +270,18 @@
         raise ValueError(f"a holder that renews {value.lateness_s} s late")
 
 
+@_check.register
+def _(value: TargetSpeedsRow, name: str) -> None:
+    for agent, (log_slowness, weight) in value.estimates.items():
+        in_range = (
+            abs(log_slowness) <= MAX_LOG_SLOWNESS and 0.0 <= weight <= MAX_SPEED_WEIGHT
+        )
+        if not in_range or not is_address(agent):
+            raise ValueError(
+                f"a slowness of {log_slowness} with weight {weight} at {agent!r}"
+            )
+
+
 def _remove(cell: CellRows, kind: str, name: str) -> None:
     if kind == JOB_PREFIX:
         cell.jobs.pop(name, None)
--- a/packages/scheduling/src/cicadabank/scheduling/__init__.py
+++ b/packages/scheduling/src/cicadabank/scheduling/__init__.py
@@ -28,6 +28,7 @@
     LEASE_KEY,
     RUN_PREFIX,
     TABLE,
+    TARGET_SPEEDS_KEY,
     AgentRow,
     CancelRow,
     EarlierLeasesRow,
@@ -35,9 +36,11 @@
     HolderRow,
     JobProgressRow,
     LeaseRow,
+    TargetSpeedsRow,
     pack,
     unpack,
 )
+from cicadabank.scheduling.internal.speeds import SpeedEstimate
 from cicadabank.scheduling.internal.state import AgentOrders, Commit, Start, Timings
 from cicadabank.scheduling.internal.targets import (
     CrashedRun,
@@ -60,6 +63,7 @@
     "LEASE_KEY",
     "RUN_PREFIX",
     "TABLE",
+    "TARGET_SPEEDS_KEY",
     "AgentOrders",
     "AgentRow",
     "CancelRow",
@@ -81,10 +85,12 @@
     "RouteConfig",
     "RunId",
     "RunningRun",
+    "SpeedEstimate",
     "Start",
     "StepSpec",
     "TargetCrash",
     "TargetIncarnation",
+    "TargetSpeedsRow",
     "Timings",
     "WorkspaceConfig",
     "largest",
--- a/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
@@ -16,6 +16,7 @@
 from cicadabank.scheduling.internal.rows import (
     RUN_PREFIX,
     JobProgressRow,
+    TargetSpeedsRow,
     job_progress_row,
     pack,
     restore_job,
@@ -77,6 +78,7 @@
         cancelled: Iterable[str],
         now_s: float,
         lease_expiry_s: float | None = None,
+        speeds: TargetSpeedsRow | None = None,
     ) -> None:
         """Restore the cell's state from the store after a takeover.
 
@@ -91,9 +93,13 @@
             Time in seconds after which every lease granted by an earlier holder has
             expired, by the targets' clocks. Defaults to ``Timings.outage_s``, which
             also covers an earlier holder that still runs but is cut off from the store.
+        speeds : TargetSpeedsRow, default=None
+            What an earlier holder has learned of the speeds of targets.
         """
         state = self.state
         state.now_s = now_s
+        if speeds is not None:
+            state.speeds.restore(speeds.estimates)
         for record, row, version in jobs:
             job = restore_job(record, row, version, now_s)
             self._add_job(job)
@@ -276,6 +282,10 @@
         state.in_flight = Commit(rows, job_ids, starting, recorded)
         return state.in_flight
 
+    def target_speeds(self) -> TargetSpeedsRow:
+        """Return what has been learned of the speeds of targets, to be stored."""
+        return TargetSpeedsRow(self.state.speeds.estimates())
+
     def on_committed(self, commit: Commit, version: int, now_s: float) -> None:
         """Process a successful commit and order the starts that depended on it."""
         state = self.state
--- a/packages/scheduling/src/cicadabank/scheduling/internal/rows.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/rows.py
@@ -6,6 +6,7 @@
 
 import msgspec
 from cicadabank.scheduling.internal.jobs import JobRecord
+from cicadabank.scheduling.internal.speeds import SpeedEstimate
 from cicadabank.scheduling.internal.units import (
     Crash,
     Job,
@@ -26,6 +27,7 @@
 LEASE_KEY = "lease"
 EARLIER_LEASES_KEY = "earlier-leases"
 HOLDER_LOAD_KEY = "holder-load"
+TARGET_SPEEDS_KEY = "target-speeds"
 
 
 class UnitRow(NamedTuple):
@@ -127,6 +129,18 @@
     lateness_s: float
 
 
+class TargetSpeedsRow(NamedTuple):
+    """What a holder has learned of the speeds of targets.
+
+    Attributes
+    ----------
+    estimates : dict of str to SpeedEstimate
+        By the address of the target's agent.
+    """
+
+    estimates: dict[str, SpeedEstimate]
+
+
 class CancelRow(NamedTuple):
     """A client's request to cancel a job."""
 
--- a/packages/scheduling/src/cicadabank/scheduling/internal/speeds.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/speeds.py
@@ -17,6 +17,10 @@
 # which durations are kept; the oldest are forgotten first.
 MAX_COMPARISONS = 16
 MAX_STEPS = 1000
+# Estimates that fit into a row of the store.
+MAX_STORED_ESTIMATES = 1000
+# Stands for the comparisons of an earlier holder, among those of tasks.
+RESTORED = ("", -1, -1)
 # Latest tasks of a step that are compared again when the first measurement of another
 # task arrives.
 MAX_COMPARED_AGAIN = 8
@@ -30,6 +34,22 @@
 SPEED_CLASS_FACTOR = 1.1
 
 
+class SpeedEstimate(NamedTuple):
+    """Estimate of a target's speed.
+
+    Attributes
+    ----------
+    log_slowness : float
+        Logarithm of how much longer tasks take than on an average target, without the
+        prior.
+    weight : float
+        Number of comparisons that it is the mean of.
+    """
+
+    log_slowness: float
+    weight: float
+
+
 class _TaskDuration(NamedTuple):
     """Measured duration of a task, and an estimate on a target of average speed."""
 
@@ -91,6 +111,10 @@
     def log_slowness(self) -> float:
         return self._total / (self._weight + PRIOR_COMPARISONS)
 
+    def estimate(self) -> SpeedEstimate:
+        weight = max(self._weight, 0.0)
+        return SpeedEstimate(self._total / weight if weight else 0.0, weight)
+
 
 class TargetSpeeds:
     """Estimates how much longer tasks take on a target than on an average one.
@@ -156,6 +180,22 @@
         average = duration.log_measured - target.log_slowness
         durations.update(task, duration._replace(log_average=average))
 
+    def estimates(self) -> dict[str, SpeedEstimate]:
+        """Return the estimates for the targets known best, by their agents."""
+        estimates = {
+            agent: target.estimate()
+            for agent, target in self._targets.items()
+            if target.log_slowness
+        }
+        by_weight = sorted(estimates.items(), key=lambda item: -item[1].weight)
+        return dict(by_weight[:MAX_STORED_ESTIMATES])
+
+    def restore(self, estimates: dict[str, SpeedEstimate]) -> None:
+        """Take over an earlier holder's estimates, each as one old comparison."""
+        for agent, estimate in estimates.items():
+            self._targets[agent] = _TargetComparisons()
+            self._targets[agent].update(RESTORED, *estimate)
+
     def forget(self, agent: str) -> None:
         """Forget a target that another kind of target has replaced."""
         self._targets.pop(agent, None)
--- a/tests/cover/test_cell_holder.py
+++ b/tests/cover/test_cell_holder.py
@@ -18,6 +18,7 @@
     JOB_PREFIX,
     LEASE_KEY,
     RUN_PREFIX,
+    TARGET_SPEEDS_KEY,
     AgentRow,
     Configuration,
     HolderLoadRow,
@@ -200,6 +201,35 @@
         wait_for(announced, 5.0)
 
 
+class TestSpeedsOfTargets:
+    # Guards against a new holder that takes all targets for equally fast, just when
+    # most work has to run again.
+    def test_a_new_holder_knows_what_the_last_one_has_learned(
+        self, table, stack, monkeypatch
+    ):
+        monkeypatch.setattr(cell_holder_module, "SPEEDS_INTERVAL_S", 0.1)
+        holder = Holder(table, 1, stack)
+        speeds = holder.actor.scheduler.state.speeds
+        for step in range(5):
+            speeds.observe(("j", step), 0, "1.2.3.4:8", 10.0)
+            speeds.observe(("j", step), 1, "1.2.3.4:9", 12.0)
+        wait_for(lambda: ("cell", TARGET_SPEEDS_KEY) in table.rows, 5.0)
+        restored = Holder(table, 2, stack).actor.scheduler.state.speeds
+        assert restored.slowness("1.2.3.4:9") > 1.05
+        assert restored.slowness("1.2.3.4:9") == speeds.slowness("1.2.3.4:9")
+
+    def test_what_has_not_changed_is_not_stored_again(self, table, stack):
+        holder = Holder(table, 1, stack)
+        speeds = holder.actor.scheduler.state.speeds
+        speeds.observe(("j", 0), 0, "1.2.3.4:8", 10.0)
+        speeds.observe(("j", 0), 1, "1.2.3.4:9", 12.0)
+        stored = pack(holder.actor.scheduler.target_speeds())
+        table.commit("cell", {}, {TARGET_SPEEDS_KEY: stored})
+        holder.feed.step()
+        holder.actor.ask(holder.actor._read_speeds, float("inf"))
+        assert holder.actor._unstored_speeds is None
+
+
 class ListeningAgent:
     """An agent that only records that it was told who holds its cell."""
 
--- a/tests/cover/test_load_patterns.py
+++ b/tests/cover/test_load_patterns.py
@@ -471,10 +471,10 @@
 
 
 class TestTargetsOfDifferentSpeed:
-    """Urgent work arrives while targets differ in speed.
+    """Work arrives while targets differ in speed, and is lost with its targets.
 
     Guards against urgent jobs that end late because they got a slow target while a
-    faster one was free.
+    faster one was free, first or when they ran again.
     """
 
     URGENT_STEP = StepSpec(1, Resources(3700, 11_000, 8), 8.0)
@@ -504,6 +504,13 @@
             cell.run(0.5)
             assert self.target_of(cell, f"urgent{number}").slowness == 0.8
 
+    def test_a_task_that_lost_its_target_gets_a_fast_one_from_a_new_holder(self, cell):
+        cell.submit("urgent", "urgent", [self.URGENT_STEP])
+        cell.run(2.0)
+        cell.lose_power(1.0)
+        cell.run(3.0)
+        assert self.target_of(cell, "urgent").slowness == 0.8
+
     def test_a_gang_goes_to_the_rack_whose_slowest_target_is_fastest(self, cell):
         for target in cell.targets.values():
             target.slowness = 1.25 if target.rack == "r0" else 0.8
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -30,6 +30,7 @@
     AGENT_PREFIX,
     EARLIER_LEASES_KEY,
     JOB_PREFIX,
+    TARGET_SPEEDS_KEY,
     AgentRow,
     Configuration,
     EarlierLeasesRow,
@@ -40,8 +41,10 @@
     RouteConfig,
     RunId,
     RunningRun,
+    SpeedEstimate,
     Start,
     StepSpec,
+    TargetSpeedsRow,
     WorkspaceConfig,
     pack,
     unpack,
@@ -445,7 +448,15 @@
 
     @pytest.mark.parametrize("value", VALUES)
     @pytest.mark.parametrize(
-        "key", ["agent/x", "job/" + JOB, "run/x", "holder", EARLIER_LEASES_KEY]
+        "key",
+        [
+            "agent/x",
+            "job/" + JOB,
+            "run/x",
+            "holder",
+            EARLIER_LEASES_KEY,
+            TARGET_SPEEDS_KEY,
+        ],
     )
     def test_a_row_that_cannot_be_decoded_is_logged_once(self, key, value):
         odd = StoredRow("cell", key, value, 8)
@@ -464,6 +475,23 @@
         assert replica.cells["cell"].earlier_leases is None
         assert lines == ["row_unreadable"]
 
+    @pytest.mark.parametrize(
+        ("agent", "log_slowness", "weight"),
+        [
+            ("1.2.3.4:9", float("nan"), 1.0),
+            ("1.2.3.4:9", -7.0, 1.0),
+            ("1.2.3.4:9", 0.1, -1.0),
+            ("1.2.3.4:9", 0.1, float("inf")),
+            ("nowhere", 0.1, 1.0),
+        ],
+    )
+    def test_an_impossible_speed_is_refused(self, agent, log_slowness, weight):
+        estimates = {agent: SpeedEstimate(log_slowness, weight)}
+        odd = StoredRow("cell", TARGET_SPEEDS_KEY, pack(TargetSpeedsRow(estimates)), 8)
+        replica, _, lines = self.apply(odd, self.GOOD)
+        assert replica.cells["cell"].target_speeds is None
+        assert lines == ["row_unreadable"]
+
     # Guards against one error that keeps the other rows of the batch back.
     def test_any_error_leaves_the_other_rows(self, monkeypatch):
         def fail(value, kind):
--- a/tests/cover/test_speeds.py
+++ b/tests/cover/test_speeds.py
@@ -74,6 +74,22 @@
         assert speeds.slowness("slow") == speeds.slowness("unknown") == 1.0
 
 
+class TestStoredEstimates:
+    def test_a_new_holder_takes_them_over(self):
+        speeds, restored = learned_speeds(), TargetSpeeds()
+        restored.restore(speeds.estimates())
+        for agent in SLOWNESS:
+            assert restored.slowness(agent) == pytest.approx(speeds.slowness(agent))
+
+    def test_they_count_as_one_comparison_that_is_forgotten_first(self):
+        speeds = TargetSpeeds()
+        speeds.restore(learned_speeds().estimates())
+        for step in range(MAX_COMPARISONS):
+            speeds.observe(("later", step), 0, "usual", 10.0)
+            speeds.observe(("later", step), 1, "slow", 8.0)
+        assert speeds.slowness("slow") < 0.9
+
+
 class TestSpeedClasses:
     def test_estimates_that_hardly_differ_share_a_class(self):
         assert speed_class(1.0) == speed_class(1.04) == speed_class(0.97)
--- a/tests/support/in_memory_cell.py
+++ b/tests/support/in_memory_cell.py
@@ -24,6 +24,7 @@
     StepSpec,
     TargetCrash,
     TargetIncarnation,
+    TargetSpeedsRow,
     WorkspaceConfig,
     largest,
     unpack,
@@ -33,6 +34,7 @@
 REPORT_INTERVAL_S = 0.5
 STOP_DURATION_S = 0.2
 CHECKPOINT_INTERVAL_S = 1.0
+SPEEDS_INTERVAL_S = 5.0
 REMOTE_SLOWDOWN = 3.0
 # How long a target is away after a crash.
 CRASH_DURATION_S = 3.0
@@ -298,6 +300,7 @@
         self.records: dict[str, JobRecord] = {}
         self.cancelled: set[str] = set()
         self.rows: dict[str, tuple[JobProgressRow, int]] = {}
+        self.stored_speeds: TargetSpeedsRow | None = None
         self.version = 0
         self.epoch = 0
         self.store_up = True
@@ -305,6 +308,7 @@
         self.log: list[tuple[str, dict]] = []
         self.wasted_core_s: Counter[str] = Counter()  # by cause of the end
         self._last_report_s: dict[str, float] = {}
+        self._speeds_stored_s = self.now_s
         self.scheduler = self.take_over()
 
     def take_over(self, lease_expiry_s: float | None = None) -> CellScheduler:
@@ -324,7 +328,13 @@
         for agent, target in self.targets.items():
             target.registration = 0
             self.scheduler.on_agent(agent)
-        self.scheduler.load(rows, list(self.cancelled), self.now_s, lease_expiry_s)
+        self.scheduler.load(
+            rows,
+            list(self.cancelled),
+            self.now_s,
+            lease_expiry_s,
+            self.stored_speeds,
+        )
         self._last_report_s.clear()
         return self.scheduler
 
@@ -378,6 +388,9 @@
             if is_up and (has_changes or self.now_s >= due_s):
                 self._report(target)
         self.scheduler.tick(self.now_s)
+        if self.store_up and self.now_s - self._speeds_stored_s >= SPEEDS_INTERVAL_S:
+            self._speeds_stored_s = self.now_s
+            self.stored_speeds = self.scheduler.target_speeds()
         self._commit()
         self._deliver_orders()
 
