--- a/packages/scheduling/src/cicadabank/scheduling/internal/placement.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/placement.py
@@ -15,7 +15,6 @@
 from typing import NamedTuple
 
 from cicadabank.scheduling.internal.jobs import Resources, StepSpec
-from cicadabank.scheduling.internal.speeds import speed_class
 from cicadabank.scheduling.internal.targets import (
     Target,
     add,
@@ -134,7 +133,7 @@
         if chosen is None:
             continue
         # A gang is as slow as its slowest member.
-        slowest = max(speed_class(target.slowness) for target in chosen)
+        slowest = max(target.speed_class for target in chosen)
         rank = (slowest, racks[chosen[0].rack] if one_rack else 0)
         if rank < best_rank:
             best, best_rank = chosen, rank
@@ -176,7 +175,7 @@
     free = target.free
     return (
         target.consecutive_failures,
-        speed_class(target.slowness),
+        target.speed_class,
         free.accelerators,
         racks[target.rack],
         free.cpu_millicores,
@@ -272,7 +271,7 @@
             if victims is None:
                 continue
             cost = sum(v.waste_core_s for v in victims)
-            rank = (cost, speed_class(target.slowness), free[name].accelerators)
+            rank = (cost, target.speed_class, free[name].accelerators)
             if best is None or rank < best[0]:
                 best = (rank, target, victims)
         if best is None:
--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -20,6 +20,7 @@
     infeasible_reason,
 )
 from cicadabank.scheduling.internal.reservations import Reservations
+from cicadabank.scheduling.internal.speeds import speed_class
 from cicadabank.scheduling.internal.state import CellState
 from cicadabank.scheduling.internal.targets import Target, fits, largest
 from cicadabank.scheduling.internal.units import (
@@ -129,6 +130,7 @@
     targets = usable_targets(state)
     for target in targets:
         target.slowness = state.speeds.slowness(target.agent)
+        target.speed_class = speed_class(target.slowness)
     is_idle = _is_cell_idle(state)
     planning = _PlanningRound(
         state,
--- a/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
@@ -164,6 +164,7 @@
         "registration",
         "report_number",
         "slowness",
+        "speed_class",
         "stored_sequence",
         "target_incarnation",
         "terminates_s",
@@ -201,8 +202,10 @@
         self.stored_sequence = 0  # highest sequence number of a stored ended run
         self.consecutive_failures = 0
         self.quarantined_until_s = float("-inf")
-        # How much longer tasks take here, as estimated when planning began.
+        # How much longer tasks take here, as estimated when planning began, and the
+        # rank of that speed.
         self.slowness = 1.0
+        self.speed_class = 0
         # Capacity, allocated and unallocated resources; see `_unused`.
         self._unused_cache = (self.capacity, self.allocated, Resources(0, 0, 0))
 
