Wait for start calls without a reply before a lost target's tasks run again

Jobs ran twice: a start call got no reply and was carried out seconds late by the target's next incarnation, which has the same id. It knows no fencing token yet, and its clock starts anew, so that the end of the lease in the call doesn't protect either: it cuts it to 10 s from then. Its agent was down, the leases granted to the incarnation before had expired, and the task was started elsewhere.

Cause: a target that is silent beyond its lease counted as certain to run nothing, though a call to it could still take effect: up to 12 s after it was made, and for 10 s (x 1.02) from then. So did (1) an agent that reports its silent target as ended, (2) a holder that gives up the target of a silent agent.

Change: such a run counts until it can't exist any more. - Per run, not per target: agents report the runs of which a start call got no reply or waits for one (`late_starts`). Only their members wait; all others are released as before. - A call stops to count 12 s later, if the target has replied since, or once the next incarnation has been listed under a higher fencing token. A reply to a repeated start, a stop or a list of the same incarnation doesn't end it. - The time counts from the latest call that may have set the lease, start or hold (`lease_call_age_s`): the next incarnation carries out a late hold as well, which prolongs what a late start began. For that, holds to a target that doesn't reply carry no lease any more. - Of a silent agent, starts that no report has confirmed count as well, and its calls until the lease that it was granted ends: it may have made calls after its last report. The same for calls of an agent process that another one has replaced. - Agents of earlier builds don't send the fields: of a silent one, unconfirmed starts wait; a target that it reports as ended is released at once, as before.

What it costs: the task of an unconfirmed start on a target that is gone for good, with its agent, waits for about 30 s, not 8 s. A target that comes back, or another one in its place, releases them.

--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -376,7 +376,7 @@
         controller = self.controller
         if controller.heartbeat is None or controller.target_terminated:
             return None
-        until_s = controller.take_lease_end_on_target_s(clock_s())
+        until_s = controller.take_lease_end_for_hold_s(clock_s())
         return (
             controller.fence,
             controller.recorded_on_target,
--- a/packages/control/src/cicadabank/control/internal/conversion.py
+++ b/packages/control/src/cicadabank/control/internal/conversion.py
@@ -70,6 +70,10 @@
             message.registration if message.HasField("registration") else None
         ),
         crashes=tuple(_crash_from_message(crash) for crash in message.crashes),
+        late_starts=tuple(run_id_from_message(run) for run in message.late_starts),
+        lease_call_age_s=(
+            message.lease_call_age_s if message.HasField("lease_call_age_s") else None
+        ),
     )
 
 
--- a/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
@@ -62,17 +62,7 @@
         return ReportReply(0.0, 0, (), register(state, report) if registers else 0)
     if state.loaded:
         crashes.record_crashes(state, report.crashes, report.target_incarnation)
-    if known is not None and known.target_incarnation != report.target_incarnation:
-        remove_target(
-            state,
-            known,
-            "a new incarnation of the target has reported",
-            _loss_reason(report, known.target_incarnation),
-            reported_by=report.agent_run,
-            reported=report.target_incarnation.incarnation,
-        )
-        known = None
-    target = known or _add_target(state, report)
+    target = _find_target(state, known, report)
     was_draining, capacity = target.draining, target.capacity
     target.update(report, state.now_s)
     if target.capacity != capacity:
@@ -96,6 +86,26 @@
     return ReportReply(lease_s, target.stored_sequence, tuple(settled))
 
 
+def _find_target(state: CellState, known: Target | None, report: Report) -> Target:
+    """Return the target that a report is about; it may replace the known one."""
+    if known is not None and known.target_incarnation == report.target_incarnation:
+        if known.agent_run != report.agent_run:
+            _note_calls_of_former_process(state, known)
+        return known
+    if report.lease_call_age_s is not None:
+        _note_late_runs(state, known, report)
+    if known is not None:
+        remove_target(
+            state,
+            known,
+            "a new incarnation of the target has reported",
+            _loss_reason(report, known.target_incarnation),
+            reported_by=report.agent_run,
+            reported=report.target_incarnation.incarnation,
+        )
+    return _add_target(state, report)
+
+
 def _holds_withdrawn_start(state: CellState, report: Report) -> bool:
     """Return whether an agent may hold back a start that is no longer wanted.
 
@@ -109,6 +119,74 @@
     )
 
 
+def _unconfirmed_runs(state: CellState, target: Target) -> set[RunId]:
+    """Return the runs whose start was ordered and that no report has shown yet."""
+    members = state.members_by_incarnation.get(target.target_incarnation, {})
+    return {
+        unit.run_id(index - unit.first_index)
+        for (_, _, index), unit in members.items()
+        if unit.phase in (Phase.RUNNING, Phase.STOPPING)
+        and not unit.members[index - unit.first_index].running
+    }
+
+
+def _note_calls_of_former_process(state: CellState, target: Target) -> None:
+    """Note the start calls that the former process of an agent may have left open.
+
+    Nobody knows which calls it made after its last report.
+    """
+    until_s = state.now_s + state.timings.max_call_delay_s
+    for run in target.late_starts | _unconfirmed_runs(state, target):
+        target.former_late_starts[run] = until_s
+
+
+def _note_late_runs(state: CellState, known: Target | None, report: Report) -> None:
+    """Note until when the late starts of a target that counts as ended may run.
+
+    A holder that has just taken over may not know the target itself.
+    """
+    called_s = state.now_s - report.lease_call_age_s
+    latest_calls_s = dict.fromkeys(report.late_starts, called_s)
+    if known is not None:
+        for run, until_s in known.former_late_starts.items():
+            former_call_s = until_s - state.timings.max_call_delay_s
+            latest_calls_s[run] = max(called_s, former_call_s)
+    for target_incarnation in state.members_by_incarnation:
+        if target_incarnation.agent == report.agent:
+            for run, latest_call_s in latest_calls_s.items():
+                _note_late_run(state, target_incarnation, run, latest_call_s)
+
+
+def _note_late_runs_of_silent_agent(state: CellState, target: Target) -> None:
+    """Note until when the late starts of a target may run whose agent is silent.
+
+    The agent may have made calls after its last report, and prolonged what the next
+    incarnation runs, until the lease that it was granted had expired.
+    """
+    runs = {
+        *target.late_starts,
+        *target.former_late_starts,
+        *_unconfirmed_runs(state, target),
+    }
+    for run in runs:
+        _note_late_run(state, target.target_incarnation, run, target.lease_until_s)
+
+
+def _note_late_run(
+    state: CellState,
+    target_incarnation: TargetIncarnation,
+    run: RunId,
+    latest_call_s: float,
+) -> None:
+    """Note that a run may exist for some time after a call, on the next incarnation."""
+    found = state.find_member(run, target_incarnation)
+    if found is not None:
+        unit, member_index = found
+        member = unit.members[member_index]
+        until_s = latest_call_s + state.timings.late_run_s
+        member.may_run_until_s = max(member.may_run_until_s, until_s)
+
+
 def _is_stale(known: Target, report: Report) -> bool:
     return (
         known.agent_run == report.agent_run
@@ -127,13 +205,17 @@
     # before may have set the longest one.
     state.unreported_lease_until_s.pop(report.target_incarnation, None)
     target.lease_until_s = state.now_s + state.timings.max_lease_s
+    replaces = report.lease_call_age_s is None
     for target_incarnation in list(state.members_by_incarnation):
         if (
             target_incarnation.agent == report.agent
             and target_incarnation != report.target_incarnation
         ):
             release_incarnation(
-                state, target_incarnation, _loss_reason(report, target_incarnation)
+                state,
+                target_incarnation,
+                _loss_reason(report, target_incarnation),
+                late_runs_ended=replaces,
             )
     for (job, step, index), unit in state.members_by_incarnation.get(
         report.target_incarnation, {}
@@ -170,6 +252,7 @@
 ) -> None:
     """Remove an incarnation of a target, on which nothing runs any more.
 
+    Members that a late start may have running on the next one are not released yet.
     `evidence` is logged beside the reason; `loss_reason` for each of its units.
     """
     state.log(
@@ -194,20 +277,64 @@
 
 
 def release_incarnation(
-    state: CellState, target_incarnation: TargetIncarnation, reason: str = "target lost"
+    state: CellState,
+    target_incarnation: TargetIncarnation,
+    reason: str = "target lost",
+    late_runs_ended: bool = False,
 ) -> None:
-    """Release all members on an incarnation, and stop or requeue their units."""
+    """Release the members on an incarnation, and stop or requeue their units.
+
+    Parameters
+    ----------
+    late_runs_ended : bool
+        Whether no late start can have a member running any more: the next incarnation
+        has listed its runs, and rejects earlier calls. Otherwise, members that may be
+        running are released later, by `expire_leases`.
+    """
+    state.unreported_lease_until_s.pop(target_incarnation, None)
     for (_, _, index), unit in list(
         state.members_by_incarnation.get(target_incarnation, {}).items()
     ):
-        state.release_member(unit, index - unit.first_index)
+        member_index = index - unit.first_index
+        if not late_runs_ended and _may_run_late(state, unit, member_index):
+            _await_late_run(state, unit, member_index, reason)
+            continue
+        state.release_member(unit, member_index)
         job = state.jobs[unit.job]
         if unit.phase is Phase.CLAIMING:
             lifecycle.release_claim(state, unit)
         else:
             lifecycle.stop_unit(state, unit, reason)
         lifecycle.requeue_if_idle(state, job, unit)
-    state.unreported_lease_until_s.pop(target_incarnation, None)
+
+
+def _may_run_late(state: CellState, unit: Unit, member_index: int) -> bool:
+    """Return whether a late start may have a member running, or may start it yet.
+
+    Claims are released as a whole, so that their members may be gone already.
+    """
+    members = unit.members[member_index : member_index + 1]
+    return any(member.may_run_until_s >= state.now_s for member in members)
+
+
+def _await_late_run(
+    state: CellState, unit: Unit, member_index: int, reason: str
+) -> None:
+    """Stop a unit, and have `expire_leases` release a member once it can't run."""
+    member = unit.members[member_index]
+    lifecycle.stop_unit(state, unit, reason)
+    earliest_s = state.unreported_lease_until_s.get(
+        member.target_incarnation, float("inf")
+    )
+    state.unreported_lease_until_s[member.target_incarnation] = min(
+        earliest_s, member.may_run_until_s
+    )
+    state.log(
+        "late_start_awaited",
+        **unit.run_id(member_index)._asdict(),
+        incarnation=member.target_incarnation.incarnation,
+        left_s=round(member.may_run_until_s - state.now_s, 3),
+    )
 
 
 def _reconcile(state: CellState, target: Target, report: Report) -> list[RunId]:
@@ -380,7 +507,8 @@
     """Remove silent targets whose leases have certainly expired.
 
     Members on targets that have not reported since the takeover are released once the
-    leases that earlier holders granted to them have expired.
+    leases that earlier holders granted to them have expired, and members of late starts
+    once what these may have started has ended.
     """
     drift_factor = 1.0 + state.timings.clock_drift
     for target in list(state.targets.values()):
@@ -389,6 +517,7 @@
             continue
         granted_s = target.lease_until_s - target.last_report_s
         if silent_s > max(granted_s, state.timings.lease_s) * drift_factor:
+            _note_late_runs_of_silent_agent(state, target)
             remove_target(
                 state, target, f"no report for {silent_s:.1f} s, its lease has expired"
             )
--- a/packages/scheduling/src/cicadabank/scheduling/internal/state.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/state.py
@@ -67,6 +67,8 @@
         Time for which a new holder waits for agents before it fails jobs as infeasible.
     stop_s : float
         Maximum duration of a stop, set by the platform.
+    max_call_delay_s : float
+        A call to a target that got no reply is carried out within this time, or never.
     checkpoint_write_interval_s : float
         Minimum time between two writes of a unit's checkpoint to the store. The stored
         checkpoint is needed if all processes lose power: the unit then resumes from it.
@@ -85,8 +87,18 @@
     report_wait_s: float = 0.5
     infeasible_after_s: float = 6.0
     stop_s: float = 0.9
+    max_call_delay_s: float = 12.0
     checkpoint_write_interval_s: float = 2.0
 
+    @property
+    def late_run_s(self) -> float:
+        """Time after a call within which a run that it started or prolonged has ended.
+
+        A target that has restarted cuts the lease to the longest when it carries the
+        call out, whatever end the call names.
+        """
+        return self.max_call_delay_s + self.max_lease_s * (1.0 + self.clock_drift)
+
 
 class Start(NamedTuple):
     """An order to start a run.
@@ -206,7 +218,8 @@
             TargetIncarnation, dict[tuple[str, int, int], Unit]
         ] = {}
         # By incarnation that has not reported since the takeover: when the leases that
-        # earlier holders granted to it have expired.
+        # earlier holders granted to it have expired. By removed incarnation that has
+        # late starts: when the next run that they may have started has ended.
         self.unreported_lease_until_s: dict[TargetIncarnation, float] = {}
         # By agent: the last removed incarnation of its target, and when.
         self.removed_targets: dict[str, tuple[Target, float]] = {}
--- a/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
@@ -110,6 +110,13 @@
         Runs that have certainly been stopped: they neither run nor can start.
     crashes : tuple of TargetCrash
         Latest crashes of the agent's target, repeated in each report.
+    late_starts : tuple of RunId
+        Runs of which a start call got no reply, or none yet. The target, or its next
+        incarnation of the same name, may still carry the call out. Agents of earlier
+        builds don't tell.
+    lease_call_age_s : float or None
+        Of a target that counts as ended: age of the latest call that may have set its
+        lease. None while it runs, and from agents of earlier builds.
     """
 
     agent: str
@@ -135,6 +142,8 @@
     stopping: tuple[RunId, ...] = ()
     crashes: tuple[TargetCrash, ...] = ()
     largest_capacity: Resources = Resources(0, 0, 0)
+    late_starts: tuple[RunId, ...] = ()
+    lease_call_age_s: float | None = None
 
 
 class Target:
@@ -151,9 +160,11 @@
         "domain",
         "draining",
         "exclusive_tasks",
+        "former_late_starts",
         "labels",
         "largest_capacity",
         "last_report_s",
+        "late_starts",
         "lease_until_s",
         "leaving",
         "listed_s",
@@ -193,6 +204,11 @@
         self.last_report_s = float("-inf")
         self.listed_s = float("-inf")  # when it last listed its runs
         self.lease_until_s = float("-inf")
+        # Runs of which a start call got no reply and may still be carried out: those
+        # reported by the present agent process, and those of earlier processes with
+        # the time until which that may be.
+        self.late_starts: frozenset[RunId] = frozenset()
+        self.former_late_starts: dict[RunId, float] = {}
         self.draining = False
         self.terminates_s = float("inf")  # earliest termination of a draining target
         self.leaving = False
@@ -289,6 +305,12 @@
         self.observed = self.observed or report.observed
         if report.observed:
             self.listed_s = now_s - report.listed_age_s
+        self.late_starts = frozenset(report.late_starts)
+        self.former_late_starts = {
+            run: until_s
+            for run, until_s in self.former_late_starts.items()
+            if until_s >= self.listed_s
+        }
         self.unhealthy = report.unhealthy
         self.leaving = report.leaving
         if report.draining:
--- a/packages/scheduling/src/cicadabank/scheduling/internal/units.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/units.py
@@ -72,6 +72,7 @@
     """One task of a unit in its current run."""
 
     __slots__ = (
+        "may_run_until_s",
         "refused",
         "released",
         "running",
@@ -84,6 +85,9 @@
         self.target_incarnation = target_incarnation
         self.running = False
         self.released = False
+        # Once its target is lost: until when a late start may have it running on the
+        # next incarnation.
+        self.may_run_until_s = float("-inf")
         self.refused = ""
         self.start_sent_s = float("-inf")
         self.stop_sent_s = float("-inf")
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -73,7 +73,6 @@
         "a task was given up since its VM crashed three times under it within seconds",
         {},
     ),
-    # Open, see KNOWN-RED.txt.
     Regression(
         3101,
         "a start was carried out late on the next incarnation of a target of the same "
--- a/tests/cover/test_scheduler.py
+++ b/tests/cover/test_scheduler.py
@@ -558,6 +558,129 @@
         assert [run.id.run for run in cell.history] == [1]
 
 
+# Guards against two runs of a task: a start call without a reply is carried out late by
+# the next incarnation of a target, which its holder has not heard of.
+class TestLateStarts:
+    LATE_RUN_S = 12.0 + 10.0 * 1.02  # late by 12 s, then the longest lease
+
+    def start_job(self, cell):
+        """Have a task run on a target; return the target and the run."""
+        cell.submit("j", "batch", [tasks(1, estimate_s=30.0)])
+        cell.run(2.0)
+        (target,) = [t for t in cell.targets.values() if t.active_runs]
+        return target, next(iter(target.active_runs))
+
+    def run_until_started_elsewhere(self, cell, lost) -> float:
+        """Advance time until another target has a run; return the time this took."""
+        return cell.run_until(
+            lambda: any(t.active_runs for t in cell.targets.values() if t is not lost)
+        )
+
+    def report(self, cell, target, **fields) -> None:
+        """Pass a report to the holder, registered if necessary."""
+        for _ in range(2):
+            report = target.report()._replace(**fields)
+            reply = cell.scheduler.on_report(report, cell.now_s, True)
+            target.registration = reply.registration or target.registration
+
+    def report_as_ended(self, cell, target, **fields) -> None:
+        """Report that a target has ended."""
+        target.silent = True
+        ended = target.target_incarnation._replace(
+            incarnation=target.target_incarnation.incarnation + "/ended"
+        )
+        self.report(
+            cell,
+            target,
+            target_incarnation=ended,
+            capacity=Resources(0, 0, 0),
+            running=(),
+            **fields,
+        )
+
+    def test_an_unconfirmed_start_waits_if_its_agent_is_silent(self, cell):
+        cell.submit("j", "batch", [tasks(1, estimate_s=30.0)])
+        cell.run_until(lambda: any(t.active_runs for t in cell.targets.values()))
+        (target,) = [t for t in cell.targets.values() if t.active_runs]
+        target.silent = True
+        known = cell.scheduler.state.targets[target.agent]
+        lease_until_s = known.lease_until_s
+        self.run_until_started_elsewhere(cell, target)
+        assert cell.now_s >= lease_until_s + self.LATE_RUN_S
+        assert cell.now_s < lease_until_s + self.LATE_RUN_S + 1.0
+
+    @pytest.mark.parametrize("is_late", [False, True])
+    def test_a_confirmed_run_waits_only_if_one_of_its_starts_is_late(
+        self, cell, is_late
+    ):
+        target, run = self.start_job(cell)
+        self.report(cell, target, late_starts=(run,) if is_late else ())
+        target.silent = True
+        elapsed_s = self.run_until_started_elsewhere(cell, target)
+        wait_s = 8.0 + self.LATE_RUN_S * is_late
+        assert wait_s < elapsed_s < wait_s + 1.5
+
+    def test_a_start_that_is_no_longer_late_does_not_wait(self, cell):
+        target, run = self.start_job(cell)
+        self.report(cell, target, late_starts=(run,))
+        self.report(cell, target)
+        target.silent = True
+        assert self.run_until_started_elsewhere(cell, target) < 9.5
+
+    @pytest.mark.parametrize("age_s", [1.0, 9.0])
+    def test_a_late_start_waits_if_its_target_is_reported_as_ended(self, cell, age_s):
+        target, run = self.start_job(cell)
+        self.report_as_ended(cell, target, late_starts=(run,), lease_call_age_s=age_s)
+        elapsed_s = self.run_until_started_elsewhere(cell, target)
+        assert self.LATE_RUN_S - age_s < elapsed_s < self.LATE_RUN_S - age_s + 1.0
+
+    # Agents of earlier builds tell neither late starts nor the age of a call.
+    @pytest.mark.parametrize("age_s", [None, 1.0])
+    def test_no_other_run_waits_if_a_target_is_reported_as_ended(self, cell, age_s):
+        target, _ = self.start_job(cell)
+        self.report_as_ended(cell, target, lease_call_age_s=age_s)
+        assert self.run_until_started_elsewhere(cell, target) < 1.0
+
+    def test_a_late_start_waits_after_a_takeover(self, cell):
+        target, run = self.start_job(cell)
+        cell.take_over()
+        self.report_as_ended(cell, target, late_starts=(run,), lease_call_age_s=1.0)
+        assert self.run_until_started_elsewhere(cell, target) > self.LATE_RUN_S - 1.0
+
+    def test_nothing_waits_once_the_next_incarnation_reports(self, cell):
+        target, run = self.start_job(cell)
+        self.report_as_ended(cell, target, late_starts=(run,), lease_call_age_s=1.0)
+        cell.run(2.0)
+        assert not any(t.active_runs for t in cell.targets.values() if t is not target)
+        target.restart()
+        target.silent = False
+        cell.run(1.0)
+        assert [r.run for t in cell.targets.values() for r in t.active_runs] == [2]
+
+    # Guards against calls that only the former process knows of.
+    @pytest.mark.parametrize("later_s", [1.0, 13.0])
+    def test_calls_of_a_replaced_process_count_for_their_time(self, cell, later_s):
+        target, run = self.start_job(cell)
+        self.report(cell, target, late_starts=(run,))
+        target.restart_agent()
+        cell.run(later_s)
+        self.report_as_ended(cell, target, lease_call_age_s=0.5)
+        elapsed_s = self.run_until_started_elsewhere(cell, target)
+        is_late = later_s < 12.0
+        wait_s = (self.LATE_RUN_S - 0.5) * is_late
+        assert wait_s <= elapsed_s < wait_s + 1.0
+
+    def test_a_target_that_reports_again_stops_the_run(self, cell):
+        target, run = self.start_job(cell)
+        self.report_as_ended(cell, target, late_starts=(run,), lease_call_age_s=1.0)
+        cell.run(2.0)
+        target.silent = False
+        cell.run(2.0)
+        assert [(r.id, r.outcome) for r in cell.history] == [(run, "stopped")]
+        assert [r.run for t in cell.targets.values() for r in t.active_runs] == [2]
+        cell.check()
+
+
 class TestTakeover:
     def test_new_holder_keeps_running_tasks(self, cell):
         cell.submit("j", "normal", [gang(3, 8, 10.0)])
--- a/tests/cover/test_target_controller.py
+++ b/tests/cover/test_target_controller.py
@@ -6,6 +6,7 @@
     run_id_to_message,
 )
 from cicadabank.control.internal.target_controller import (
+    MAX_CALL_DELAY_S,
     MAX_CLOCK_DRIFT,
     MAX_HEARTBEAT_WAIT_S,
     UNRESPONSIVE_AFTER_S,
@@ -562,6 +563,124 @@
         assert refused(controller) == {("j", 0): "unhealthy"}
 
 
+# Guards against two runs of a task: a start call without a reply is carried out late by
+# the next incarnation, while the holder takes the run for lost with this one.
+class TestLateStarts:
+    def late_starts(self, controller, now_s) -> tuple[RunId, ...]:
+        return report_from_message(controller.report(now_s)).late_starts
+
+    def call(self, controller, called_s=11.0) -> None:
+        controller.on_orders(batch(controller, starts=[start()]), called_s)
+        assert [c.kind for c in controller.take_due_calls(called_s)] == ["start"]
+
+    @pytest.fixture
+    def unanswered(self, controller):
+        self.call(controller)
+        controller.on_started(RUN, StartOutcome(False), 11.5)
+        return controller
+
+    def test_a_start_that_waits_for_its_reply_is_reported(self, controller):
+        self.call(controller)
+        assert self.late_starts(controller, 11.1) == (RUN,)
+        controller.on_started(RUN, StartOutcome(True), 11.2)
+        assert self.late_starts(controller, 11.2) == ()
+
+    # Guards against tasks that wait although no late start can have them running.
+    @pytest.mark.parametrize(
+        "outcome",
+        [
+            StartOutcome(True),
+            StartOutcome(True, "unhealthy"),
+            StartOutcome(False, received=False),
+        ],
+    )
+    def test_a_start_that_was_answered_or_not_received_is_not_late(
+        self, controller, outcome
+    ):
+        self.call(controller)
+        controller.on_started(RUN, outcome, 11.5)
+        assert self.late_starts(controller, 11.5) == ()
+        assert controller.is_target_lost(21.0)
+
+    def test_a_start_that_waited_for_a_thread_in_vain_is_not_late(self, controller):
+        self.call(controller)
+        controller.on_no_reply(11.2)
+        assert controller.check_delayed_start(RUN, 11.6) is None
+        assert self.late_starts(controller, 11.6) == ()
+
+    def test_a_reply_to_a_repeated_start_does_not_void_the_call_before(
+        self, unanswered
+    ):
+        list_runs(unanswered, listing(target_s=51.6), 11.6, 11.6)
+        assert [c.kind for c in unanswered.take_due_calls(11.9)] == ["start"]
+        unanswered.on_started(RUN, StartOutcome(True), 12.0)
+        list_runs(unanswered, listing(running=[RUN], target_s=53.0), 13.0, 13.0)
+        assert self.late_starts(unanswered, 13.0) == (RUN,)
+
+    def test_a_stop_does_not_void_the_call(self, unanswered):
+        unanswered.on_orders(batch(unanswered, stops=[RUN]), 11.6)
+        unanswered.take_due_calls(11.6)
+        unanswered.on_stopped(RUN, True, 11.7)
+        list_runs(unanswered, listing(target_s=51.8), 11.8, 11.8)
+        assert self.late_starts(unanswered, 11.8) == (RUN,)
+
+    # The incarnation that has seen the new token rejects the call; its successor
+    # won't have seen it.
+    def test_a_higher_fence_does_not_void_the_call_on_the_same_incarnation(
+        self, unanswered
+    ):
+        unanswered.on_reply(registration_reply(4), 11.6, unanswered.incarnation)
+        list_runs(unanswered, listing(target_s=51.7), 11.7, 11.7)
+        assert self.late_starts(unanswered, 11.7) == (RUN,)
+
+    def test_the_call_is_void_once_the_next_incarnation_has_a_higher_fence(
+        self, unanswered
+    ):
+        adopt(unanswered, heartbeat(started_ms=2), 12.0)
+        assert self.late_starts(unanswered, 12.0) == (RUN,)
+        unanswered.on_reply(registration_reply(4), 12.1, unanswered.incarnation)
+        assert self.late_starts(unanswered, 12.1) == (RUN,)
+        listed = listing(started_ms=2, target_s=50.2)
+        list_runs(unanswered, listed, 12.2, 12.2)
+        assert self.late_starts(unanswered, 12.2) == ()
+
+    def test_the_call_is_void_for_a_target_of_another_name(self, unanswered):
+        adopt(unanswered, heartbeat(started_ms=2, target="other"), 12.0)
+        assert self.late_starts(unanswered, 12.0) == ()
+
+    @pytest.mark.parametrize("after_s", [-0.1, 0.1])
+    def test_the_call_is_void_once_the_target_replies_after_its_time(
+        self, unanswered, after_s
+    ):
+        asked_s = 11.5 + MAX_CALL_DELAY_S + after_s
+        list_runs(unanswered, listing(target_s=60.0), asked_s, asked_s)
+        assert self.late_starts(unanswered, 24.0) == ((RUN,) if after_s < 0 else ())
+
+    def test_a_target_that_counts_as_ended_reports_how_old_its_lease_is(
+        self, unanswered
+    ):
+        assert report_from_message(unanswered.report(12.0)).lease_call_age_s is None
+        assert unanswered.is_target_lost(21.0)
+        report = report_from_message(unanswered.report(21.0))
+        assert report.late_starts == (RUN,)
+        assert report.lease_call_age_s == pytest.approx(9.5)
+
+    # The next incarnation, whose clock starts anew, cuts the end of the lease only to
+    # the longest.
+    def test_a_target_that_does_not_reply_is_passed_no_lease(self, unanswered):
+        list_runs(unanswered, listing(target_s=52.0), 12.0, 12.0)
+        assert unanswered.take_lease_end_for_hold_s(13.0) is not None
+        assert unanswered.take_lease_end_for_hold_s(13.5) is None
+        assert unanswered.is_target_lost(21.0)
+        report = report_from_message(unanswered.report(21.0))
+        assert report.lease_call_age_s == pytest.approx(8.0)
+
+    def test_a_lease_is_passed_on_once_the_target_replies_again(self, unanswered):
+        assert unanswered.take_lease_end_for_hold_s(13.0) is None
+        list_runs(unanswered, listing(target_s=53.0), 13.0, 13.0)
+        assert unanswered.take_lease_end_for_hold_s(13.0) is not None
+
+
 class TestStops:
     def test_a_stopped_run_is_gone_once_a_later_list_omits_it(self, controller):
         controller.on_orders(batch(controller, stops=[RUN]), 11.0)
