Acknowledge ends only while the target replies and lists them

A late start was carried out by the next incarnation of its target, which was done with it while the agent was down. The task waited for the agent, but the agent's list lacked the end: a hold call meant for the incarnation before, with `lastSeen` 6, had been carried out there 0.6 s after the end, which is the first of that incarnation. Each counts its ends from 1.

Cause: each hold named the number up to which the ends are stored, also when the target had forgotten all of them and when it didn't reply.

Change: a hold names a number only while the target replies, and only for ends that its latest list has; otherwise 0. Repeating a number has no effect on the incarnation that it is meant for.

Of the two new cases of TestListsOfOtherIncarnations one checks each condition. That class's fixture now lists the ends that it has stored; its assertions are the same numbers as before, for the method that replaces the property.

--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -376,10 +376,11 @@
         controller = self.controller
         if controller.heartbeat is None or controller.target_terminated:
             return None
-        until_s = controller.take_lease_end_for_hold_s(clock_s())
+        now_s = clock_s()
+        until_s = controller.take_lease_end_for_hold_s(now_s)
         return (
             controller.fence,
-            controller.recorded_on_target,
+            controller.recorded_for_hold(now_s),
             until_s,
             controller.heartbeat.target,
         )
--- a/packages/control/src/cicadabank/control/internal/target_controller.py
+++ b/packages/control/src/cicadabank/control/internal/target_controller.py
@@ -715,13 +715,17 @@
     def _is_replaced(self) -> bool:
         return self._replaced_s > float("-inf")
 
-    @property
-    def recorded_on_target(self) -> int:
-        """Up to which sequence number the target may forget its ended runs.
+    def recorded_for_hold(self, now_s: float) -> int:
+        """Return up to which sequence number a hold call lets the target forget ends.
 
-        Each incarnation counts from 1, so a number is valid only on its own.
+        Each incarnation counts from 1, so a number is valid only on its own, but the
+        next one may carry the call out. A number is therefore named only while the
+        target replies, and lists ends up to it.
         """
-        return 0 if self._is_replaced else self.recorded
+        if self._listing is None or self._is_replaced or self._is_unresponsive(now_s):
+            return 0
+        sequences = (end.sequence for end in self._listing.ended)
+        return max((n for n in sequences if n <= self.recorded), default=0)
 
     def _stop_unknown_runs(self, running: set[RunId]) -> None:
         """Stop runs that were taken for ended or that nobody can have ordered."""
--- a/tests/cover/test_late_starts.py
+++ b/tests/cover/test_late_starts.py
@@ -32,10 +32,10 @@
         agent.late_s = delay_s
     fleet.submit("j")
     fleet.run_until(lambda: fleet._late_calls)
-    ((_, target, _),) = fleet._late_calls
+    ((_, method, _),) = fleet._late_calls
     for agent in fleet.agents.values():
         agent.late_s = None
-    return fleet.agents[target.name]
+    return fleet.agents[method.__self__.name]
 
 
 # Guards against two runs of a task, and against one after its end: the run that the
@@ -132,3 +132,29 @@
 
         fleet.run_until(is_started)
         return fleet.now_s
+
+
+# Guards against a task that runs again after it is done: a hold call to the incarnation
+# before acknowledges the end on the next one, of which nobody has heard yet.
+class TestLateAcknowledgements:
+    def test_an_end_is_listed_until_it_is_known(self, fleet):
+        for number in range(6):
+            fleet.submit(f"earlier{number}")
+        fleet.run(6.0)
+        agent = start_late(fleet, 3.0)
+        assert agent.controller.recorded
+        agent.late_hold_s = 7.0
+        fleet.run(0.5)
+        agent.is_up = False
+        agent.target.restart()
+        fleet.run(8.0)
+        agent.late_hold_s = None
+        agent.restart()
+        fleet.run_until(lambda: fleet.state("j") == "completed")
+        fleet.check()
+        (started,) = [
+            event
+            for event in fleet.events
+            if event.kind == "started" and event.task.startswith("j.")
+        ]
+        assert started.incarnation == 2
--- a/tests/cover/test_target_controller.py
+++ b/tests/cover/test_target_controller.py
@@ -798,25 +798,44 @@
 class TestListsOfOtherIncarnations:
     @pytest.fixture
     def busy(self, controller):
+        list_runs(controller, self.listing(target_s=50.4), 10.4, 10.4)
         batch_with_start = batch(controller, starts=[start()])
         batch_with_start.recorded = 5
         controller.on_orders(batch_with_start, 10.5)
-        assert controller.recorded_on_target == 5
+        assert controller.recorded_for_hold(10.5) == 5
         return controller
 
+    def listing(self, **fields) -> Listing:
+        """Return a list with ends, the last of which isn't stored yet."""
+        return listing(ended=[(5, OTHER_RUN), (6, OTHER_RUN)], **fields)
+
     def test_nothing_is_called_once_a_list_names_another_incarnation(self, busy):
         assert not list_runs(busy, listing(started_ms=2), 10.6, 10.7)
         assert busy.take_due_calls(10.7) == []
         assert busy.take_lease_end_on_target_s(10.7) is None
-        assert busy.recorded_on_target == 0
+        assert busy.recorded_for_hold(10.7) == 0
 
     def test_calls_go_on_once_the_known_incarnation_replies(self, busy):
         list_runs(busy, listing(started_ms=2), 10.6, 10.7)
         list_runs(busy, listing(target_s=50.5), 10.5, 10.8)
         assert busy.take_due_calls(10.8) == []
-        list_runs(busy, listing(target_s=50.9), 10.9, 11.0)
+        list_runs(busy, self.listing(target_s=50.9), 10.9, 11.0)
         assert [c.kind for c in busy.take_due_calls(11.0)] == ["start"]
-        assert busy.recorded_on_target == 5
+        assert busy.recorded_for_hold(11.0) == 5
+
+    # The next incarnation may carry out the calls that get no reply.
+    def test_ends_are_not_acknowledged_while_the_target_does_not_reply(self, busy):
+        assert busy.recorded_for_hold(10.4 + UNRESPONSIVE_AFTER_S) == 5
+        assert busy.recorded_for_hold(10.5 + UNRESPONSIVE_AFTER_S) == 0
+        list_runs(busy, self.listing(target_s=52.0), 12.0, 12.0)
+        assert busy.recorded_for_hold(12.0) == 5
+
+    def test_ends_that_the_target_has_forgotten_are_not_acknowledged_again(self, busy):
+        later = listing(ended=[(6, OTHER_RUN)], target_s=50.6)
+        list_runs(busy, later, 10.6, 10.6)
+        assert busy.recorded_for_hold(10.6) == 0
+        busy.recorded = 6
+        assert busy.recorded_for_hold(10.6) == 6
 
     def test_a_late_list_of_the_incarnation_before_has_no_effect(self, busy):
         adopt(busy, heartbeat(started_ms=2), 11.0)
--- a/tests/support/simulated_fleet.py
+++ b/tests/support/simulated_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from contextlib import suppress
 from types import SimpleNamespace
 
 from cicadabank.control.internal.conversion import (
@@ -61,8 +62,8 @@
         While it is down, it makes no calls and no reports.
     is_cut_off : bool
         Whether it is out of touch with the holder.
-    late_s : float or None
-        If set, start calls get no reply and are carried out after this time.
+    late_s, late_hold_s : float or None
+        If set, start or hold calls get no reply and are carried out after this time.
     """
 
     def __init__(self, fleet: SimulatedFleet, target: FleetTarget):
@@ -71,6 +72,7 @@
         self.is_up = True
         self.is_cut_off = False
         self.late_s: float | None = None
+        self.late_hold_s: float | None = None
         self._processes = 0
         self.restart()
 
@@ -102,7 +104,7 @@
                     heartbeat, listing, now_s, now_s, controller.fence
                 )
         until_s = controller.take_lease_end_for_hold_s(now_s)
-        listing = self._hold(controller.recorded_on_target, until_s)
+        listing = self._hold(controller.recorded_for_hold(now_s), until_s)
         if listing is None:
             controller.on_no_reply(now_s)
         else:
@@ -129,10 +131,12 @@
         )
 
     def _hold(self, recorded: int, until_s: float | None) -> Listing | None:
+        arguments = (self.controller.fence, recorded, until_s, 0.0)
+        if self.late_hold_s is not None:
+            self.fleet.call_late(self.target.renew_lease, arguments, self.late_hold_s)
+            return None
         try:
-            listed = self.target.renew_lease(
-                self.controller.fence, recorded, until_s, 0.0
-            )
+            listed = self.target.renew_lease(*arguments)
         except TargetDownError:
             return None
         if listed is None:
@@ -160,7 +164,7 @@
         until_s = controller.take_lease_end_on_target_s(now_s)
         arguments = (name, run.run, call.payload, until_s, controller.fence, "")
         if self.late_s is not None:
-            self.fleet.call_late(self.target, arguments, self.late_s)
+            self.fleet.call_late(self.target.start, arguments, self.late_s)
             outcome = StartOutcome(False)
         else:
             try:
@@ -216,7 +220,7 @@
             name: SimulatedAgent(self, self.targets.add(name, CAPACITY))
             for name in names
         }
-        self._late_calls: list[tuple[float, FleetTarget, tuple]] = []
+        self._late_calls: list[tuple[float, Callable, tuple]] = []
         self.scheduler = CellScheduler("cell", 1, self.now_s)
         routes = (RouteConfig("h", "/batch/", False, QUEUE),)
         self.scheduler.on_config(Configuration(1, routes, ()), self.now_s)
@@ -231,9 +235,9 @@
         record = JobRecord(job, "batch", "w", self.now_s, "spec", (spec,))
         self.scheduler.on_job(record, self.now_s)
 
-    def call_late(self, target: FleetTarget, arguments: tuple, delay_s: float) -> None:
-        """Have a start call carried out later, by whichever incarnation is up."""
-        self._late_calls.append((self.now_s + delay_s, target, arguments))
+    def call_late(self, method: Callable, arguments: tuple, delay_s: float) -> None:
+        """Have a call carried out later, by whichever incarnation is up."""
+        self._late_calls.append((self.now_s + delay_s, method, arguments))
 
     def on_report(self, message: fleet_pb2.TargetReport) -> fleet_pb2.ReportReply:
         """Pass a report to the holder."""
@@ -281,9 +285,9 @@
         due = [call for call in self._late_calls if call[0] <= self.now_s]
         for call in due:
             self._late_calls.remove(call)
-            _, target, arguments = call
-            if not target.is_down:
-                target.start(*arguments)
+            _, method, arguments = call
+            with suppress(TargetDownError):
+                method(*arguments)
 
     def _commit(self) -> None:
         while (commit := self.scheduler.take_commit()) is not None:
