Store the speeds of targets with any write of the holder

Each commit renews the lease, so that a busy holder, which learns most, never renews it by itself, and only renewals stored the speeds.

test_they_are_stored_while_commits_take_the_place_of_renewals fails without the change. The tests of the holder now learn in its own thread.

--- a/packages/control/src/cicadabank/control/internal/cell_holder.py
+++ b/packages/control/src/cicadabank/control/internal/cell_holder.py
@@ -117,7 +117,7 @@
         self._pacer = RoundPacer(MIN_PLAN_INTERVAL_S, MAX_PLAN_SHARE)
         self._lateness = LatenessMeter()
         self._stored_lateness_s = TAKE_IN_LATENESS_S  # written with the takeover
-        # What the next renewal stores of the speeds of targets, if not None.
+        # What the next write stores of the speeds of targets, if not None.
         self._unstored_speeds: TargetSpeedsRow | None = None
         self._speeds_read_s = clock_s()
         self._last_tick_s = clock_s()
@@ -245,7 +245,7 @@
             self._read_speeds(clock_s())
 
     def _read_speeds(self, now_s: float) -> None:
-        """Have what is known of the speeds of targets stored with the next renewal."""
+        """Have what is known of the speeds of targets stored with the next write."""
         if now_s - self._speeds_read_s >= SPEEDS_INTERVAL_S:
             self._speeds_read_s = now_s
             speeds = self.scheduler.target_speeds()
@@ -273,9 +273,6 @@
         puts = {}
         if abs(lateness_s - self._stored_lateness_s) >= MIN_LATENESS_CHANGE_S:
             puts[HOLDER_LOAD_KEY] = pack(HolderLoadRow(self.epoch, lateness_s))
-        speeds, self._unstored_speeds = self._unstored_speeds, None
-        if speeds is not None:
-            puts[TARGET_SPEEDS_KEY] = pack(speeds)
         self._renew_due_s = clock_s() + RENEW_INTERVAL_S
         try:
             _, sent_s = self._commit({}, puts)
@@ -293,7 +290,7 @@
         else:
             self._last_write_s = max(self._last_write_s, sent_s)
             self._lateness.on_renewal(due_s, clock_s())
-            if HOLDER_LOAD_KEY in puts:
+            if puts:
                 self._stored_lateness_s = lateness_s
                 log_event("holder_load", cell=self.cell, lateness_s=lateness_s)
 
@@ -347,7 +344,13 @@
     def _commit(
         self, expected: dict[str, int], puts: dict[str, bytes]
     ) -> tuple[int, float]:
-        """Write rows and the lease; return the new version and when it was sent."""
+        """Write rows and the lease; return the new version and when it was sent.
+
+        Speeds of targets that are to be stored go with them.
+        """
+        speeds, self._unstored_speeds = self._unstored_speeds, None
+        if speeds is not None:
+            puts = {**puts, TARGET_SPEEDS_KEY: pack(speeds)}
         sent_s = clock_s()
         lease = LeaseRow(self.epoch, self._replica.store_now_s())
         version = self._table.commit(
--- a/tests/cover/test_cell_holder.py
+++ b/tests/cover/test_cell_holder.py
@@ -202,32 +202,56 @@
 
 
 class TestSpeedsOfTargets:
+    ADDRESS = "1.2.3.4:9"
+
+    def learn(self, holder: Holder) -> float:
+        """Have a holder learn that a target is slow; return its slowness."""
+
+        def observe() -> float:
+            speeds = holder.actor.scheduler.state.speeds
+            for step in range(5):
+                speeds.observe(("j", step), 0, "1.2.3.4:8", 10.0)
+                speeds.observe(("j", step), 1, self.ADDRESS, 12.0)
+            return speeds.slowness(self.ADDRESS)
+
+        return holder.actor.ask(observe)
+
     # Guards against a new holder that takes all targets for equally fast, just when
     # most work has to run again.
     def test_a_new_holder_knows_what_the_last_one_has_learned(
         self, table, stack, monkeypatch
     ):
         monkeypatch.setattr(cell_holder_module, "SPEEDS_INTERVAL_S", 0.1)
-        holder = Holder(table, 1, stack)
-        speeds = holder.actor.scheduler.state.speeds
-        for step in range(5):
-            speeds.observe(("j", step), 0, "1.2.3.4:8", 10.0)
-            speeds.observe(("j", step), 1, "1.2.3.4:9", 12.0)
+        slowness = self.learn(Holder(table, 1, stack))
         wait_for(lambda: ("cell", TARGET_SPEEDS_KEY) in table.rows, 5.0)
         restored = Holder(table, 2, stack).actor.scheduler.state.speeds
-        assert restored.slowness("1.2.3.4:9") > 1.05
-        assert restored.slowness("1.2.3.4:9") == speeds.slowness("1.2.3.4:9")
+        assert slowness > 1.05
+        assert restored.slowness(self.ADDRESS) == pytest.approx(slowness)
+
+    # Guards against speeds that a busy holder never stores: commits renew the lease.
+    def test_they_are_stored_while_commits_take_the_place_of_renewals(
+        self, table, stack, monkeypatch
+    ):
+        monkeypatch.setattr(cell_holder_module, "RENEW_INTERVAL_S", 60.0)
+        holder = Holder(table, 1, stack)
+        holder.wait_for_first_renewal()
+        self.learn(holder)
+        holder.actor.ask(holder.actor._read_speeds, float("inf"))
+        assert ("cell", TARGET_SPEEDS_KEY) not in table.rows
+        holder.cancel_job()
+        wait_for(lambda: ("cell", TARGET_SPEEDS_KEY) in table.rows, 5.0)
 
     def test_what_has_not_changed_is_not_stored_again(self, table, stack):
         holder = Holder(table, 1, stack)
-        speeds = holder.actor.scheduler.state.speeds
-        speeds.observe(("j", 0), 0, "1.2.3.4:8", 10.0)
-        speeds.observe(("j", 0), 1, "1.2.3.4:9", 12.0)
+        self.learn(holder)
         stored = pack(holder.actor.scheduler.target_speeds())
         table.commit("cell", {}, {TARGET_SPEEDS_KEY: stored})
         holder.feed.step()
+        version = table.rows[("cell", TARGET_SPEEDS_KEY)].version
         holder.actor.ask(holder.actor._read_speeds, float("inf"))
-        assert holder.actor._unstored_speeds is None
+        holder.cancel_job()
+        holder.wait_for_job_state("cancelled")
+        assert table.rows[("cell", TARGET_SPEEDS_KEY)].version == version
 
 
 class ListeningAgent:
