Bound the weight of estimates that pass from holder to holder

A restored estimate kept its whole weight, and grew with what each holder added.

test_they_weigh_the_same_however_many_holders_hand_them_on fails without the change.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/speeds.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/speeds.py
@@ -19,13 +19,14 @@
 MAX_STEPS = 1000
 # Estimates that fit into a row of the store.
 MAX_STORED_ESTIMATES = 1000
-# Stands for the comparisons of an earlier holder, among those of tasks.
+# Key of an earlier holder's estimate, where others are tasks, and the number of
+# comparisons that it counts for at most.
 RESTORED = ("", -1, -1)
+MAX_RESTORED_WEIGHT = 8.0
 # Latest tasks of a step that are compared again when the first measurement of another
 # task arrives.
 MAX_COMPARED_AGAIN = 8
-# Number of comparisons that the prior, a target of average speed, counts for: the
-# variance between the tasks of a step, as a multiple of that between targets.
+# Number of comparisons that the prior, a target of average speed, counts for.
 PRIOR_COMPARISONS = 1.0
 # A larger difference (of the logarithms) counts as this one: a run that stood still for
 # a while tells little about its target.
@@ -119,8 +120,8 @@
 class TargetSpeeds:
     """Estimates how much longer tasks take on a target than on an average one.
 
-    A target is known by the address of its agent, since its VM outlives it. Each update
-    takes constant time: a task's duration is compared with those of the other tasks of
+    A target is known by the address of its agent, since its VM outlives it. The time of
+    an update is bounded: a task's duration is compared with those of the other tasks of
     its step, corrected by the present estimates for their targets, and running tasks
     are compared again with each report.
     """
@@ -191,10 +192,10 @@
         return dict(by_weight[:MAX_STORED_ESTIMATES])
 
     def restore(self, estimates: dict[str, SpeedEstimate]) -> None:
-        """Take over an earlier holder's estimates, each as one old comparison."""
-        for agent, estimate in estimates.items():
-            self._targets[agent] = _TargetComparisons()
-            self._targets[agent].update(RESTORED, *estimate)
+        """Take over an earlier holder's estimates, which are forgotten first."""
+        for agent, (log_slowness, weight) in estimates.items():
+            target = self._targets[agent] = _TargetComparisons()
+            target.update(RESTORED, log_slowness, min(weight, MAX_RESTORED_WEIGHT))
 
     def forget(self, agent: str) -> None:
         """Forget a target that another kind of target has replaced."""
--- a/tests/cover/test_speeds.py
+++ b/tests/cover/test_speeds.py
@@ -81,7 +81,19 @@
         for agent in SLOWNESS:
             assert restored.slowness(agent) == pytest.approx(speeds.slowness(agent))
 
-    def test_they_count_as_one_comparison_that_is_forgotten_first(self):
+    def test_they_weigh_the_same_however_many_holders_hand_them_on(self):
+        # Guards against estimates that nothing can change any more.
+        speeds = learned_speeds()
+        for term in range(50):
+            restored = TargetSpeeds()
+            restored.restore(speeds.estimates())
+            speeds = restored
+            for step in range(MAX_COMPARISONS - 1):
+                speeds.observe((f"job{term}", step), 0, "usual", 10.0)
+                speeds.observe((f"job{term}", step), 1, "slow", 12.5)
+        assert speeds.estimates()["slow"].weight < 2 * MAX_COMPARISONS
+
+    def test_they_are_forgotten_before_comparisons_of_the_new_holder(self):
         speeds = TargetSpeeds()
         speeds.restore(learned_speeds().estimates())
         for step in range(MAX_COMPARISONS):
