Let only urgent work take empty fast targets before those in use

Change: urgent work goes to the fastest targets; other work to those in use, the fastest of these first, and then to empty ones. test_batch_work_leaves_fast_targets_empty_for_large_tasks fails without the change.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/placement.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/placement.py
@@ -1,8 +1,7 @@
 """Selection of targets for a unit.
 
-The fastest targets come first, so that work ends soon and less of it is lost with its
-targets. Those of about the same speed are packed tightly, so that whole racks stay free
-for gangs that need them.
+Targets are packed tightly, so that whole racks stay free for gangs that need them. Of
+the targets in use, the fastest come first; urgent work goes to the fastest in any case.
 
 A placement is local if the unit runs at full speed there: on the rack of its data, and
 on a single rack if it is a gang that needs that. Other placements are remote.
@@ -97,6 +96,7 @@
     targets: list[Target],
     tasks_by_target: dict[str, int],
     allow_remote: bool,
+    urgent: bool = False,
 ) -> Placement | None:
     """Select targets with free resources for all members of a unit.
 
@@ -109,6 +109,8 @@
         Number of the step's tasks on each target, for the limit per target.
     allow_remote : bool
         Whether to fall back to targets on which the tasks run more slowly.
+    urgent : bool, default=False
+        Whether speed counts more than tight packing.
 
     Returns
     -------
@@ -129,7 +131,7 @@
     best: list[Target] | None = None
     best_rank = (float("inf"), float("inf"))
     for group in local_groups(unit, candidates):
-        chosen = _pack(unit, group, tasks_by_target, racks)
+        chosen = _pack(unit, group, tasks_by_target, racks, urgent)
         if chosen is None:
             continue
         # A gang is as slow as its slowest member.
@@ -140,7 +142,7 @@
     if best is not None:
         return Placement(best, [], True)
     if allow_remote and (one_rack or step.data_rack):
-        chosen = _pack(unit, candidates, tasks_by_target, racks)
+        chosen = _pack(unit, candidates, tasks_by_target, racks, urgent)
         if chosen is not None:
             return Placement(chosen, [], False)
     return None
@@ -151,15 +153,17 @@
     group: list[Target],
     tasks_by_target: dict[str, int],
     racks: dict[str, int],
+    urgent: bool,
 ) -> list[Target] | None:
     """Fill targets one by one.
 
-    First come those with the fewest consecutive failures, then the fastest, then those
-    with the fewest free accelerators, then those whose racks have the fewest.
+    First come those with the fewest consecutive failures, then, for urgent work, the
+    fastest, then those in use, the fastest of these first, then those with the fewest
+    free accelerators, then those whose racks have the fewest.
     """
     need, limit = unit.spec.need, unit.spec.per_target
     chosen: list[Target] = []
-    for target in sorted(group, key=lambda t: _packing_key(t, racks)):
+    for target in sorted(group, key=lambda t: _packing_key(t, racks, urgent)):
         count = max_tasks(need, target.free)
         if limit:
             count = min(
@@ -171,10 +175,12 @@
     return None
 
 
-def _packing_key(target: Target, racks: dict[str, int]) -> tuple:
+def _packing_key(target: Target, racks: dict[str, int], urgent: bool) -> tuple:
     free = target.free
     return (
         target.consecutive_failures,
+        target.speed_class if urgent else 0,
+        not target.allocations,
         target.speed_class,
         free.accelerators,
         racks[target.rack],
--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -483,11 +483,12 @@
 ) -> Placement | None:
     job = state.jobs[unit.job]
     tasks_by_target = _step_tasks_by_target(unit, job)
+    urgent = state.queue_of(job.record).priority == 0
     placement = find_placement(
-        unit, _without_avoided(unit, targets), tasks_by_target, False
+        unit, _without_avoided(unit, targets), tasks_by_target, False, urgent
     )
     if placement is None and unit.avoided_targets:
-        placement = find_placement(unit, targets, tasks_by_target, False)
+        placement = find_placement(unit, targets, tasks_by_target, False, urgent)
     if placement is not None:
         return placement
     if id(unit) in guaranteed:
@@ -504,7 +505,7 @@
     # A remote placement is slower, but the unit may still end sooner than if it waited
     # for a local one.
     if placement is None and wait_s > REMOTE_WAIT_RATIO * state.expected_s(unit):
-        placement = find_placement(unit, targets, tasks_by_target, True)
+        placement = find_placement(unit, targets, tasks_by_target, True, urgent)
     return placement
 
 
@@ -513,8 +514,8 @@
 ) -> Placement | None:
     """Place a single task on the target of the one before, of the same step.
 
-    That target had the fewest free accelerators and now has fewer still, so that a
-    search would find it again. Returns None if a search is needed.
+    That target came first in the order of packing and now has less free still, so that
+    a search would find it again. Returns None if a search is needed.
     """
     if unit.size > 1 or unit.avoided_targets or previous.victims:
         return None
--- a/tests/cover/test_load_patterns.py
+++ b/tests/cover/test_load_patterns.py
@@ -529,3 +529,16 @@
         (unit,) = job.units
         assert cell.scheduler.state.expected_s(unit) == pytest.approx(8.0, rel=0.1)
         assert cell.scheduler.state.remaining_s(unit) < 0.8 * 8.0 - 5.0
+
+    def test_batch_work_leaves_fast_targets_empty_for_large_tasks(self, cell):
+        # Guards against small tasks that spread over the fastest targets.
+        short = self.URGENT_STEP._replace(estimate_s=3.0)
+        cell.submit("first", "urgent", [short._replace(count=4)])
+        small = StepSpec(1, Resources(2800, 8200, 1), 60.0)
+        cell.submit("small", "batch", [small])
+        cell.run_until(lambda: cell.state("first") == "completed")
+        in_use = self.target_of(cell, "small")
+        assert in_use.slowness == 1.25
+        cell.submit("more", "batch", [small])
+        cell.run(1.0)
+        assert self.target_of(cell, "more") is in_use
