Keep the speed of a target that has ended, and forget that of a removed agent

And the estimates of agents that were removed stayed for ever, and took the place of others in the stored row.

test_a_target_that_has_ended_stays_known and test_a_target_whose_agent_was_removed_is_not_known fail without the change.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
@@ -198,6 +198,7 @@
     def on_agent_removed(self, agent: str) -> None:
         """Stop contacting an agent that was removed."""
         self.state.last_contact_attempt_s.pop(agent, None)
+        self.state.speeds.forget(agent)
 
     def tick(self, now_s: float) -> None:
         """Expire leases and probations, move work off draining targets, and plan."""
--- a/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
@@ -197,7 +197,9 @@
 def _add_target(state: CellState, report: Report) -> Target:
     target = Target(report.target_incarnation, report.agent)
     removed, _ = state.removed_targets.get(report.agent, (None, 0.0))
-    if removed is not None and removed.labels != frozenset(report.labels):
+    # A target that has ended is reported without labels.
+    is_known = removed is not None and any(report.labels)
+    if is_known and removed.labels != frozenset(report.labels):
         state.speeds.forget(report.agent)
     state.targets[report.agent] = target
     state.targets_by_incarnation[report.target_incarnation] = target
--- a/tests/cover/test_load_patterns.py
+++ b/tests/cover/test_load_patterns.py
@@ -542,3 +542,46 @@
         cell.submit("more", "batch", [small])
         cell.run(1.0)
         assert self.target_of(cell, "more") is in_use
+
+    def slowness(self, cell: ModelCell, target: ModelTarget) -> float:
+        return cell.scheduler.state.speeds.slowness(target.agent)
+
+    def test_a_target_that_has_ended_stays_known(self, cell):
+        target = cell.targets["agent-t0"]
+        before = self.slowness(cell, target)
+        ended = target.report()._replace(
+            target_incarnation=target.target_incarnation._replace(
+                incarnation=target.target_incarnation.incarnation + "/ended"
+            ),
+            capacity=Resources(0, 0, 0),
+            largest_capacity=Resources(0, 0, 0),
+            labels=(),
+        )
+        reply = cell.scheduler.on_report(ended, cell.now_s, True)
+        target.registration = reply.registration
+        cell.scheduler.on_report(
+            ended._replace(
+                report_number=ended.report_number + 1,
+                registration=target.registration,
+            ),
+            cell.now_s,
+            True,
+        )
+        target.restart()
+        cell.run(2.0)
+        assert before > 1.0
+        assert self.slowness(cell, target) == before
+
+    def test_a_target_of_another_kind_is_not_known(self, cell, monkeypatch):
+        target = cell.targets["agent-t0"]
+        report = ModelTarget.report
+        monkeypatch.setattr(
+            ModelTarget, "report", lambda self: report(self)._replace(labels=("b",))
+        )
+        target.restart()
+        cell.run(2.0)
+        assert self.slowness(cell, target) == 1.0
+
+    def test_a_target_whose_agent_was_removed_is_not_known(self, cell):
+        cell.scheduler.on_agent_removed("agent-t0")
+        assert self.slowness(cell, cell.targets["agent-t0"]) == 1.0
