--- a/tests/cover/test_load_patterns.py
+++ b/tests/cover/test_load_patterns.py
@@ -585,3 +585,15 @@
     def test_a_target_whose_agent_was_removed_is_not_known(self, cell):
         cell.scheduler.on_agent_removed("agent-t0")
         assert self.slowness(cell, cell.targets["agent-t0"]) == 1.0
+
+    def test_a_run_on_a_slow_target_is_expected_to_take_longer(self, cell):
+        cell.submit("all", "urgent", [self.URGENT_STEP._replace(count=6)])
+        cell.run(0.4)
+        state = cell.scheduler.state
+        remaining_s = {
+            cell.targets[unit.members[0].target_incarnation.agent].slowness: (
+                state.remaining_s(unit)
+            )
+            for unit in state.jobs["all"].units
+        }
+        assert remaining_s[1.25] > remaining_s[1.0] + 0.4 > remaining_s[0.8] + 0.8
--- a/tests/cover/test_speeds.py
+++ b/tests/cover/test_speeds.py
@@ -68,6 +68,13 @@
             speeds.observe(("later", step), 1, "slow", 8.0)
         assert speeds.slowness("slow") < 0.9
 
+    def test_a_target_is_not_fast_for_being_compared_with_slow_ones(self):
+        speeds = learned_speeds(MAX_COMPARISONS)
+        for step in range(MAX_COMPARISONS):
+            speeds.observe(("later", step), 0, "slow", 12.5)
+            speeds.observe(("later", step), 1, "new", 10.0)
+        assert speeds.slowness("new") > 0.92
+
     def test_an_unknown_or_forgotten_target_is_of_average_speed(self):
         speeds = learned_speeds()
         speeds.forget("slow")
