--- a/packages/control/src/cicadabank/control/internal/replica.py
+++ b/packages/control/src/cicadabank/control/internal/replica.py
@@ -9,7 +9,7 @@
 from typing import Any, NamedTuple
 
 from cicadabank.control.bounds import (
-    MAX_LOG_SLOWNESS,
+    MAX_SPEED_DIFFERENCE,
     MAX_SPEED_WEIGHT,
     check_steps,
     is_address,
@@ -272,13 +272,14 @@
 
 @_check.register
 def _(value: TargetSpeedsRow, name: str) -> None:
-    for agent, (log_slowness, weight) in value.estimates.items():
+    for agent, (mean_difference, weight) in value.estimates.items():
         in_range = (
-            abs(log_slowness) <= MAX_LOG_SLOWNESS and 0.0 <= weight <= MAX_SPEED_WEIGHT
+            abs(mean_difference) <= MAX_SPEED_DIFFERENCE
+            and 0.0 <= weight <= MAX_SPEED_WEIGHT
         )
         if not in_range or not is_address(agent):
             raise ValueError(
-                f"a slowness of {log_slowness} with weight {weight} at {agent!r}"
+                f"a speed {mean_difference} off with weight {weight} at {agent!r}"
             )
 
 
--- a/packages/scheduling/src/cicadabank/scheduling/internal/speeds.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/speeds.py
@@ -40,14 +40,14 @@
 
     Attributes
     ----------
-    log_slowness : float
-        Logarithm of how much longer tasks take than on an average target, without the
-        prior.
+    mean_difference : float
+        Mean of the differences between the logarithms of its tasks' durations and those
+        of the other tasks of their steps.
     weight : float
         Number of comparisons that it is the mean of.
     """
 
-    log_slowness: float
+    mean_difference: float
     weight: float
 
 
@@ -77,6 +77,7 @@
         self._by_task[task] = duration
 
     def latest_tasks(self) -> list[int]:
+        """Return the tasks that were first measured last."""
         return list(itertools.islice(reversed(self._by_task), MAX_COMPARED_AGAIN))
 
     def others(self, task: int) -> tuple[int, float]:
@@ -110,6 +111,7 @@
 
     @property
     def log_slowness(self) -> float:
+        """Logarithm of the target's slowness, by the comparisons and the prior."""
         return self._total / (self._weight + PRIOR_COMPARISONS)
 
     def estimate(self) -> SpeedEstimate:
@@ -193,12 +195,12 @@
 
     def restore(self, estimates: dict[str, SpeedEstimate]) -> None:
         """Take over an earlier holder's estimates, which are forgotten first."""
-        for agent, (log_slowness, weight) in estimates.items():
+        for agent, (mean_difference, weight) in estimates.items():
             target = self._targets[agent] = _TargetComparisons()
-            target.update(RESTORED, log_slowness, min(weight, MAX_RESTORED_WEIGHT))
+            target.update(RESTORED, mean_difference, min(weight, MAX_RESTORED_WEIGHT))
 
     def forget(self, agent: str) -> None:
-        """Forget a target that another kind of target has replaced."""
+        """Forget a target that another kind has replaced, or whose agent is removed."""
         self._targets.pop(agent, None)
 
 
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -476,7 +476,7 @@
         assert lines == ["row_unreadable"]
 
     @pytest.mark.parametrize(
-        ("agent", "log_slowness", "weight"),
+        ("agent", "mean_difference", "weight"),
         [
             ("1.2.3.4:9", float("nan"), 1.0),
             ("1.2.3.4:9", -7.0, 1.0),
@@ -485,8 +485,8 @@
             ("nowhere", 0.1, 1.0),
         ],
     )
-    def test_an_impossible_speed_is_refused(self, agent, log_slowness, weight):
-        estimates = {agent: SpeedEstimate(log_slowness, weight)}
+    def test_an_impossible_speed_is_refused(self, agent, mean_difference, weight):
+        estimates = {agent: SpeedEstimate(mean_difference, weight)}
         odd = StoredRow("cell", TARGET_SPEEDS_KEY, pack(TargetSpeedsRow(estimates)), 8)
         replica, _, lines = self.apply(odd, self.GOOD)
         assert replica.cells["cell"].target_speeds is None
