--- a/packages/scheduling/src/cicadabank/scheduling/internal/lifecycle.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/lifecycle.py
@@ -86,10 +86,10 @@
 
     The forecast learns from the first measurement, the speeds of targets from each.
     """
-    agents = {member.target_incarnation.agent for member in unit.members}
-    if len(agents) == 1:
+    if len(unit.agents) == 1:
+        (agent,) = unit.agents
         step = (unit.job, unit.step)
-        state.speeds.observe(step, unit.first_index, agents.pop(), duration_s)
+        state.speeds.observe(step, unit.first_index, agent, duration_s)
     # Forecasts are for a target of average speed.
     duration_s /= state.slowness(unit)
     if unit.duration_s is None:
--- a/packages/scheduling/src/cicadabank/scheduling/internal/state.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/state.py
@@ -270,8 +270,7 @@
 
     def slowness(self, unit: Unit) -> float:
         """Return how much longer a unit takes where it is placed, as a factor."""
-        agents = {member.target_incarnation.agent for member in unit.members}
-        return max((self.speeds.slowness(agent) for agent in agents), default=1.0)
+        return max(map(self.speeds.slowness, unit.agents), default=1.0)
 
     def remaining_s(self, unit: Unit) -> float:
         """Return the expected remaining duration of a unit, in seconds.
--- a/packages/scheduling/src/cicadabank/scheduling/internal/units.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/units.py
@@ -182,6 +182,11 @@
         """Whether a target may be running any of its members."""
         return self.phase in (Phase.COMMITTING, Phase.RUNNING, Phase.STOPPING)
 
+    @property
+    def agents(self) -> set[str]:
+        """Addresses of the agents of the targets where the unit is placed."""
+        return {member.target_incarnation.agent for member in self.members}
+
     def run_id(self, member_index: int) -> RunId:
         """Return the id of a member's current run."""
         return RunId(self.job, self.step, self.first_index + member_index, self.run)
