--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,72 +1,84 @@
 """More than 500 tasks of one minion end while the platform's store is down."""
 
 import random
+import re
 import time
-from collections import Counter
-from pathlib import Path
 
-from deployment import Deployment
+from deployment import Deployment, run
 
-DOWN_S = 6.9
-JOBS, TASKS = 8, 80
+DOWN_S = 4.2
+JOBS = [f"{0xE00 + number:016x}" for number in range(8)]
+TASKS = 80
+SPREAD_S = 3.5
+SPREAD = "ends within 3.5 s"
+END = re.compile(r"ended (\S+) run \d+ on (\S+) as end (\d+): done")
+SEEN = re.compile(r"lastSeen on (\S+): (\d+)")
+START = re.compile(r"started (\S+) run \d+ on \S+")
 
 
-def work_s(task: str, spec: str) -> float:
-    return random.Random(task).uniform(*map(float, spec.split("-")))
+class Work:
+    """Work that ends within a span of time, whenever its task was started."""
 
+    def __init__(self):
+        self.first_end_s = time.monotonic() + 60.0
 
-def main() -> int:
-    d = deployment
+    def __call__(self, task: str, spec: str) -> float:
+        if spec != SPREAD:
+            return float(spec)
+        end_s = self.first_end_s + random.Random(task).uniform(0.0, SPREAD_S)
+        return max(1.0, end_s - time.monotonic())
+
+
+def main(d: Deployment) -> int:
+    work = Work()
     for number in range(2):
-        d.add_worker(f"w{number}", f"z{number}", ["a", f"r{number}"], work_s)
-    d.add_entry("entry-0", "z0")
-    d.add_entry("entry-1", "z1")
-    ready = [d.submit(f"{n:016x}", spec="0.05-0.1", requires=f"r{n}") for n in (0, 1)]
-    if ready != [200, 200] or d.wait_state(f"{1:016x}", ("completed",), 20) == "":
+        d.add_worker(f"w{number}", f"z{number}", ["a", f"r{number}"], work)
+        d.add_entry(f"entry-{number}", f"z{number}")
+    if not d.wait_ready():
         return 2
-    jobs = [f"{0xE00 + n:016x}" for n in range(JOBS)]
-    for job in jobs:
-        d.submit(
-            job, spec="9-13", count=TASKS, cpu=50, estimateMs=11000, requires="r0"
-        )
-    end_s = time.monotonic() + 15
-    while len(d.minions["w0"].running) < JOBS * TASKS and time.monotonic() < end_s:
-        time.sleep(0.1)
-    d.record(f"{len(d.minions['w0'].running)} tasks are at work")
-    while not d.minions["w0"].ended and time.monotonic() < end_s + 15:
+    work.first_end_s = time.monotonic() + 15.0
+    for job in JOBS:
+        fields = {"count": TASKS, "cpu": 50, "estimateMs": 11000, "requires": "r0"}
+        d.submit(job, spec=SPREAD, **fields)
+    minion = d.minions["w0"]
+    while time.monotonic() < work.first_end_s - 0.2:
         time.sleep(0.01)
+    d.record(f"{len(minion.running)} tasks are at work on w0")
+    if len(minion.running) < len(JOBS) * TASKS:
+        return 2
     if d.trouble:
         d.store.down = True
         d.record("the platform's store is down")
         time.sleep(DOWN_S)
         d.store.down = False
         d.record("the platform's store is back")
-    for job in jobs:
-        d.wait_state(job, ("completed", "failed"), 30)
-    return verdict(d)
+    states = [d.wait_state(job, ("completed", "failed"), 30) for job in JOBS]
+    time.sleep(3.0)  # until the last ends are taken note of
+    return verdict(d) if set(states) == {"completed"} else 2
 
 
 def verdict(d: Deployment) -> int:
-    done, again = Counter(), []
-    for at_s, line in d.events:
-        words = line.split()
-        if words[0] == "ended" and words[-1] == "done":
-            done[words[1]] += 1
-        if words[0] == "started" and done[words[1]]:
-            again.append((at_s, line))
-    d.record(f"ends `done`: {sum(done.values())}")
-    for at_s, line in again[:20]:
-        d.record(f"at {at_s:.3f}, after an end `done` of the task: {line}")
-    d.record(f"starts after an end `done`: {len(again)}")
-    if len(done) < JOBS * TASKS + 2:
+    """Look for starts after an end `done` that is taken note of then or later."""
+    lines = [line for _, line in d.events]
+    seen = {}
+    for line in lines:
+        if match := SEEN.fullmatch(line):
+            seen[match[1]] = int(match[2])
+    lapses = sum(line.startswith("the lease lapses") for line in lines)
+    done, again = set(), []
+    for line in lines:
+        if match := END.fullmatch(line):
+            if int(match[3]) <= seen.get(match[2], 0):
+                done.add(match[1])
+        elif (match := START.fullmatch(line)) and match[1] in done:
+            again.append(line)
+    for line in again[:20]:
+        d.record(f"after an end `done` of the task that was taken note of: {line}")
+    d.record(f"tasks with such an end: {len(done)}; lapses of a lease: {lapses}")
+    d.record(f"starts after such an end: {len(again)}")
+    if len(done) < len(JOBS) * TASKS:
         return 2
     return 1 if again else 0
 
 
-deployment = Deployment(Path(__file__).parent)
-try:
-    code = main()
-except BaseException as error:
-    deployment.record(f"could not run: {error!r}")
-    code = 2
-deployment.end(code)
+run(__file__, main)
--- a/review/kit/deployment.py
+++ b/review/kit/deployment.py
@@ -75,6 +75,23 @@
 """
 
 
+def run(case_file: str, main) -> None:
+    """Run a case: `main` gets the deployment and returns the exit code."""
+    deployment = Deployment(Path(case_file).resolve().parent)
+    signal.signal(signal.SIGTERM, lambda *_: deployment.end(2))
+    try:
+        code = main(deployment)
+    except BaseException as error:
+        deployment.record(f"could not run: {error!r}")
+        code = 2
+    deployment.end(code)
+
+
+def work_in_spec(_: str, spec: str) -> float:
+    """Return a task's seconds of work, which its `spec` holds."""
+    return float(spec)
+
+
 class Deployment:
     """Entries and agents as processes; the store and the minions in this process."""
 
@@ -252,7 +269,7 @@
                 return state
             time.sleep(0.1)
 
-    def wait_ready(self, limit_s: float = 25.0) -> bool:
+    def wait_ready(self, limit_s: float = 25.0, spec: str = "0.05") -> bool:
         """Wait until a job has run on each minion's label, so that all take part."""
         end_s = time.monotonic() + limit_s
         labels = {m.labels[1] for m in self.minions.values()}
@@ -260,7 +277,7 @@
         while todo and time.monotonic() < end_s:
             for job, label in list(todo.items()):
                 body = {
-                    "spec": "0.05",
+                    "spec": spec,
                     "steps": [{"count": 1, "cpu": 100, "memMb": 1, "requires": label}],
                 }
                 self.request("POST", job, body=body, quiet=True)
--- a/review/kit/standins.py
+++ b/review/kit/standins.py
@@ -22,6 +22,7 @@
 MAX_ROWS_PER_PAGE = 500
 MAX_PAGE_BYTES = 1_000_000
 MAX_TX_BYTES = 1_000_000
+MAX_ENTRIES = 100
 ROW_BYTES = 65_536
 MAX_LISTED_ENDS = 500
 HOLD_MAX_S = 10.0
@@ -112,9 +113,10 @@
     down : bool
         Every call is answered with 503; nothing is done.
     late_writes : bool
-        A write gets no answer and is done `late_s` later, if its condition still holds.
-    row_bytes, max_entries : int
-        Limits of the platform; a call beyond them is answered with 400.
+        Writes that add a job get no answer and are done `late_s` later, if their
+        conditions still hold.
+    rejected : list of str
+        Why calls beyond a limit of the platform were answered with 400.
     """
 
     def __init__(self, address: str):
@@ -125,7 +127,6 @@
         self.down = False
         self.late_writes = False
         self.late_s = 6.0
-        self.max_entries = 0
         self.rejected: list[str] = []
         self.epoch_s = time.monotonic() - 1000.0
         self.address = address
@@ -158,7 +159,7 @@
         query = {k: v[0] for k, v in parse_qs(parts.query, True).items()}
         name = parts.path.removeprefix("/api/")
         if name == "rows-tx" and method == "POST":
-            if self.late_writes:
+            if self.late_writes and b'"key":"job/' in body.replace(b" ", b""):
                 threading.Timer(self.late_s, self._transact, (body,)).start()
                 return None
             return self._transact(body)
@@ -177,7 +178,7 @@
         entries = [*expected, *puts, *removes]
         if len(body) > MAX_TX_BYTES:
             return self._reject(f"a call of {len(body)} bytes")
-        if self.max_entries and len(entries) > self.max_entries:
+        if len(entries) > MAX_ENTRIES:
             return self._reject(f"a call of {len(entries)} entries")
         for row in puts:
             size = len(base64.b64decode(row["value"]))
@@ -300,7 +301,7 @@
         self.capacity = capacity or {"cpu": 32000, "memMb": 131072, "gpu": 8}
         self._work_s, self._record = work_s, record
         self.changed = threading.Condition()
-        self.is_up = False
+        self.is_up = self.is_mute = False
         self._count = 0
         self._server: _Server | None = None
         self.up()
@@ -323,11 +324,20 @@
             self._closed: dict[str, int] = {}
             self.ended: list[list] = []
             self._ends = 0
+            self._last_seen = 0
+            self._has_lapsed = True
             self._server = _Server(self.address, self._handle)
             self._server.start()
             self.is_up = True
         self._record(f"minion {self.name} is up as {self.id}")
 
+    def mute(self, is_mute: bool) -> None:
+        """Leave calls and heartbeats out, as behind a cut, or end that."""
+        self.is_mute = is_mute
+        self._record(f"minion {self.name} is {'cut off' if is_mute else 'reached again'}")
+        if not is_mute:
+            self._server.reset_all()
+
     def down(self) -> None:
         """Crash: everything that runs ends, and nothing answers any more."""
         with self.changed:
@@ -340,11 +350,18 @@
         self._server.stop()
         self._record(f"minion {self.name} crashes; with it {lost}")
 
+    def _swallows(self) -> bool:
+        """Return whether a call is lost in a cut; it gets no answer meanwhile."""
+        was_mute = self.is_mute
+        while self.is_mute:
+            time.sleep(0.02)
+        return was_mute
+
     def _clock_s(self) -> float:
         return time.monotonic() - self._born_s
 
     def _handle(self, method, path, headers, body):
-        if not self.is_up:
+        if not self.is_up or self._swallows():
             return None
         if headers.get("X-Target-Instance") not in (None, self.id):
             return 421, {}
@@ -394,6 +411,9 @@
     def _hold(self, document):
         self._extend(document)
         last_seen = document.get("lastSeen", 0)
+        if last_seen > self._last_seen:
+            self._last_seen = last_seen
+            self._record(f"lastSeen on {self.id}: {last_seen}")
         self.ended = [end for end in self.ended if end[0] > last_seen]
         until_s = time.monotonic() + document.get("waitMs", 0) / 1000
         identity = self.id
@@ -420,7 +440,8 @@
         self._closed[task] = max(run, self._closed.get(task, 0))
         self._ends += 1
         self.ended.append([self._ends, task, run, how, ""])
-        self._record(f"ended {task} run {run} on {self.id}: {how}")
+        line = f"ended {task} run {run} on {self.id} as end {self._ends}: {how}"
+        self._record(line)
         self.changed.notify_all()
 
     def _advance(self) -> None:
@@ -429,6 +450,9 @@
             with self.changed:
                 now_s = time.monotonic()
                 lapsed = self._clock_s() >= self._lease_s
+                if lapsed and not self._has_lapsed and self.is_up:
+                    self._record(f"the lease lapses on {self.id}")
+                self._has_lapsed = lapsed
                 for task, (_, end_s) in list(self.running.items()):
                     if lapsed:
                         self._end(task, "lapsed")
@@ -440,7 +464,7 @@
     def _beat(self) -> None:
         first = ""
         while True:
-            if self.is_up and self._send_beat() and first != self.id:
+            if self.is_up and not self.is_mute and self._send_beat() and first != self.id:
                 first = self.id
             next_s = time.monotonic() + (HEARTBEAT_S if first == self.id else 0.2)
             identity = self.id
