--- a/review/2/case.py
+++ b/review/2/case.py
@@ -23,6 +23,7 @@
         self.first_end_s = time.monotonic() + 60.0
 
     def __call__(self, task: str, spec: str) -> float:
+        """Return the seconds of work of a task that starts now."""
         if spec != SPREAD:
             return float(spec)
         end_s = self.first_end_s + random.Random(task).uniform(0.0, SPREAD_S)
@@ -30,6 +31,7 @@
 
 
 def main(d: Deployment) -> int:
+    """Play the case; return the exit code."""
     work = Work()
     for number in range(2):
         d.add_worker(f"w{number}", f"z{number}", ["a", f"r{number}"], work)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -10,6 +10,7 @@
 
 
 def main(d: Deployment) -> int:
+    """Play the case; return the exit code."""
     for number in range(2):
         d.add_worker(f"w{number}", f"z{number}", ["a", f"r{number}"], work_in_spec)
         d.add_entry(f"entry-{number}", f"z{number}")
--- a/review/kit/standins.py
+++ b/review/kit/standins.py
@@ -102,7 +102,7 @@
         self.wfile.write(content)
         self.wfile.flush()
 
-    do_GET = do_POST = do_PUT = do_DELETE = _serve
+    do_GET = do_POST = do_PUT = do_DELETE = _serve  # noqa: N815
 
 
 class Store:
@@ -334,7 +334,9 @@
     def mute(self, is_mute: bool) -> None:
         """Leave calls and heartbeats out, as behind a cut, or end that."""
         self.is_mute = is_mute
-        self._record(f"minion {self.name} is {'cut off' if is_mute else 'reached again'}")
+        self._record(
+            f"minion {self.name} is {'cut off' if is_mute else 'reached again'}"
+        )
         if not is_mute:
             self._server.reset_all()
 
@@ -464,7 +466,12 @@
     def _beat(self) -> None:
         first = ""
         while True:
-            if self.is_up and not self.is_mute and self._send_beat() and first != self.id:
+            if (
+                self.is_up
+                and not self.is_mute
+                and self._send_beat()
+                and first != self.id
+            ):
                 first = self.id
             next_s = time.monotonic() + (HEARTBEAT_S if first == self.id else 0.2)
             identity = self.id
