--- a/review/kit/standins.py
+++ b/review/kit/standins.py
@@ -280,7 +280,8 @@
     Parameters
     ----------
     work_s : callable
-        Returns the seconds of work of a task, from its name and `spec`.
+        Returns the seconds of work of a task, from its name and `spec`; negative for
+        one that fails after this time.
     record : callable
         Called with a line for each event.
     """
@@ -321,6 +322,7 @@
             # By task: run, end of the work.
             self.running: dict[str, tuple[int, float]] = {}
             self._stopping: dict[str, float] = {}
+            self._fails: dict[str, bool] = {}
             self._closed: dict[str, int] = {}
             self.ended: list[list] = []
             self._ends = 0
@@ -399,7 +401,8 @@
             return 409, {"clockMs": self._clock_ms(), "reason": "late"}
         self._extend(document)
         work_s = self._work_s(task, document["spec"])
-        self.running[task] = (run, time.monotonic() + work_s)
+        self._fails[task] = work_s < 0
+        self.running[task] = (run, time.monotonic() + abs(work_s))
         self._record(f"started {task} run {run} on {self.id}")
         return 200, {"clockMs": self._clock_ms(), "born": self.born_ms}
 
@@ -461,7 +464,7 @@
                     elif self._stopping.get(task, now_s + 1) <= now_s:
                         self._end(task, "stopped")
                     elif end_s <= now_s:
-                        self._end(task, "done")
+                        self._end(task, "failed" if self._fails[task] else "done")
 
     def _beat(self) -> None:
         first = ""
