--- a/review/kit/deployment.py
+++ b/review/kit/deployment.py
@@ -92,6 +92,29 @@
     return float(spec)
 
 
+class EndsTogether:
+    """Work of tasks that end within a span of time, whenever they were started.
+
+    Parameters
+    ----------
+    spread_s : float
+        Length of the span.
+    """
+
+    SPEC = "ends with the others"
+
+    def __init__(self, spread_s: float):
+        self._spread_s = spread_s
+        self.first_end_s = time.monotonic() + 60.0
+
+    def __call__(self, task: str, spec: str) -> float:
+        """Return the seconds of work of a task that starts now."""
+        if spec != self.SPEC:
+            return float(spec)
+        end_s = self.first_end_s + random.Random(task).uniform(0.0, self._spread_s)
+        return max(1.0, end_s - time.monotonic())
+
+
 class Deployment:
     """Entries and agents as processes; the store and the minions in this process."""
 
--- a/review/kit/standins.py
+++ b/review/kit/standins.py
@@ -303,17 +303,20 @@
         self._work_s, self._record = work_s, record
         self.changed = threading.Condition()
         self.is_up = self.is_mute = False
-        self._count = 0
+        # The next start that this predicate accepts gets no answer; it is kept here
+        # until `carry_out_late`.
+        self.delays_start = lambda task: False
+        self._delayed: tuple | None = None
         self._server: _Server | None = None
         self.up()
         threading.Thread(target=self._advance, daemon=True).start()
         threading.Thread(target=self._beat, daemon=True).start()
 
-    def up(self) -> None:
-        """Start a new life under a new id; it knows nothing of before."""
+    def up(self, keep_id: bool = False) -> None:
+        """Start a new life, under a new id or the former one; it knows nothing."""
         with self.changed:
-            self._count += 1
-            self.id = f"i-{random.getrandbits(32):08x}"
+            if not keep_id:
+                self.id = f"i-{random.getrandbits(32):08x}"
             self.born_ms = int(time.time() * 1000)
             self._born_s = time.monotonic()
             self._sequence = 0
@@ -354,6 +357,11 @@
         self._server.stop()
         self._record(f"minion {self.name} crashes; with it {lost}")
 
+    def carry_out_late(self) -> None:
+        """Carry the delayed start out, as a call that comes in now."""
+        reply = self._handle(*self._delayed)
+        self._record(f"the delayed start is carried out on {self.id}: {reply}")
+
     def _swallows(self) -> bool:
         """Return whether a call is lost in a cut; it gets no answer meanwhile."""
         was_mute = self.is_mute
@@ -370,6 +378,12 @@
         if headers.get("X-Target-Instance") not in (None, self.id):
             return 421, {}
         document = json.loads(body)
+        if path == "/api/run-start" and self._delayed is None:
+            if self.delays_start(document["task"]):
+                self._delayed = (method, path, headers, body)
+                self._record(f"no answer to the start of {document['task']}")
+                time.sleep(2.0)
+                return None
         with self.changed:
             if document.get("fence", 0) < self._fence:
                 return 409, {"clockMs": self._clock_ms(), "reason": "fence"}
