--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,38 +1,22 @@
 """More than 500 tasks of one minion end while the platform's store is down."""
 
-import random
 import re
 import time
 
-from deployment import Deployment, run
+from deployment import Deployment, EndsTogether, run
 
 DOWN_S = 4.2
 JOBS = [f"{0xE00 + number:016x}" for number in range(8)]
 TASKS = 80
 SPREAD_S = 3.5
-SPREAD = "ends within 3.5 s"
 END = re.compile(r"ended (\S+) run \d+ on (\S+) as end (\d+): done")
 SEEN = re.compile(r"lastSeen on (\S+): (\d+)")
 START = re.compile(r"started (\S+) run \d+ on \S+")
 
 
-class Work:
-    """Work that ends within a span of time, whenever its task was started."""
-
-    def __init__(self):
-        self.first_end_s = time.monotonic() + 60.0
-
-    def __call__(self, task: str, spec: str) -> float:
-        """Return the seconds of work of a task that starts now."""
-        if spec != SPREAD:
-            return float(spec)
-        end_s = self.first_end_s + random.Random(task).uniform(0.0, SPREAD_S)
-        return max(1.0, end_s - time.monotonic())
-
-
 def main(d: Deployment) -> int:
     """Play the case; return the exit code."""
-    work = Work()
+    work = EndsTogether(SPREAD_S)
     for number in range(2):
         d.add_worker(f"w{number}", f"z{number}", ["a", f"r{number}"], work)
         d.add_entry(f"entry-{number}", f"z{number}")
@@ -41,7 +25,7 @@
     work.first_end_s = time.monotonic() + 15.0
     for job in JOBS:
         fields = {"count": TASKS, "cpu": 50, "estimateMs": 11000, "requires": "r0"}
-        d.submit(job, spec=SPREAD, **fields)
+        d.submit(job, spec=work.SPEC, **fields)
     minion = d.minions["w0"]
     while time.monotonic() < work.first_end_s - 0.2:
         time.sleep(0.01)
