--- a/review/kit/deployment.py
+++ b/review/kit/deployment.py
@@ -125,6 +125,7 @@
         self._lock = threading.Lock()
         self._start_s = time.monotonic()
         self.events: list[tuple[float, str]] = []
+        self._reservations: list[socket.socket] = []
         self._ports = self._free_ports()
         self.store = Store(self.address())
         self.store.put("op", "config", CONFIG)
@@ -134,15 +135,22 @@
         self.minions: dict[str, Minion] = {}
         self.proxies: dict[str, Proxy] = {}
 
-    @staticmethod
-    def _free_ports():
+    def _free_ports(self):
+        """Yield free ports; each stays bound here, so that no other run takes it.
+
+        Whoever listens on it sets SO_REUSEADDR, which lets it share the port with a
+        socket that doesn't listen.
+        """
         first = random.randrange(24_000, 31_000)
         for port in (*range(first, 32_000), *range(24_000, first)):
-            with socket.socket() as probe:
-                try:
-                    probe.bind(("127.0.0.1", port))
-                except OSError:
-                    continue
+            reservation = socket.socket()
+            try:
+                reservation.bind(("127.0.0.1", port))
+            except OSError:
+                reservation.close()
+                continue
+            reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self._reservations.append(reservation)
             yield port
 
     def address(self) -> str:
--- a/review/kit/standins.py
+++ b/review/kit/standins.py
@@ -533,6 +533,13 @@
 
 def owns_port(pid: int, port: int) -> bool:
     """Return whether a process has the loopback connection from a local port."""
+    try:
+        return _owns_port(pid, port)
+    except OSError:
+        return False  # the process has ended
+
+
+def _owns_port(pid: int, port: int) -> bool:
     inodes = set()
     for name in ("tcp", "tcp6"):
         with open(f"/proc/{pid}/net/{name}") as table:
