Store what targets could run, so that a new holder knows absent ones

Cause: whether a job is infeasible was decided from memory that ends with the holder. A holder keeps the labels and the size of a target that it has lost for 30 s; its successor knew only the addresses of agents, and assumed for those that had not reported the size and the labels of the present targets. A job that needs a label or a size of the absent one therefore failed 6 s after the takeover.

Change: the holder stores the labels and the largest capacity of each target (row target/AGENT), and since when one has been absent. The rows go with writes that are due anyway, within the store's limit of 100 entries. A new holder starts from them, so that a target is waited for as long as before (30 s), and no takeover begins that time anew. For a target of which no holder has heard yet nothing is assumed: jobs wait, at most 30 s, and once. A started agent renews the wait, since its VM is up.

Related paths looked at: sizes and gangs (same fix); targets that an agent reports as ended after a takeover (same fix; the test's report of such an end now has no labels and no largest capacity, as the agent's has); agents that were announced but have not reported (waited for).

--- a/packages/control/src/cicadabank/control/internal/cell_holder.py
+++ b/packages/control/src/cicadabank/control/internal/cell_holder.py
@@ -20,12 +20,15 @@
     HOLDER_KEY,
     HOLDER_LOAD_KEY,
     LEASE_KEY,
+    MAX_COMMIT_ENTRIES,
+    TARGET_SHAPE_PREFIX,
     TARGET_SPEEDS_KEY,
     AgentOrders,
     CellScheduler,
     Commit,
     HolderLoadRow,
     LeaseRow,
+    TargetShapeRow,
     TargetSpeedsRow,
     Timings,
     pack,
@@ -59,6 +62,10 @@
 MIN_LATENESS_CHANGE_S = 0.3
 # Least time between two writes of what is known of the speeds of targets.
 SPEEDS_INTERVAL_S = 5.0
+# Time between two searches for targets whose absence is to be stored.
+ABSENCE_INTERVAL_S = 1.0
+# The shape of a target with more labels than fit into a row of this size is not stored.
+MAX_SHAPE_ROW_BYTES = 8192
 # Pause before a failed write is retried.
 WRITE_RETRY_PAUSE_S = 0.15
 ORDER_TIMEOUT_S = 0.8
@@ -120,6 +127,9 @@
         # What the next write stores of the speeds of targets, if not None.
         self._unstored_speeds: TargetSpeedsRow | None = None
         self._speeds_read_s = clock_s()
+        # What the next writes store of the shapes of targets, by their agents.
+        self._unstored_shapes: dict[str, TargetShapeRow] = {}
+        self._absences_read_s = clock_s()
         self._last_tick_s = clock_s()
         self._is_released = threading.Event()
         self._writing = False
@@ -151,7 +161,12 @@
             )
         ]
         self.scheduler.load(
-            jobs, list(rows.cancelled), now_s, lease_expiry_s, rows.target_speeds
+            jobs,
+            list(rows.cancelled),
+            now_s,
+            lease_expiry_s,
+            rows.target_speeds,
+            dict(rows.target_shapes),
         )
         log_event(
             "cell_loaded",
@@ -243,6 +258,7 @@
         if self.scheduler.state.loaded:
             self._notify_silent_agents(clock_s())
             self._read_speeds(clock_s())
+            self._read_absences(clock_s())
 
     def _read_speeds(self, now_s: float) -> None:
         """Have what is known of the speeds of targets stored with the next write."""
@@ -252,6 +268,23 @@
             if speeds != self._replica.cell(self.cell).target_speeds:
                 self._unstored_speeds = speeds
 
+    def _read_absences(self, now_s: float) -> None:
+        """Have it stored which targets have been absent for some time."""
+        if now_s - self._absences_read_s >= ABSENCE_INTERVAL_S:
+            self._absences_read_s = now_s
+            self._store_shapes(self.scheduler.absent_shapes())
+
+    def _store_shapes(self, shapes: dict[str, TargetShapeRow]) -> None:
+        """Have shapes of targets stored with the next writes, unless they are."""
+        stored = self._replica.cell(self.cell).target_shapes
+        for agent, row in shapes.items():
+            if row == stored.get(agent):
+                self._unstored_shapes.pop(agent, None)
+            elif len(pack(row)) <= MAX_SHAPE_ROW_BYTES:
+                self._unstored_shapes[agent] = row
+            else:
+                log_event("shape_too_large", agent=agent, labels=len(row.labels))
+
     def _renew_until_released(self) -> None:
         """Renew the cell's lease whenever it is due.
 
@@ -320,6 +353,7 @@
         if self._pacer.is_due(now_s):
             self.scheduler.tick(now_s)
             self._pacer.on_round(now_s, clock_s())
+        self._store_shapes(self.scheduler.take_changed_shapes())
         if not self._writing:
             commit = self.scheduler.take_commit()
             if commit is not None:
@@ -346,18 +380,24 @@
     ) -> tuple[int, float]:
         """Write rows and the lease; return the new version and when it was sent.
 
-        Speeds of targets that are to be stored go with them.
+        Speeds and shapes of targets that are to be stored go with them.
         """
         speeds, self._unstored_speeds = self._unstored_speeds, None
         if speeds is not None:
             puts = {**puts, TARGET_SPEEDS_KEY: pack(speeds)}
         sent_s = clock_s()
         lease = LeaseRow(self.epoch, self._replica.store_now_s())
-        version = self._table.commit(
-            self.cell,
-            {HOLDER_KEY: self.version, **expected},
-            {**puts, LEASE_KEY: pack(lease)},
-        )
+        expected = {HOLDER_KEY: self.version, **expected}
+        puts = {**puts, LEASE_KEY: pack(lease)}
+        room = max(0, MAX_COMMIT_ENTRIES - len(expected) - len(puts))
+        # The loop adds to the dictionary meanwhile.
+        shapes = list(self._unstored_shapes.items())[:room]
+        for agent, row in shapes:
+            puts[TARGET_SHAPE_PREFIX + agent] = pack(row)
+        version = self._table.commit(self.cell, expected, puts)
+        for agent, row in shapes:
+            if self._unstored_shapes.get(agent) is row:
+                self._unstored_shapes.pop(agent, None)
         return version, sent_s
 
     def _on_write_done(self, commit: Commit, future: Future) -> None:
--- a/packages/control/src/cicadabank/control/internal/replica.py
+++ b/packages/control/src/cicadabank/control/internal/replica.py
@@ -11,6 +11,7 @@
 from cicadabank.control.bounds import (
     MAX_SPEED_DIFFERENCE,
     MAX_SPEED_WEIGHT,
+    check_resources,
     check_steps,
     is_address,
 )
@@ -24,6 +25,7 @@
     JOB_PREFIX,
     LEASE_KEY,
     RUN_PREFIX,
+    TARGET_SHAPE_PREFIX,
     TARGET_SPEEDS_KEY,
     AgentRow,
     EarlierLeasesRow,
@@ -31,6 +33,7 @@
     HolderRow,
     JobProgressRow,
     JobRecord,
+    TargetShapeRow,
     TargetSpeedsRow,
     unpack,
 )
@@ -60,6 +63,7 @@
         "lease_seen_s",
         "lease_version",
         "runs",
+        "target_shapes",
         "target_speeds",
     )
 
@@ -72,6 +76,7 @@
         self.holder_version = 0
         self.holder_load: HolderLoadRow | None = None
         self.earlier_leases: EarlierLeasesRow | None = None
+        self.target_shapes: dict[str, TargetShapeRow] = {}  # by agent
         self.target_speeds: TargetSpeedsRow | None = None
         self.lease_seen_s = float("-inf")  # on the store's clock
         self.lease_version = 0
@@ -192,6 +197,8 @@
             cell.cancelled.add(name)
         elif kind == AGENT_PREFIX:
             cell.agents.add(value.address)
+        elif kind == TARGET_SHAPE_PREFIX:
+            cell.target_shapes[name] = value
         elif kind == HOLDER_KEY:
             cell.holder = value
             cell.holder_version = row.version
@@ -215,6 +222,7 @@
     JOB_PREFIX: JobRecord,
     RUN_PREFIX: JobProgressRow,
     AGENT_PREFIX: AgentRow,
+    TARGET_SHAPE_PREFIX: TargetShapeRow,
     HOLDER_KEY: HolderRow,
     EARLIER_LEASES_KEY: EarlierLeasesRow,
     HOLDER_LOAD_KEY: HolderLoadRow,
@@ -257,6 +265,14 @@
         raise ValueError(f"no agent listens at {value.address!r}")
 
 
+@_check.register
+def _(value: TargetShapeRow, name: str) -> None:
+    check_resources(value.largest_capacity)
+    since_s = value.absent_since_s
+    if not is_address(name) or not (since_s is None or math.isfinite(since_s)):
+        raise ValueError(f"a target of {name!r} that is absent since {since_s} s")
+
+
 @_check.register
 def _(value: EarlierLeasesRow, name: str) -> None:
     # Without earlier holders, the time is minus infinity.
@@ -292,3 +308,5 @@
         cell.cancelled.discard(name)
     elif kind == AGENT_PREFIX:
         cell.agents.discard(name)
+    elif kind == TARGET_SHAPE_PREFIX:
+        cell.target_shapes.pop(name, None)
--- a/packages/scheduling/src/cicadabank/scheduling/__init__.py
+++ b/packages/scheduling/src/cicadabank/scheduling/__init__.py
@@ -6,7 +6,7 @@
 tasks on workers.
 """
 
-from cicadabank.scheduling.internal.cell import CellScheduler
+from cicadabank.scheduling.internal.cell import MAX_COMMIT_ENTRIES, CellScheduler
 from cicadabank.scheduling.internal.jobs import (
     Configuration,
     JobRecord,
@@ -28,6 +28,7 @@
     LEASE_KEY,
     RUN_PREFIX,
     TABLE,
+    TARGET_SHAPE_PREFIX,
     TARGET_SPEEDS_KEY,
     AgentRow,
     CancelRow,
@@ -36,6 +37,7 @@
     HolderRow,
     JobProgressRow,
     LeaseRow,
+    TargetShapeRow,
     TargetSpeedsRow,
     pack,
     unpack,
@@ -61,8 +63,10 @@
     "HOLDER_LOAD_KEY",
     "JOB_PREFIX",
     "LEASE_KEY",
+    "MAX_COMMIT_ENTRIES",
     "RUN_PREFIX",
     "TABLE",
+    "TARGET_SHAPE_PREFIX",
     "TARGET_SPEEDS_KEY",
     "AgentOrders",
     "AgentRow",
@@ -90,6 +94,7 @@
     "StepSpec",
     "TargetCrash",
     "TargetIncarnation",
+    "TargetShapeRow",
     "TargetSpeedsRow",
     "Timings",
     "WorkspaceConfig",
--- a/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from types import MappingProxyType
 
 from cicadabank.scheduling.internal import (
     crashes,
@@ -16,9 +17,13 @@
 from cicadabank.scheduling.internal.rows import (
     RUN_PREFIX,
     JobProgressRow,
+    TargetShapeRow,
     TargetSpeedsRow,
+    absent_shape_row,
     job_progress_row,
     pack,
+    present_shape_row,
+    restore_absent_target,
     restore_job,
 )
 from cicadabank.scheduling.internal.state import (
@@ -33,6 +38,8 @@
 from cicadabank.scheduling.internal.targets import Report, fits
 from cicadabank.scheduling.internal.units import Job, Phase, Unit
 
+# Conditions, writes and removals that the store takes in one transaction.
+MAX_COMMIT_ENTRIES = 100
 # Below the store's limit of 100 entries per transaction, not counting conditions. The
 # holder adds its lease row to each commit.
 MAX_ROWS_PER_COMMIT = 80
@@ -40,6 +47,9 @@
 # reports and a connection in both directions, so that a new holder that contacted all
 # at once would reply to none in time.
 MAX_OPEN_CONTACTS = 8
+# A shorter absence of a target is not stored.
+STORED_ABSENCE_S = 5.0
+NO_SHAPES: Mapping[str, TargetShapeRow] = MappingProxyType({})
 
 
 class CellScheduler:
@@ -79,6 +89,7 @@
         now_s: float,
         lease_expiry_s: float | None = None,
         speeds: TargetSpeedsRow | None = None,
+        shapes: Mapping[str, TargetShapeRow] = NO_SHAPES,
     ) -> None:
         """Restore the cell's state from the store after a takeover.
 
@@ -95,9 +106,15 @@
             also covers an earlier holder that still runs but is cut off from the store.
         speeds : TargetSpeedsRow, default=None
             What an earlier holder has learned of the speeds of targets.
+        shapes : mapping of str to TargetShapeRow, optional
+            What earlier holders have seen of targets, by their agents.
         """
         state = self.state
         state.now_s = now_s
+        for agent in state.absent_targets.keys() & shapes.keys():
+            state.absent_targets[agent] = restore_absent_target(
+                shapes[agent], state.store_now_s
+            )
         if speeds is not None:
             state.speeds.restore(speeds.estimates)
         for record, row, version in jobs:
@@ -176,7 +193,9 @@
             Whether the reply may renew the target's lease.
         """
         self.state.now_s = now_s
-        self.state.last_contact_attempt_s.setdefault(report.agent, now_s)
+        if report.agent not in self.state.last_contact_attempt_s:
+            self.state.add_agent(report.agent)
+            self.state.last_contact_attempt_s[report.agent] = now_s
         return reports.process_report(self.state, report, may_renew)
 
     def on_target_terminated(self, agent: str, now_s: float) -> None:
@@ -188,16 +207,24 @@
 
     def on_agent(self, agent: str) -> None:
         """Register an agent, to be contacted if it does not report."""
-        self.state.last_contact_attempt_s.setdefault(agent, float("-inf"))
+        self.state.add_agent(agent)
 
     def on_agent_started(self, agent: str) -> None:
         """Register a newly started agent, which does not know the holder yet."""
-        self.state.last_contact_attempt_s.setdefault(agent, float("-inf"))
-        self.state.started_agents.add(agent)
+        state = self.state
+        state.add_agent(agent)
+        state.started_agents.add(agent)
+        # Its VM is up, so its target is likely to come back now.
+        absent = state.absent_targets.get(agent)
+        if absent is not None:
+            state.absent_targets[agent] = absent._replace(
+                since_store_s=state.store_now_s
+            )
 
     def on_agent_removed(self, agent: str) -> None:
         """Stop contacting an agent that was removed."""
         self.state.last_contact_attempt_s.pop(agent, None)
+        self.state.absent_targets.pop(agent, None)
         self.state.speeds.forget(agent)
 
     def tick(self, now_s: float) -> None:
@@ -287,6 +314,32 @@
         """Return what has been learned of the speeds of targets, to be stored."""
         return TargetSpeedsRow(self.state.speeds.estimates())
 
+    def take_changed_shapes(self) -> dict[str, TargetShapeRow]:
+        """Return and clear the new shapes of targets, to be stored by their agents."""
+        state = self.state
+        changed = state.changed_shapes & state.targets.keys()
+        state.changed_shapes.clear()
+        return {
+            agent: present_shape_row(state.targets[agent].shape) for agent in changed
+        }
+
+    def absent_shapes(self) -> dict[str, TargetShapeRow]:
+        """Return what is to be stored of targets that have been absent for some time.
+
+        A target of which nothing is known is not, before it is taken for gone.
+        """
+        state = self.state
+        rows = {}
+        for agent, absent in state.absent_targets.items():
+            absent_s = state.store_now_s - absent.since_store_s
+            if absent.shape is None:
+                is_due = absent_s > planner.ABSENT_TARGET_RETENTION_S
+            else:
+                is_due = absent_s >= STORED_ABSENCE_S
+            if is_due:
+                rows[agent] = absent_shape_row(absent)
+        return rows
+
     def on_committed(self, commit: Commit, version: int, now_s: float) -> None:
         """Process a successful commit and order the starts that depended on it."""
         state = self.state
--- a/packages/scheduling/src/cicadabank/scheduling/internal/placement.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/placement.py
@@ -11,11 +11,12 @@
 
 from collections import defaultdict
 from collections.abc import Iterable
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 from cicadabank.scheduling.internal.jobs import Resources, StepSpec
 from cicadabank.scheduling.internal.targets import (
     Target,
+    TargetShape,
     add,
     fits,
     max_tasks,
@@ -24,6 +25,7 @@
 from cicadabank.scheduling.internal.units import TargetIncarnation, Unit
 
 NO_RESOURCES = Resources(0, 0, 0)
+TargetOrShape = TypeVar("TargetOrShape", Target, TargetShape)
 
 
 class Victim(NamedTuple):
@@ -60,8 +62,10 @@
     waste_core_s: float = 0.0
 
 
-def targets_with_label(step: StepSpec, targets: Iterable[Target]) -> list[Target]:
-    """Return the targets that have the step's label."""
+def targets_with_label(
+    step: StepSpec, targets: Iterable[TargetOrShape]
+) -> list[TargetOrShape]:
+    """Return the targets that have the step's label, or the shapes that do."""
     return [t for t in targets if not step.label or step.label in t.labels]
 
 
@@ -338,8 +342,8 @@
                 withheld[name] = NO_RESOURCES
 
 
-def infeasible_reason(step: StepSpec, targets: Iterable[Target]) -> str:
-    """Return why a step can never be placed on these targets.
+def infeasible_reason(step: StepSpec, shapes: Iterable[TargetShape]) -> str:
+    """Return why a step can never be placed on targets of these shapes.
 
     Compares with the largest capacities known, so a step that only has to wait, also
     for targets that have shrunk, is not infeasible.
@@ -349,12 +353,12 @@
     str
         Empty if the step can be placed.
     """
-    candidates = targets_with_label(step, targets)
+    candidates = targets_with_label(step, shapes)
     if not candidates:
         return f"no target has the label {step.label!r}"
     max_running = 0
-    for target in candidates:
-        on_target = max_tasks(step.need, target.largest_capacity)
+    for shape in candidates:
+        on_target = max_tasks(step.need, shape.largest_capacity)
         max_running += min(on_target, step.per_target) if step.per_target else on_target
     if max_running == 0:
         return "a task needs more than any target has"
--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -22,11 +22,10 @@
 from cicadabank.scheduling.internal.reservations import Reservations
 from cicadabank.scheduling.internal.speeds import speed_class
 from cicadabank.scheduling.internal.state import CellState
-from cicadabank.scheduling.internal.targets import Target, fits, largest
+from cicadabank.scheduling.internal.targets import AbsentTarget, Target, fits
 from cicadabank.scheduling.internal.units import (
     Job,
     Phase,
-    TargetIncarnation,
     Unit,
 )
 
@@ -665,38 +664,20 @@
     )
 
 
-def _absent_targets(state: CellState, present: list[Target]) -> list[Target]:
-    """Return the targets that are away, and that may be back soon.
-
-    After a takeover, nothing is known of targets that have not reported: each may be as
-    large as the present ones, and have any of their labels.
-    """
-    since_load_s = state.now_s - state.loaded_s
-    absent, unheard_of = [], 0
-    for agent in state.last_contact_attempt_s.keys() - {t.agent for t in present}:
-        target, removed_s = state.removed_targets.get(agent, (None, float("-inf")))
-        if target is not None:
-            if state.now_s - removed_s <= ABSENT_TARGET_RETENTION_S:
-                absent.append(target)
-        elif since_load_s <= ABSENT_TARGET_RETENTION_S:
-            unheard_of += 1
-    if unheard_of:
-        absent += [_assumed_target(present)] * unheard_of
-    return absent
-
-
-def _assumed_target(present: list[Target]) -> Target:
-    """Return a target as large as the largest of others, with all their labels."""
-    assumed = Target(TargetIncarnation("", "", ""), "")
-    assumed.largest_capacity = largest(*(t.largest_capacity for t in present))
-    assumed.labels = frozenset().union(*(target.labels for target in present))
-    return assumed
+def _targets_likely_to_return(state: CellState) -> list[AbsentTarget]:
+    """Return the targets that have been absent for a short time only."""
+    oldest_s = state.store_now_s - ABSENT_TARGET_RETENTION_S
+    return [
+        absent
+        for absent in state.absent_targets.values()
+        if absent.since_store_s >= oldest_s
+    ]
 
 
 def _fail_infeasible_jobs(state: CellState) -> None:
     """Fail pending jobs that none of the targets could ever run."""
     # An ended target is known without capacity until its next incarnation reports.
-    present = [t for t in state.targets.values() if any(t.largest_capacity)]
+    present = [t.shape for t in state.targets.values() if any(t.largest_capacity)]
     if not present or len(present) < len(state.last_contact_attempt_s) / 2:
         return
     pending = [
@@ -706,10 +687,14 @@
     ]
     if not pending:
         return
-    targets = [*present, *_absent_targets(state, present)]
+    absent = [target.shape for target in _targets_likely_to_return(state)]
+    if None in absent:
+        # No holder has heard of that target yet, so it may be able to run any job.
+        return
+    shapes = [*present, *absent]
     for job in pending:
         for index, step in enumerate(job.record.steps):
-            reason = infeasible_reason(step, targets)
+            reason = infeasible_reason(step, shapes)
             if reason:
                 lifecycle.fail_job(state, job, f"step {index}: {reason}")
                 break
--- a/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
@@ -14,7 +14,12 @@
     void_registration,
 )
 from cicadabank.scheduling.internal.state import CellState, Start
-from cicadabank.scheduling.internal.targets import Report, RunningRun, Target
+from cicadabank.scheduling.internal.targets import (
+    AbsentTarget,
+    Report,
+    RunningRun,
+    Target,
+)
 from cicadabank.scheduling.internal.units import Phase, TargetIncarnation, Unit
 
 # Time for which the members of a done gang may go on before they are stopped. Normally,
@@ -64,7 +69,11 @@
         crashes.record_crashes(state, report.crashes, report.target_incarnation)
     target = _find_target(state, known, report)
     was_draining, capacity = target.draining, target.capacity
+    shape = target.shape
     target.update(report, state.now_s)
+    if target.shape != shape and any(target.largest_capacity):
+        state.absent_targets.pop(report.agent, None)
+        state.changed_shapes.add(report.agent)
     if target.capacity != capacity:
         state.on_capacity_changed()
     if target.draining and not was_draining:
@@ -196,11 +205,7 @@
 
 def _add_target(state: CellState, report: Report) -> Target:
     target = Target(report.target_incarnation, report.agent)
-    removed, _ = state.removed_targets.get(report.agent, (None, 0.0))
-    # A target that has ended is reported without labels.
-    is_known = removed is not None and any(report.labels)
-    if is_known and removed.labels != frozenset(report.labels):
-        state.speeds.forget(report.agent)
+    _forget_speed_of_former_kind(state, report)
     state.targets[report.agent] = target
     state.targets_by_incarnation[report.target_incarnation] = target
     # Leases granted by earlier holders end sooner, but a call meant for the incarnation
@@ -239,6 +244,16 @@
     return target
 
 
+def _forget_speed_of_former_kind(state: CellState, report: Report) -> None:
+    """Forget the speed of an agent's target if the new one has other labels."""
+    absent = state.absent_targets.get(report.agent)
+    # A target that has ended is reported without labels.
+    if absent is None or absent.shape is None or not any(report.labels):
+        return
+    if absent.shape.labels != frozenset(report.labels):
+        state.speeds.forget(report.agent)
+
+
 def _loss_reason(report: Report, lost: TargetIncarnation) -> str:
     """Return why the units on an incarnation are requeued that another one replaces."""
     has_crashed = any(crash.incarnation == lost.incarnation for crash in report.crashes)
@@ -271,7 +286,9 @@
         del state.targets[target.agent]
         state.on_capacity_changed()
     if any(target.largest_capacity):
-        state.removed_targets[target.agent] = (target, state.now_s)
+        state.absent_targets[target.agent] = AbsentTarget(
+            target.shape, state.store_now_s
+        )
     state.targets_by_incarnation.pop(target.target_incarnation, None)
     state.orders.pop(target.agent, None)
     void_registration(state, target.agent)
--- a/packages/scheduling/src/cicadabank/scheduling/internal/state.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/state.py
@@ -15,7 +15,11 @@
     RunId,
 )
 from cicadabank.scheduling.internal.speeds import TargetSpeeds
-from cicadabank.scheduling.internal.targets import Target, max_tasks
+from cicadabank.scheduling.internal.targets import (
+    AbsentTarget,
+    Target,
+    max_tasks,
+)
 from cicadabank.scheduling.internal.units import (
     Job,
     Member,
@@ -221,8 +225,10 @@
         # earlier holders granted to it have expired. By removed incarnation that has
         # late starts: when the next run that they may have started has ended.
         self.unreported_lease_until_s: dict[TargetIncarnation, float] = {}
-        # By agent: the last removed incarnation of its target, and when.
-        self.removed_targets: dict[str, tuple[Target, float]] = {}
+        # By agent that reports no target with any capacity.
+        self.absent_targets: dict[str, AbsentTarget] = {}
+        # Agents whose targets have got a new shape, which is to be stored.
+        self.changed_shapes: set[str] = set()
         # By agent: the latest number given to it.
         self.registrations: dict[str, Registration] = {}
         # The known agents, with the time of the last attempt to contact each.
@@ -243,6 +249,17 @@
         # By queue: number of jobs and their mean work in core-seconds.
         self.mean_work: dict[str, tuple[int, float]] = {}
 
+    @property
+    def store_now_s(self) -> float:
+        """The current time on the store's clock."""
+        return self.now_s + self.store_offset_s
+
+    def add_agent(self, agent: str) -> None:
+        """Add an agent, of whose target nothing is known yet; known ones stay."""
+        if agent not in self.last_contact_attempt_s:
+            self.last_contact_attempt_s[agent] = float("-inf")
+            self.absent_targets[agent] = AbsentTarget(None, self.store_now_s)
+
     def queue_of(self, record: JobRecord) -> QueueConfig:
         """Return the queue of a job.
 
--- a/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/targets.py
@@ -146,6 +146,35 @@
     lease_call_age_s: float | None = None
 
 
+class TargetShape(NamedTuple):
+    """What decides which tasks a target could ever run.
+
+    Attributes
+    ----------
+    labels : frozenset of str
+    largest_capacity : Resources
+        The largest amounts known of the target, whose capacity may shrink.
+    """
+
+    labels: frozenset[str]
+    largest_capacity: Resources
+
+
+class AbsentTarget(NamedTuple):
+    """The target of an agent that reports none at present.
+
+    Attributes
+    ----------
+    shape : TargetShape or None
+        Shape of its last incarnation; None if no holder has heard of any.
+    since_store_s : float
+        Since when it has been absent, by the store's clock.
+    """
+
+    shape: TargetShape | None
+    since_store_s: float
+
+
 class Target:
     """An incarnation of a target, as known to the holder."""
 
@@ -225,6 +254,11 @@
         # Capacity, allocated and unallocated resources; see `_unused`.
         self._unused_cache = (self.capacity, self.allocated, Resources(0, 0, 0))
 
+    @property
+    def shape(self) -> TargetShape:
+        """What decides which tasks the target could ever run."""
+        return TargetShape(self.labels, self.largest_capacity)
+
     @property
     def free(self) -> Resources:
         """Unallocated resources; negative while claims wait for units to stop.
--- a/tests/cover/test_cell_holder.py
+++ b/tests/cover/test_cell_holder.py
@@ -17,7 +17,9 @@
     HOLDER_LOAD_KEY,
     JOB_PREFIX,
     LEASE_KEY,
+    MAX_COMMIT_ENTRIES,
     RUN_PREFIX,
+    TARGET_SHAPE_PREFIX,
     TARGET_SPEEDS_KEY,
     AgentRow,
     Configuration,
@@ -27,10 +29,12 @@
     JobRecord,
     Resources,
     StepSpec,
+    TargetShapeRow,
     Timings,
     pack,
     unpack,
 )
+from cicadabank.scheduling.internal import cell as cell_module
 from cicadabank.standin import MemoryTable
 from cicadabank.tasks import clock_s, running
 from cicadabank.wire import ChannelPool, fleet_pb2, fleet_pb2_grpc, serve
@@ -254,6 +258,108 @@
         assert table.rows[("cell", TARGET_SPEEDS_KEY)].version == version
 
 
+# Guards against a new holder that fails a job as infeasible, since it knows nothing of
+# the only target that could run it.
+class TestShapesOfTargets:
+    ADDRESS = "127.0.0.1:9"
+    KEY = ("cell", TARGET_SHAPE_PREFIX + ADDRESS)
+
+    @pytest.fixture
+    def table(self, table) -> MemoryTable:
+        row = pack(AgentRow(self.ADDRESS))
+        table.commit("cell", {}, {AGENT_PREFIX + self.ADDRESS: row})
+        return table
+
+    def report(self, holder: Holder, labels: tuple[str, ...], agent: str = ADDRESS):
+        """Have an agent register, and report a target with these labels."""
+        message = fleet_pb2.TargetReport(
+            cell="cell",
+            agent=agent,
+            agent_run="1",
+            target="t",
+            incarnation="t/1",
+            observed=True,
+            labels=labels,
+            cpu_millicores=500,
+            accelerators=2,
+            epoch=holder.actor.epoch,
+        )
+        for number in (1, 2):
+            message.number = number
+            reply = holder.actor.ask(holder.actor.on_report, message)
+            message.registration = reply.registration
+
+    def stored(self, table) -> TargetShapeRow | None:
+        row = table.rows.get(self.KEY)
+        return unpack(row.value, TargetShapeRow) if row else None
+
+    def test_a_new_holder_knows_a_target_that_has_not_reported_to_it(
+        self, table, stack
+    ):
+        self.report(Holder(table, 1, stack), ("b", "r1"))
+        wait_for(lambda: self.stored(table) is not None, 5.0)
+        loaded_s = clock_s()
+        state = Holder(table, 2, stack).actor.scheduler.state
+        shape, since_s = state.absent_targets[self.ADDRESS]
+        assert shape == (frozenset({"b", "r1"}), Resources(500, 0, 2))
+        assert since_s >= loaded_s + table.clock_offset_s
+
+    def test_a_failed_write_is_made_up_for(self, table, stack):
+        holder = Holder(table, 1, stack)
+        holder.wait_for_first_renewal()
+        table.down = True
+        self.report(holder, ("b",))
+        time.sleep(1.2)
+        assert self.stored(table) is None
+        table.down = False
+        wait_for(lambda: self.stored(table) is not None, 5.0)
+
+    def test_an_absence_is_stored_once(self, table, stack, monkeypatch):
+        monkeypatch.setattr(cell_holder_module, "ABSENCE_INTERVAL_S", 0.1)
+        monkeypatch.setattr(cell_module, "STORED_ABSENCE_S", 0.3)
+        holder = Holder(table, 1, stack)
+        self.report(holder, ("b",))
+        holder.actor.ask(holder.actor.on_target_terminated, self.ADDRESS)
+
+        def absence_s() -> float | None:
+            row = self.stored(table)
+            return row and row.absent_since_s
+
+        wait_for(lambda: absence_s() is not None, 5.0)
+        holder.feed.step()
+        version = table.rows[self.KEY].version
+        time.sleep(1.2)
+        assert table.rows[self.KEY].version == version
+        restored = Holder(table, 2, stack).actor.scheduler.state
+        assert restored.absent_targets[self.ADDRESS].since_store_s == absence_s()
+
+    # Guards against a cell whose lease can't be renewed any more, since the store
+    # refuses each write.
+    def test_many_shapes_leave_room_for_what_a_write_needs(self, table, stack):
+        holder = Holder(table, 1, stack)
+        sizes = []
+
+        def commit(partition, expected, puts, *arguments):
+            sizes.append(len(expected) + len(puts))
+            return MemoryTable.commit(table, partition, expected, puts, *arguments)
+
+        table.commit = commit
+        agents = [f"127.0.0.1:{port}" for port in range(1000, 1250)]
+        for agent in agents:
+            self.report(holder, ("b",), agent)
+        keys = {("cell", TARGET_SHAPE_PREFIX + agent) for agent in agents}
+        wait_for(lambda: keys <= table.rows.keys(), 10.0)
+        assert max(sizes) <= MAX_COMMIT_ENTRIES
+
+    def test_a_shape_that_outgrows_its_row_is_not_stored(self, table, stack):
+        holder = Holder(table, 1, stack)
+        self.report(holder, tuple(f"{number}".zfill(200) for number in range(100)))
+        other = "127.0.0.1:10"
+        self.report(holder, ("b",), other)
+        wait_for(lambda: ("cell", TARGET_SHAPE_PREFIX + other) in table.rows, 5.0)
+        assert self.stored(table) is None
+
+
 class ListeningAgent:
     """An agent that only records that it was told who holds its cell."""
 
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -30,6 +30,7 @@
     AGENT_PREFIX,
     EARLIER_LEASES_KEY,
     JOB_PREFIX,
+    TARGET_SHAPE_PREFIX,
     TARGET_SPEEDS_KEY,
     AgentRow,
     Configuration,
@@ -44,6 +45,7 @@
     SpeedEstimate,
     Start,
     StepSpec,
+    TargetShapeRow,
     TargetSpeedsRow,
     WorkspaceConfig,
     pack,
@@ -492,6 +494,24 @@
         assert replica.cells["cell"].target_speeds is None
         assert lines == ["row_unreadable"]
 
+    @pytest.mark.parametrize(
+        ("agent", "cpu_millicores", "absent_since_s"),
+        [
+            ("1.2.3.4:9", -1, None),
+            ("1.2.3.4:9", 2**63, None),
+            ("1.2.3.4:9", 1, float("nan")),
+            ("nowhere", 1, None),
+        ],
+    )
+    def test_an_impossible_shape_is_refused(
+        self, agent, cpu_millicores, absent_since_s
+    ):
+        row = TargetShapeRow(("b",), Resources(cpu_millicores, 1, 1), absent_since_s)
+        odd = StoredRow("cell", TARGET_SHAPE_PREFIX + agent, pack(row), 8)
+        replica, _, lines = self.apply(odd, self.GOOD)
+        assert replica.cells["cell"].target_shapes == {}
+        assert lines == ["row_unreadable"]
+
     # Guards against one error that keeps the other rows of the batch back.
     def test_any_error_leaves_the_other_rows(self, monkeypatch):
         def fail(value, kind):
--- a/tests/cover/test_scheduler.py
+++ b/tests/cover/test_scheduler.py
@@ -132,11 +132,102 @@
             target.silent = False
         cell.run_until(lambda: cell.state("j") == "completed")
 
+    # Guards against a job that a new holder shows as failed, since the only target that
+    # could run it was known to the holder before alone.
+    @pytest.mark.parametrize("ended", [False, True])
+    @pytest.mark.parametrize("takeovers", [1, 3])
+    @pytest.mark.parametrize(
+        "step", [tasks(1, label="special"), tasks(1, accelerators=16), gang(2, 16)]
+    )
+    def test_job_waits_for_the_only_target_after_takeovers(
+        self, step, takeovers, ended
+    ):
+        special = [
+            ModelTarget(f"s{number}", "d0", "special", Resources(32_000, 131_072, 16))
+            for number in range(2)
+        ]
+        cell = ModelCell([*fleet(), *special], QUEUES)
+        cell.run(1.0)
+        for target in special:
+            target.silent = True
+        for _ in range(takeovers):
+            cell.take_over()
+            if ended:
+                for target in special:
+                    self.report_end(cell, target)
+            cell.run(8.0)
+        cell.submit("j", "batch", [step])
+        cell.submit("k", "batch", [tasks(1, label="nowhere")])
+        cell.submit("l", "batch", [tasks(1, accelerators=17)])
+        cell.run(2.0)
+        assert [cell.state(job) for job in "jkl"] == ["pending", "failed", "failed"]
+        for target in special:
+            target.silent = False
+        cell.run_until(lambda: cell.state("j") == "completed", 20.0)
+
+    def test_new_holders_do_not_prolong_the_wait_for_a_target(self):
+        special = ModelTarget("s", "d0", "special")
+        cell = ModelCell([*fleet(), special], QUEUES)
+        cell.run(1.0)
+        special.silent = True
+        cell.take_over()
+        cell.submit("j", "batch", [tasks(1, label="special")])
+        for _ in range(4):
+            cell.run(8.0)
+            cell.take_over()
+        cell.run_until(lambda: cell.state("j") == "failed", 8.0)
+
+    # Guards against a job that is shown as failed, since the only target that could run
+    # it has yet to report for the first time.
+    def test_job_waits_for_a_target_that_no_holder_has_heard_of(self):
+        special = ModelTarget("s", "d0", "special")
+        special.silent = True
+        cell = ModelCell([*fleet(), special], QUEUES)
+        cell.submit("j", "batch", [tasks(1, label="special")])
+        cell.run(12.0)
+        cell.take_over()
+        cell.run(12.0)
+        assert cell.state("j") == "pending"
+        special.silent = False
+        cell.run_until(lambda: cell.state("j") == "completed", 20.0)
+
+    # Guards against jobs that wait at each takeover for a target that is gone for good.
+    def test_a_target_that_was_never_heard_of_is_waited_for_once(self):
+        gone = ModelTarget("s", "d0", "special")
+        gone.silent = True
+        cell = ModelCell([*fleet(), gone], QUEUES)
+        cell.submit("j", "batch", [tasks(1, label="special")])
+        cell.run(29.0)
+        assert cell.state("j") == "pending"
+        cell.run_until(lambda: cell.state("j") == "failed", 2.0)
+        cell.take_over()
+        cell.run(7.0)
+        cell.submit("k", "batch", [tasks(1, label="special")])
+        cell.run_until(lambda: cell.state("k") == "failed", 0.5)
+
+    # Guards against a wait that an agent's announcement no longer begins anew.
+    def test_a_started_agent_announces_the_return_of_its_target(self):
+        special = ModelTarget("s", "d0", "special")
+        cell = ModelCell([*fleet(), special], QUEUES)
+        cell.run(1.0)
+        special.silent = True
+        cell.run(60.0)
+        cell.scheduler.on_agent_started(special.agent)
+        cell.submit("j", "batch", [tasks(1, label="special")])
+        cell.run(5.0)
+        special.silent = False
+        cell.run_until(lambda: cell.state("j") == "completed", 20.0)
+
     def report_end(self, cell, target):
         report = target.report()
         ended = report.target_incarnation._replace(incarnation="t/ended")
+        nothing = Resources(0, 0, 0)
         report = report._replace(
-            target_incarnation=ended, capacity=Resources(0, 0, 0), running=()
+            target_incarnation=ended,
+            capacity=nothing,
+            largest_capacity=nothing,
+            labels=(),
+            running=(),
         )
         number = cell.scheduler.on_report(report, cell.now_s, True).registration
         repeated = report._replace(
--- a/tests/support/in_memory_cell.py
+++ b/tests/support/in_memory_cell.py
@@ -24,6 +24,7 @@
     StepSpec,
     TargetCrash,
     TargetIncarnation,
+    TargetShapeRow,
     TargetSpeedsRow,
     WorkspaceConfig,
     largest,
@@ -301,6 +302,7 @@
         self.cancelled: set[str] = set()
         self.rows: dict[str, tuple[JobProgressRow, int]] = {}
         self.stored_speeds: TargetSpeedsRow | None = None
+        self.stored_shapes: dict[str, TargetShapeRow] = {}
         self.version = 0
         self.epoch = 0
         self.store_up = True
@@ -334,6 +336,7 @@
             self.now_s,
             lease_expiry_s,
             self.stored_speeds,
+            dict(self.stored_shapes),
         )
         self._last_report_s.clear()
         return self.scheduler
@@ -391,6 +394,9 @@
         if self.store_up and self.now_s - self._speeds_stored_s >= SPEEDS_INTERVAL_S:
             self._speeds_stored_s = self.now_s
             self.stored_speeds = self.scheduler.target_speeds()
+        if self.store_up:
+            self.stored_shapes.update(self.scheduler.take_changed_shapes())
+            self.stored_shapes.update(self.scheduler.absent_shapes())
         self._commit()
         self._deliver_orders()
 
