Keep runs that a list without all ended runs lacks

Cause: a target lists at most 500 ended runs at a time, and the others once those are acknowledged. The agent took each list for complete: a run that the target had had, and that was neither running nor among the 500, counted as lost. The holder's repeated start was refused as "old", the member released, and the task placed again with the next run number.

Change: the adapter says whether a list has all ended runs. From one that has not, an absence tells nothing: the run goes on, a refused or stopped one stays as it is until a list has room for its end. A refusal that is not final is reported only after a confirmed stop and such a list, as it was already for starts without a reply. The stand-ins list 500 ended runs at a time, too.

Related paths looked at: pages of rows and of partitions follow morePages; the feed goes on from its version; calls that acknowledge ends name only listed ones.

--- a/packages/control/src/cicadabank/control/internal/target_controller.py
+++ b/packages/control/src/cicadabank/control/internal/target_controller.py
@@ -310,7 +310,7 @@
             return False
         self.recorded = max(self.recorded, batch.recorded)
         for start_order in batch.starts:
-            self._accept_start(start_order)
+            self._accept_start(start_order, now_s)
         for run in batch.stops:
             self._accept_stop(run_id_from_message(run))
         return True
@@ -321,7 +321,7 @@
             self.registration = 0
         self.epoch, self.holder = epoch, holder
 
-    def _accept_start(self, start_order: fleet_pb2.StartRun) -> None:
+    def _accept_start(self, start_order: fleet_pb2.StartRun, now_s: float) -> None:
         run = run_id_from_message(start_order.id)
         if run in self._closed:
             self._refused[run] = self._closed[run].reason
@@ -335,10 +335,9 @@
         )
         local = LocalRun(start_order, need)
         reason = self._refusal_reason(run, local)
+        self._runs[run] = local
         if reason:
-            self._refuse(run, reason)
-        else:
-            self._runs[run] = local
+            self._on_refused(run, local, reason, now_s)
 
     def _refusal_reason(self, run: RunId, local: LocalRun) -> str:
         """Return why a run can't start on the target, or an empty string.
@@ -607,13 +606,15 @@
     def _on_refused(
         self, run: RunId, local: LocalRun, reason: str, now_s: float
     ) -> None:
-        """Report a run as refused, once it certainly can't start any more.
+        """Report a run as refused, once it certainly neither ended nor can start.
 
         An earlier call that got no reply may be carried out after one that is refused.
         The target rejects it only once the run has ended there ("old") or was stopped.
-        A run that has ended may be done, which a later list shows.
+        A run that has ended may be done, which a later list shows. An earlier process
+        may have started it, and its end may be one that the target doesn't list yet.
         """
-        if reason != "old" and not local.may_start_late:
+        has_all_ended = self._listing is not None and self._listing.has_all_ended
+        if reason != "old" and not local.may_start_late and has_all_ended:
             self._refuse(run, reason)
             return
         local.refusal = reason
@@ -665,6 +666,8 @@
                 )
             elif run in ended:
                 self._close(run, "old")
+            elif not listing.has_all_ended:
+                continue
             elif local.stop_confirmed_s < asked_s:
                 self._on_stop_completed(run, local)
             elif local.known_on_target_since_s < asked_s:
--- a/packages/control/src/cicadabank/control/internal/target_messages.py
+++ b/packages/control/src/cicadabank/control/internal/target_messages.py
@@ -34,12 +34,23 @@
 
 
 class Listing(NamedTuple):
-    """A target's running and ended runs, and its clock when it listed them."""
+    """A target's running and ended runs, and its clock when it listed them.
+
+    Attributes
+    ----------
+    ended : tuple of EndedRun
+        Ended runs that are not acknowledged yet; those with the lowest sequence
+        numbers if they are too many for one list.
+    has_all_ended : bool
+        Whether no other ended run waits to be acknowledged. Otherwise, a run that the
+        list lacks may have ended.
+    """
 
     started_ms: int
     target_s: float
     running: tuple[RunningRun, ...]
     ended: tuple[EndedRun, ...]
+    has_all_ended: bool
 
 
 class StartOutcome(NamedTuple):
--- a/tests/cover/test_agent_calls.py
+++ b/tests/cover/test_agent_calls.py
@@ -63,7 +63,7 @@
         time.sleep(wait_s)
         if self.list_error is not None:
             raise self.list_error
-        return Listing(HEARTBEAT.started_ms, 50.0, (), ())
+        return Listing(HEARTBEAT.started_ms, 50.0, (), (), True)
 
 
 @contextmanager
@@ -102,7 +102,7 @@
     controller = agent.controller
     now_s = clock_s()
     agent.on_orders(fleet_pb2.OrderBatch(cell="cell", epoch=1, holder="h:1"))
-    listed = Listing(HEARTBEAT.started_ms, 50.0, (), ())
+    listed = Listing(HEARTBEAT.started_ms, 50.0, (), (), True)
     controller.on_listing(listed, now_s, now_s, controller.fence)
     reply = fleet_pb2.ReportReply(accepted=True, epoch=1, holder="h:1", lease_s=8.0)
     controller.on_reply(reply, now_s, controller.incarnation)
--- a/tests/cover/test_agent_reports.py
+++ b/tests/cover/test_agent_reports.py
@@ -154,7 +154,7 @@
     def shrink(self, agent):
         controller = agent.controller
         now_s = clock_s()
-        listed = Listing(HEARTBEAT.started_ms, 50.0, (), ())
+        listed = Listing(HEARTBEAT.started_ms, 50.0, (), (), True)
         controller.on_listing(listed, now_s, now_s, controller.fence)
         smaller = HEARTBEAT._replace(sequence=2, capacity=Resources(0, 0, 0))
         controller.on_heartbeat(smaller, now_s)
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -934,7 +934,16 @@
         assert (listing.started_ms, listing.target_s) == (1_783_571_724_642, 482.113)
 
     def test_a_list_without_runs_is_empty(self, answers):
-        assert self.hold(answers, {"clockMs": 0}) == (0, 0.0, (), ())
+        assert self.hold(answers, {"clockMs": 0}) == (0, 0.0, (), (), True)
+
+    # Guards against runs that count as lost, since a list has no room for their ends.
+    @pytest.mark.parametrize(("count", "has_all"), [(499, True), (500, False)])
+    def test_a_full_list_may_lack_ended_runs(self, answers, count, has_all):
+        ended = [
+            [number + 1, f"a.0.0.{number}", 1, "done", ""] for number in range(count)
+        ]
+        listing = self.hold(answers, {"clockMs": 0, "ended": ended})
+        assert (len(listing.ended), listing.has_all_ended) == (count, has_all)
 
     # A list that hides a run would have the holder start it elsewhere while it runs, so
     # one odd row refuses the whole list; the target's lease then expires.
--- a/tests/cover/test_stand_ins.py
+++ b/tests/cover/test_stand_ins.py
@@ -328,6 +328,16 @@
             wait_until(lambda count=count: expired == [("t0", 1)] * count)
             time.sleep(0.1)
 
+    # Guards against tests that never see a list which lacks some of the ended runs.
+    def test_ended_runs_are_listed_in_turn(self, client):
+        with client.target.fleet.changed:
+            client.target.ended += [
+                (number, f"a.0.0.{number}", 1, "done", "") for number in range(1, 601)
+            ]
+        assert [end[0] for end in client.hold()[1]["ended"]] == list(range(1, 501))
+        listed = client.hold(seen=500)[1]["ended"]
+        assert [end[0] for end in listed] == list(range(501, 601))
+
     def test_ends_to_come_are_not_acknowledged_by_an_earlier_call(
         self, client, acknowledged
     ):
--- a/tests/cover/test_target_controller.py
+++ b/tests/cover/test_target_controller.py
@@ -73,10 +73,12 @@
     )
 
 
-def listing(running=(), ended=(), started_ms=1, target_s=50.0) -> Listing:
+def listing(
+    running=(), ended=(), started_ms=1, target_s=50.0, has_all_ended=True
+) -> Listing:
     running_runs = tuple(RunningRun(run, "", 100) for run in running)
     ended_runs = tuple(EndedRun(n, run, "done", "") for n, run in ended)
-    return Listing(started_ms, target_s, running_runs, ended_runs)
+    return Listing(started_ms, target_s, running_runs, ended_runs, has_all_ended)
 
 
 def list_runs(controller, listed: Listing, asked_s: float, now_s: float) -> bool:
@@ -1033,6 +1035,88 @@
         assert controller.take_due_calls(12.1) == []
 
 
+# Guards against two runs of a task: a target lists only so many ended runs at a time,
+# so that one which the list lacks may be done.
+class TestListsWithoutAllEndedRuns:
+    PARTIAL = listing(ended=[(1, OTHER_RUN)], has_all_ended=False)
+    # The target has forgotten the end that was acknowledged meanwhile.
+    REST = listing(ended=[(2, RUN)], target_s=50.5)
+    NONE_LEFT = listing(target_s=50.5)
+
+    @pytest.fixture
+    def partial(self, controller) -> TargetController:
+        list_runs(controller, self.PARTIAL, 10.5, 10.5)
+        return controller
+
+    def run(self, controller):
+        controller.on_orders(batch(controller, starts=[start()]), 11.0)
+        controller.take_due_calls(11.0)
+        controller.on_started(RUN, StartOutcome(True), 11.1)
+
+    def refuse_by_target(self, controller, reason):
+        controller.on_orders(batch(controller, starts=[start()]), 11.0)
+        controller.take_due_calls(11.0)
+        controller.on_started(RUN, StartOutcome(True, reason), 11.1)
+
+    def refuse_for_room(self, controller):
+        controller.on_orders(batch(controller, starts=[start(RUN, 9)]), 11.0)
+
+    def refuse_while_draining(self, controller):
+        controller.on_heartbeat(heartbeat(sequence=2, draining=True), 11.0)
+        controller.on_orders(batch(controller, starts=[start()]), 11.0)
+
+    def stop(self, controller):
+        self.run(controller)
+        controller.on_orders(batch(controller, stops=[RUN]), 11.15)
+
+    WAYS = {
+        "old": lambda self, c: self.refuse_by_target(c, "old"),
+        "unhealthy": lambda self, c: self.refuse_by_target(c, "unhealthy"),
+        "room": refuse_for_room,
+        "draining": refuse_while_draining,
+        "stopped": stop,
+    }
+
+    def confirm_stop(self, controller):
+        if any(call.kind == "stop" for call in controller.take_due_calls(11.2)):
+            controller.on_stopped(RUN, True, 11.3)
+
+    def test_a_run_that_such_a_list_lacks_goes_on(self, controller):
+        self.run(controller)
+        list_runs(controller, self.PARTIAL, 11.2, 11.3)
+        report = controller.report(11.3)
+        assert [r.id.job for r in report.running] == ["j"]
+        assert refused(controller) == {}
+        list_runs(controller, self.REST, 11.4, 11.5)
+        report = controller.report(11.5)
+        assert [(e.id.index, e.sequence) for e in report.ended] == [(0, 2)]
+        assert (list(report.running), list(report.refused)) == ([], [])
+
+    # A new process of the agent doesn't know what an earlier one has started.
+    @pytest.mark.parametrize("way", WAYS)
+    def test_a_run_is_not_given_up_before_its_end_may_be_listed(self, partial, way):
+        self.WAYS[way](self, partial)
+        self.confirm_stop(partial)
+        later = self.PARTIAL._replace(target_s=50.4)
+        list_runs(partial, later, 11.4, 11.5)
+        report = partial.report(11.5)
+        assert [r.index for r in report.pending] == [0]
+        assert (list(report.refused), list(report.gone)) == ([], [])
+        list_runs(partial, self.REST, 11.6, 11.7)
+        report = partial.report(11.7)
+        assert [(e.id.index, e.sequence) for e in report.ended] == [(0, 2)]
+        assert (list(report.refused), list(report.gone)) == ([], [])
+
+    @pytest.mark.parametrize("way", WAYS)
+    def test_it_is_given_up_once_a_list_has_all_ended_runs(self, partial, way):
+        self.WAYS[way](self, partial)
+        self.confirm_stop(partial)
+        list_runs(partial, self.NONE_LEFT, 11.6, 11.7)
+        report = partial.report(11.7)
+        gone = [r.index for r in report.gone] + [r.id.index for r in report.refused]
+        assert gone == [0]
+
+
 class TestEndedRuns:
     def test_ended_runs_are_reported_until_they_are_stored(self, controller):
         list_runs(controller, listing(ended=[(1, RUN)]), 11.0, 11.0)
--- a/tests/support/simulated_fleet.py
+++ b/tests/support/simulated_fleet.py
@@ -44,6 +44,7 @@
 STEP_S = 0.1
 HEARTBEAT_INTERVAL_S = 0.5
 REPORT_INTERVAL_S = 1.0
+DRAIN_S = 3.0
 CAPACITY = (32_000, 131_072, 8)
 QUEUE = QueueConfig("batch", "cell", 2, 4, 3.0, 3.0)
 
@@ -126,8 +127,8 @@
             Resources(*CAPACITY),
             ("a", "r"),
             "r",
-            False,
-            0.0,
+            self.target.draining,
+            DRAIN_S if self.target.draining else 0.0,
         )
 
     def _hold(self, recorded: int, until_s: float | None) -> Listing | None:
@@ -149,7 +150,14 @@
             EndedRun(sequence, _run_id(task, run), how, checkpoint)
             for sequence, task, run, how, checkpoint in listed[1]
         )
-        return Listing(self.target.born_ms, self.target.clock_s(), running, ended)
+        limit = self.fleet.max_listed_ended
+        return Listing(
+            self.target.born_ms,
+            self.target.clock_s(),
+            running,
+            ended[:limit],
+            len(ended) < limit,
+        )
 
     def _call(self, call: TargetCall) -> None:
         controller, now_s, run = self.controller, self.fleet.now_s, call.run
@@ -205,10 +213,13 @@
     Attributes
     ----------
     events : list of TargetEvent
+    max_listed_ended : int
+        Number of ended runs in a list, beyond which a target lists the others later.
     """
 
     def __init__(self, names: tuple[str, ...], work_s: float, monkeypatch):
         self.now_s = 1000.0
+        self.max_listed_ended = 500
         clock = SimpleNamespace(
             monotonic=lambda: self.now_s, time=lambda: self.now_s + 1.7e9
         )
