Store the configuration of queues with jobs for the next holder

A holder keeps the configuration of a queue that was removed; its successor never saw it and took priority 2 and three attempts. Evidence: on simulated time, a job with 1, 2 or 5 attempts gets 3 after one takeover or two.

Change: a holder stores the configuration of queues that have open jobs (row queue/NAME). What holders store for the next one, these rows and the shapes of targets, is now one kind of thing, a note: one module, one dictionary in the replica, one way into the writes that are due anyway. A note whose key or value the store might refuse is left out with the event note_too_large, since the refused write would be the renewal of the cell's lease.

Tests: 7 cases of TestRemovedQueues failed on the commit before (all with a takeover), the three without one passed; all pass now.

--- a/packages/control/src/cicadabank/control/internal/cell_holder.py
+++ b/packages/control/src/cicadabank/control/internal/cell_holder.py
@@ -21,14 +21,13 @@
     HOLDER_LOAD_KEY,
     LEASE_KEY,
     MAX_COMMIT_ENTRIES,
-    TARGET_SHAPE_PREFIX,
     TARGET_SPEEDS_KEY,
     AgentOrders,
     CellScheduler,
     Commit,
     HolderLoadRow,
     LeaseRow,
-    TargetShapeRow,
+    Note,
     TargetSpeedsRow,
     Timings,
     pack,
@@ -64,8 +63,10 @@
 SPEEDS_INTERVAL_S = 5.0
 # Time between two searches for targets whose absence is to be stored.
 ABSENCE_INTERVAL_S = 1.0
-# The shape of a target with more labels than fit into a row of this size is not stored.
-MAX_SHAPE_ROW_BYTES = 8192
+# A note with a longer key or value is not stored: a target may have very many labels,
+# and the store would refuse the write, and with it the renewal of the lease.
+MAX_NOTE_KEY_BYTES = 200
+MAX_NOTE_BYTES = 8192
 # Pause before a failed write is retried.
 WRITE_RETRY_PAUSE_S = 0.15
 ORDER_TIMEOUT_S = 0.8
@@ -78,6 +79,11 @@
     logger.bind(event=event, **fields).info(event)
 
 
+def _fits_into_row(key: str, note: Note) -> bool:
+    key_bytes, note_bytes = len(key.encode()), len(pack(note))
+    return key_bytes <= MAX_NOTE_KEY_BYTES and note_bytes <= MAX_NOTE_BYTES
+
+
 class CellActor(Actor):
     """Holds a cell: commits its scheduler's decisions and sends them to agents.
 
@@ -127,8 +133,8 @@
         # What the next write stores of the speeds of targets, if not None.
         self._unstored_speeds: TargetSpeedsRow | None = None
         self._speeds_read_s = clock_s()
-        # What the next writes store of the shapes of targets, by their agents.
-        self._unstored_shapes: dict[str, TargetShapeRow] = {}
+        # What the next writes store for the next holder, by the keys of the rows.
+        self._unstored_notes: dict[str, Note] = {}
         self._absences_read_s = clock_s()
         self._last_tick_s = clock_s()
         self._is_released = threading.Event()
@@ -166,7 +172,7 @@
             now_s,
             lease_expiry_s,
             rows.target_speeds,
-            dict(rows.target_shapes),
+            dict(rows.notes),
         )
         log_event(
             "cell_loaded",
@@ -272,18 +278,18 @@
         """Have it stored which targets have been absent for some time."""
         if now_s - self._absences_read_s >= ABSENCE_INTERVAL_S:
             self._absences_read_s = now_s
-            self._store_shapes(self.scheduler.absent_shapes())
-
-    def _store_shapes(self, shapes: dict[str, TargetShapeRow]) -> None:
-        """Have shapes of targets stored with the next writes, unless they are."""
-        stored = self._replica.cell(self.cell).target_shapes
-        for agent, row in shapes.items():
-            if row == stored.get(agent):
-                self._unstored_shapes.pop(agent, None)
-            elif len(pack(row)) <= MAX_SHAPE_ROW_BYTES:
-                self._unstored_shapes[agent] = row
+            self._store_notes(self.scheduler.notes_on_absent_targets())
+
+    def _store_notes(self, notes: dict[str, Note]) -> None:
+        """Have notes stored with the next writes, unless they are."""
+        stored = self._replica.cell(self.cell).notes
+        for key, note in notes.items():
+            if note == stored.get(key):
+                self._unstored_notes.pop(key, None)
+            elif _fits_into_row(key, note):
+                self._unstored_notes[key] = note
             else:
-                log_event("shape_too_large", agent=agent, labels=len(row.labels))
+                log_event("note_too_large", key=key[:MAX_NOTE_KEY_BYTES])
 
     def _renew_until_released(self) -> None:
         """Renew the cell's lease whenever it is due.
@@ -353,7 +359,7 @@
         if self._pacer.is_due(now_s):
             self.scheduler.tick(now_s)
             self._pacer.on_round(now_s, clock_s())
-        self._store_shapes(self.scheduler.take_changed_shapes())
+        self._store_notes(self.scheduler.take_changed_notes())
         if not self._writing:
             commit = self.scheduler.take_commit()
             if commit is not None:
@@ -380,7 +386,7 @@
     ) -> tuple[int, float]:
         """Write rows and the lease; return the new version and when it was sent.
 
-        Speeds and shapes of targets that are to be stored go with them.
+        Speeds of targets and notes that are to be stored go with them.
         """
         speeds, self._unstored_speeds = self._unstored_speeds, None
         if speeds is not None:
@@ -391,13 +397,12 @@
         puts = {**puts, LEASE_KEY: pack(lease)}
         room = max(0, MAX_COMMIT_ENTRIES - len(expected) - len(puts))
         # The loop adds to the dictionary meanwhile.
-        shapes = list(self._unstored_shapes.items())[:room]
-        for agent, row in shapes:
-            puts[TARGET_SHAPE_PREFIX + agent] = pack(row)
+        notes = list(self._unstored_notes.items())[:room]
+        puts.update((key, pack(note)) for key, note in notes)
         version = self._table.commit(self.cell, expected, puts)
-        for agent, row in shapes:
-            if self._unstored_shapes.get(agent) is row:
-                self._unstored_shapes.pop(agent, None)
+        for key, note in notes:
+            if self._unstored_notes.get(key) is note:
+                self._unstored_notes.pop(key, None)
         return version, sent_s
 
     def _on_write_done(self, commit: Commit, future: Future) -> None:
--- a/packages/control/src/cicadabank/control/internal/replica.py
+++ b/packages/control/src/cicadabank/control/internal/replica.py
@@ -24,6 +24,7 @@
     HOLDER_LOAD_KEY,
     JOB_PREFIX,
     LEASE_KEY,
+    QUEUE_PREFIX,
     RUN_PREFIX,
     TARGET_SHAPE_PREFIX,
     TARGET_SPEEDS_KEY,
@@ -33,6 +34,8 @@
     HolderRow,
     JobProgressRow,
     JobRecord,
+    Note,
+    QueueConfig,
     TargetShapeRow,
     TargetSpeedsRow,
     unpack,
@@ -62,8 +65,8 @@
         "jobs",
         "lease_seen_s",
         "lease_version",
+        "notes",
         "runs",
-        "target_shapes",
         "target_speeds",
     )
 
@@ -76,7 +79,8 @@
         self.holder_version = 0
         self.holder_load: HolderLoadRow | None = None
         self.earlier_leases: EarlierLeasesRow | None = None
-        self.target_shapes: dict[str, TargetShapeRow] = {}  # by agent
+        # What holders have noted for the next one, by the keys of the rows.
+        self.notes: dict[str, Note] = {}
         self.target_speeds: TargetSpeedsRow | None = None
         self.lease_seen_s = float("-inf")  # on the store's clock
         self.lease_version = 0
@@ -197,8 +201,8 @@
             cell.cancelled.add(name)
         elif kind == AGENT_PREFIX:
             cell.agents.add(value.address)
-        elif kind == TARGET_SHAPE_PREFIX:
-            cell.target_shapes[name] = value
+        elif kind in NOTE_KINDS:
+            cell.notes[row.key] = value
         elif kind == HOLDER_KEY:
             cell.holder = value
             cell.holder_version = row.version
@@ -212,6 +216,7 @@
 
 # Kinds of rows whose values are not read.
 PLAIN_KINDS = (CANCEL_PREFIX, LEASE_KEY)
+NOTE_KINDS = (TARGET_SHAPE_PREFIX, QUEUE_PREFIX)
 # Kinds of rows of which a cell has one, with the attributes of `CellRows` for them.
 ATTRIBUTES = {
     EARLIER_LEASES_KEY: "earlier_leases",
@@ -223,6 +228,7 @@
     RUN_PREFIX: JobProgressRow,
     AGENT_PREFIX: AgentRow,
     TARGET_SHAPE_PREFIX: TargetShapeRow,
+    QUEUE_PREFIX: QueueConfig,
     HOLDER_KEY: HolderRow,
     EARLIER_LEASES_KEY: EarlierLeasesRow,
     HOLDER_LOAD_KEY: HolderLoadRow,
@@ -273,6 +279,14 @@
         raise ValueError(f"a target of {name!r} that is absent since {since_s} s")
 
 
+@_check.register
+def _(value: QueueConfig, name: str) -> None:
+    times_s = (value.stretch, value.latency_s)
+    in_range = value.priority >= 0 and value.attempts >= 1
+    if value.name != name or not in_range or not all(map(math.isfinite, times_s)):
+        raise ValueError(f"the queue {name!r} is configured as {value!r}")
+
+
 @_check.register
 def _(value: EarlierLeasesRow, name: str) -> None:
     # Without earlier holders, the time is minus infinity.
@@ -308,5 +322,5 @@
         cell.cancelled.discard(name)
     elif kind == AGENT_PREFIX:
         cell.agents.discard(name)
-    elif kind == TARGET_SHAPE_PREFIX:
-        cell.target_shapes.pop(name, None)
+    elif kind in NOTE_KINDS:
+        cell.notes.pop(kind + name, None)
--- a/packages/scheduling/src/cicadabank/scheduling/__init__.py
+++ b/packages/scheduling/src/cicadabank/scheduling/__init__.py
@@ -17,6 +17,7 @@
     StepSpec,
     WorkspaceConfig,
 )
+from cicadabank.scheduling.internal.notes import Note
 from cicadabank.scheduling.internal.reports import ReportReply
 from cicadabank.scheduling.internal.rows import (
     AGENT_PREFIX,
@@ -26,6 +27,7 @@
     HOLDER_LOAD_KEY,
     JOB_PREFIX,
     LEASE_KEY,
+    QUEUE_PREFIX,
     RUN_PREFIX,
     TABLE,
     TARGET_SHAPE_PREFIX,
@@ -64,6 +66,7 @@
     "JOB_PREFIX",
     "LEASE_KEY",
     "MAX_COMMIT_ENTRIES",
+    "QUEUE_PREFIX",
     "RUN_PREFIX",
     "TABLE",
     "TARGET_SHAPE_PREFIX",
@@ -82,6 +85,7 @@
     "JobProgressRow",
     "JobRecord",
     "LeaseRow",
+    "Note",
     "QueueConfig",
     "Report",
     "ReportReply",
--- a/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
@@ -9,21 +9,23 @@
     crashes,
     drains,
     lifecycle,
+    notes,
     planner,
     reports,
 )
-from cicadabank.scheduling.internal.jobs import Configuration, JobRecord
+from cicadabank.scheduling.internal.jobs import (
+    Configuration,
+    JobRecord,
+    QueueConfig,
+)
+from cicadabank.scheduling.internal.notes import Note
 from cicadabank.scheduling.internal.reports import ReportReply
 from cicadabank.scheduling.internal.rows import (
     RUN_PREFIX,
     JobProgressRow,
-    TargetShapeRow,
     TargetSpeedsRow,
-    absent_shape_row,
     job_progress_row,
     pack,
-    present_shape_row,
-    restore_absent_target,
     restore_job,
 )
 from cicadabank.scheduling.internal.state import (
@@ -47,9 +49,7 @@
 # reports and a connection in both directions, so that a new holder that contacted all
 # at once would reply to none in time.
 MAX_OPEN_CONTACTS = 8
-# A shorter absence of a target is not stored.
-STORED_ABSENCE_S = 5.0
-NO_SHAPES: Mapping[str, TargetShapeRow] = MappingProxyType({})
+NO_NOTES: Mapping[str, Note] = MappingProxyType({})
 
 
 class CellScheduler:
@@ -89,7 +89,7 @@
         now_s: float,
         lease_expiry_s: float | None = None,
         speeds: TargetSpeedsRow | None = None,
-        shapes: Mapping[str, TargetShapeRow] = NO_SHAPES,
+        known: Mapping[str, Note] = NO_NOTES,
     ) -> None:
         """Restore the cell's state from the store after a takeover.
 
@@ -106,15 +106,12 @@
             also covers an earlier holder that still runs but is cut off from the store.
         speeds : TargetSpeedsRow, default=None
             What an earlier holder has learned of the speeds of targets.
-        shapes : mapping of str to TargetShapeRow, optional
-            What earlier holders have seen of targets, by their agents.
+        known : mapping of str to TargetShapeRow or QueueConfig, optional
+            What earlier holders have noted, by the keys of the rows.
         """
         state = self.state
         state.now_s = now_s
-        for agent in state.absent_targets.keys() & shapes.keys():
-            state.absent_targets[agent] = restore_absent_target(
-                shapes[agent], state.store_now_s
-            )
+        notes.restore_notes(state, known)
         if speeds is not None:
             state.speeds.restore(speeds.estimates)
         for record, row, version in jobs:
@@ -154,16 +151,25 @@
             )
             state.urgent_sizes.append(sum(first_step_sizes))
         if not job.ended:
-            self.state.open_jobs[job.record.job] = job
+            state.open_jobs[record.job] = job
+            state.changed_queues.add(record.queue)
 
     def on_config(self, config: Configuration, now_s: float) -> None:
         """Apply a configuration unless it is older than the current one."""
         self.state.now_s = now_s
         if config.version >= self.state.config.version:
             self.state.config = config
-            self.state.queues.update(config.queues())
+            for name, queue in config.queues().items():
+                if self.state.queues.get(name) != queue:
+                    self._on_queue_changed(queue)
             self.state.guarantees = config.guarantees()
 
+    def _on_queue_changed(self, queue: QueueConfig) -> None:
+        state = self.state
+        state.queues[queue.name] = queue
+        if any(job.record.queue == queue.name for job in state.open_jobs.values()):
+            state.changed_queues.add(queue.name)
+
     def on_domains_out(self, domains: frozenset[str], now_s: float) -> None:
         """Replace the set of failure domains that receive no new tasks."""
         self.state.now_s = now_s
@@ -314,31 +320,13 @@
         """Return what has been learned of the speeds of targets, to be stored."""
         return TargetSpeedsRow(self.state.speeds.estimates())
 
-    def take_changed_shapes(self) -> dict[str, TargetShapeRow]:
-        """Return and clear the new shapes of targets, to be stored by their agents."""
-        state = self.state
-        changed = state.changed_shapes & state.targets.keys()
-        state.changed_shapes.clear()
-        return {
-            agent: present_shape_row(state.targets[agent].shape) for agent in changed
-        }
-
-    def absent_shapes(self) -> dict[str, TargetShapeRow]:
-        """Return what is to be stored of targets that have been absent for some time.
+    def take_changed_notes(self) -> dict[str, Note]:
+        """Return and clear what the next holder should know, by the keys of rows."""
+        return notes.take_changed_notes(self.state)
 
-        A target of which nothing is known is not, before it is taken for gone.
-        """
-        state = self.state
-        rows = {}
-        for agent, absent in state.absent_targets.items():
-            absent_s = state.store_now_s - absent.since_store_s
-            if absent.shape is None:
-                is_due = absent_s > planner.ABSENT_TARGET_RETENTION_S
-            else:
-                is_due = absent_s >= STORED_ABSENCE_S
-            if is_due:
-                rows[agent] = absent_shape_row(absent)
-        return rows
+    def notes_on_absent_targets(self) -> dict[str, Note]:
+        """Return what the next holder should know of targets that are absent."""
+        return notes.notes_on_absent_targets(self.state)
 
     def on_committed(self, commit: Commit, version: int, now_s: float) -> None:
         """Process a successful commit and order the starts that depended on it."""
--- a/packages/scheduling/src/cicadabank/scheduling/internal/rows.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/rows.py
@@ -7,7 +7,6 @@
 import msgspec
 from cicadabank.scheduling.internal.jobs import JobRecord, Resources
 from cicadabank.scheduling.internal.speeds import SpeedEstimate
-from cicadabank.scheduling.internal.targets import AbsentTarget, TargetShape
 from cicadabank.scheduling.internal.units import (
     Crash,
     Job,
@@ -18,19 +17,19 @@
 )
 
 TABLE = "cells"
-# Prefixes of keys, each followed by the id of a job or an agent.
+# Prefixes of keys, each followed by the id of a job, an agent or a queue.
 JOB_PREFIX = "job/"
 CANCEL_PREFIX = "cancel/"
 RUN_PREFIX = "run/"
 AGENT_PREFIX = "agent/"
 TARGET_SHAPE_PREFIX = "target/"
+QUEUE_PREFIX = "queue/"
 # Complete keys.
 HOLDER_KEY = "holder"
 LEASE_KEY = "lease"
 EARLIER_LEASES_KEY = "earlier-leases"
 HOLDER_LOAD_KEY = "holder-load"
 TARGET_SPEEDS_KEY = "target-speeds"
-NO_RESOURCES = Resources(0, 0, 0)
 
 
 class UnitRow(NamedTuple):
@@ -192,32 +191,6 @@
     return msgspec.msgpack.decode(value, type=kind)
 
 
-def present_shape_row(shape: TargetShape) -> TargetShapeRow:
-    """Return the row that stores the shape of a target that reports."""
-    return _shape_row(shape, None)
-
-
-def absent_shape_row(absent: AbsentTarget) -> TargetShapeRow:
-    """Return the row that stores what is known of an absent target."""
-    if absent.shape is None:
-        return TargetShapeRow(None, NO_RESOURCES, absent.since_store_s)
-    return _shape_row(absent.shape, absent.since_store_s)
-
-
-def _shape_row(shape: TargetShape, absent_since_s: float | None) -> TargetShapeRow:
-    labels = tuple(sorted(shape.labels))
-    return TargetShapeRow(labels, shape.largest_capacity, absent_since_s)
-
-
-def restore_absent_target(row: TargetShapeRow, store_now_s: float) -> AbsentTarget:
-    """Return what a new holder knows of a target that has not reported to it yet."""
-    shape = None
-    if row.labels is not None:
-        shape = TargetShape(frozenset(row.labels), row.largest_capacity)
-    since_s = store_now_s if row.absent_since_s is None else row.absent_since_s
-    return AbsentTarget(shape, since_s)
-
-
 def job_progress_row(job: Job) -> JobProgressRow:
     """Return the row that stores the progress of a job."""
     ended = job.ended
--- a/packages/scheduling/src/cicadabank/scheduling/internal/state.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/state.py
@@ -229,6 +229,8 @@
         self.absent_targets: dict[str, AbsentTarget] = {}
         # Agents whose targets have got a new shape, which is to be stored.
         self.changed_shapes: set[str] = set()
+        # Queues with jobs whose configuration is new, which is to be stored.
+        self.changed_queues: set[str] = set()
         # By agent: the latest number given to it.
         self.registrations: dict[str, Registration] = {}
         # The known agents, with the time of the last attempt to contact each.
--- a/tests/cover/test_cell_holder.py
+++ b/tests/cover/test_cell_holder.py
@@ -18,6 +18,7 @@
     JOB_PREFIX,
     LEASE_KEY,
     MAX_COMMIT_ENTRIES,
+    QUEUE_PREFIX,
     RUN_PREFIX,
     TARGET_SHAPE_PREFIX,
     TARGET_SPEEDS_KEY,
@@ -27,14 +28,16 @@
     HolderRow,
     JobProgressRow,
     JobRecord,
+    QueueConfig,
     Resources,
+    RouteConfig,
     StepSpec,
     TargetShapeRow,
     Timings,
     pack,
     unpack,
 )
-from cicadabank.scheduling.internal import cell as cell_module
+from cicadabank.scheduling.internal import notes as notes_module
 from cicadabank.standin import MemoryTable
 from cicadabank.tasks import clock_s, running
 from cicadabank.wire import ChannelPool, fleet_pb2, fleet_pb2_grpc, serve
@@ -258,6 +261,38 @@
         assert table.rows[("cell", TARGET_SPEEDS_KEY)].version == version
 
 
+# Guards against a new holder that doesn't know a queue which was removed while its jobs
+# were at work.
+class TestNotesOnQueues:
+    QUEUE = QueueConfig("q", "cell", 1, 5, 2.0, 1.0)
+    KEY = ("cell", QUEUE_PREFIX + "q")
+
+    def configure(self, holder: Holder, version: int, *queues: QueueConfig):
+        routes = tuple(RouteConfig("h", f"/{q.name}/", False, q) for q in queues)
+        view = OperatorView(Configuration(version, routes), frozenset())
+        holder.actor.ask(holder.actor.on_operator_view, view)
+
+    def test_a_new_holder_knows_a_removed_queue(self, table, stack):
+        first = Holder(table, 1, stack)
+        unused = self.QUEUE._replace(name="unused")
+        self.configure(first, 1, self.QUEUE, unused)
+        wait_for(lambda: self.KEY in table.rows, 5.0)
+        second = Holder(table, 2, stack)
+        self.configure(second, 2)
+        assert second.actor.scheduler.state.queues == {"q": self.QUEUE}
+
+    # Guards against a cell whose lease can't be renewed any more, since the store
+    # refuses each write.
+    def test_a_name_that_outgrows_a_key_is_not_stored(self, table, stack):
+        holder = Holder(table, 1, stack)
+        long = "q" * 300
+        record = RECORD._replace(job="long", queue=long)
+        holder.actor.ask(holder.actor.scheduler.on_job, record, clock_s())
+        self.configure(holder, 1, self.QUEUE, self.QUEUE._replace(name=long))
+        wait_for(lambda: self.KEY in table.rows, 5.0)
+        assert ("cell", QUEUE_PREFIX + long) not in table.rows
+
+
 # Guards against a new holder that fails a job as infeasible, since it knows nothing of
 # the only target that could run it.
 class TestShapesOfTargets:
@@ -316,7 +351,7 @@
 
     def test_an_absence_is_stored_once(self, table, stack, monkeypatch):
         monkeypatch.setattr(cell_holder_module, "ABSENCE_INTERVAL_S", 0.1)
-        monkeypatch.setattr(cell_module, "STORED_ABSENCE_S", 0.3)
+        monkeypatch.setattr(notes_module, "STORED_ABSENCE_S", 0.3)
         holder = Holder(table, 1, stack)
         self.report(holder, ("b",))
         holder.actor.ask(holder.actor.on_target_terminated, self.ADDRESS)
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -30,6 +30,7 @@
     AGENT_PREFIX,
     EARLIER_LEASES_KEY,
     JOB_PREFIX,
+    QUEUE_PREFIX,
     TARGET_SHAPE_PREFIX,
     TARGET_SPEEDS_KEY,
     AgentRow,
@@ -509,7 +510,23 @@
         row = TargetShapeRow(("b",), Resources(cpu_millicores, 1, 1), absent_since_s)
         odd = StoredRow("cell", TARGET_SHAPE_PREFIX + agent, pack(row), 8)
         replica, _, lines = self.apply(odd, self.GOOD)
-        assert replica.cells["cell"].target_shapes == {}
+        assert replica.cells["cell"].notes == {}
+        assert lines == ["row_unreadable"]
+
+    @pytest.mark.parametrize(
+        "odd_queue",
+        [
+            QueueConfig("other", "cell", 1, 3, 2.0, 1.0),
+            QueueConfig("q", "cell", -1, 3, 2.0, 1.0),
+            QueueConfig("q", "cell", 1, 0, 2.0, 1.0),
+            QueueConfig("q", "cell", 1, 3, float("nan"), 1.0),
+            QueueConfig("q", "cell", 1, 3, 2.0, float("inf")),
+        ],
+    )
+    def test_an_impossible_queue_is_refused(self, odd_queue):
+        odd = StoredRow("cell", QUEUE_PREFIX + "q", pack(odd_queue), 8)
+        replica, _, lines = self.apply(odd, self.GOOD)
+        assert replica.cells["cell"].notes == {}
         assert lines == ["row_unreadable"]
 
     # Guards against one error that keeps the other rows of the batch back.
--- a/tests/cover/test_scheduler.py
+++ b/tests/cover/test_scheduler.py
@@ -4,6 +4,7 @@
 
 import pytest
 from cicadabank.scheduling import (
+    Configuration,
     QueueConfig,
     Resources,
     RunId,
@@ -94,6 +95,47 @@
         assert reason in cell.rows["j"][0].reason
 
 
+# Guards against a task that runs beyond the attempts of its queue, or fails before they
+# are used up: a new holder took a removed queue for one of three attempts.
+class TestRemovedQueues:
+    @pytest.fixture
+    def cell(self) -> ModelCell:
+        queues = [BATCH._replace(name=f"q{n}", attempts=n) for n in (1, 2, 5)]
+        model = ModelCell(fleet(), queues, fails_at=lambda run: 0.1)
+        model.run(1.0)
+        return model
+
+    def remove_queues(self, cell):
+        cell.config = Configuration(cell.config.version + 1)
+        cell.scheduler.on_config(cell.config, cell.now_s)
+
+    @pytest.mark.parametrize("attempts", [1, 2, 5])
+    @pytest.mark.parametrize("takeovers", [0, 1, 2])
+    def test_jobs_keep_the_attempts_of_their_queue(self, cell, attempts, takeovers):
+        cell.submit("j", f"q{attempts}", [tasks(1)])
+        cell.run(0.3)
+        self.remove_queues(cell)
+        for _ in range(takeovers):
+            cell.take_over(0.0)
+            cell.run(0.2)
+        cell.run_until(lambda: cell.state("j") == "failed", 60.0)
+        outcomes = [run.outcome for run in cell.history]
+        assert outcomes.count("failed") == attempts
+
+    def test_a_changed_configuration_counts(self, cell):
+        cell.submit("j", "q5", [tasks(1)])
+        cell.run(0.3)
+        (route,) = [r for r in cell.config.routes if r.queue.name == "q5"]
+        queue = route.queue._replace(attempts=2)
+        cell.config = Configuration(2, (route._replace(queue=queue),))
+        cell.scheduler.on_config(cell.config, cell.now_s)
+        cell.run(0.1)
+        self.remove_queues(cell)
+        cell.take_over(0.0)
+        cell.run_until(lambda: cell.state("j") == "failed", 60.0)
+        assert [run.outcome for run in cell.history].count("failed") == 2
+
+
 class TestInfeasibleJobs:
     ALL_TARGETS = 6
 
--- a/tests/support/in_memory_cell.py
+++ b/tests/support/in_memory_cell.py
@@ -15,6 +15,7 @@
     EndedRun,
     JobProgressRow,
     JobRecord,
+    Note,
     QueueConfig,
     Report,
     Resources,
@@ -24,7 +25,6 @@
     StepSpec,
     TargetCrash,
     TargetIncarnation,
-    TargetShapeRow,
     TargetSpeedsRow,
     WorkspaceConfig,
     largest,
@@ -302,7 +302,7 @@
         self.cancelled: set[str] = set()
         self.rows: dict[str, tuple[JobProgressRow, int]] = {}
         self.stored_speeds: TargetSpeedsRow | None = None
-        self.stored_shapes: dict[str, TargetShapeRow] = {}
+        self.stored_notes: dict[str, Note] = {}
         self.version = 0
         self.epoch = 0
         self.store_up = True
@@ -336,7 +336,7 @@
             self.now_s,
             lease_expiry_s,
             self.stored_speeds,
-            dict(self.stored_shapes),
+            dict(self.stored_notes),
         )
         self._last_report_s.clear()
         return self.scheduler
@@ -395,8 +395,8 @@
             self._speeds_stored_s = self.now_s
             self.stored_speeds = self.scheduler.target_speeds()
         if self.store_up:
-            self.stored_shapes.update(self.scheduler.take_changed_shapes())
-            self.stored_shapes.update(self.scheduler.absent_shapes())
+            self.stored_notes.update(self.scheduler.take_changed_notes())
+            self.stored_notes.update(self.scheduler.notes_on_absent_targets())
         self._commit()
         self._deliver_orders()
 
