Count conditions in the size of the holder's commits

Cause: the store takes 100 entries in a write, conditions among them. A commit had up to 80 jobs' rows, each with its condition, and so up to 162 entries. The store refused it with 400, and the holder repeated the same write; so did each successor, since the same jobs had changed. The other limit of a write, 1 MB, was not looked at either.

Change: a commit takes 45 jobs at most, so that ten entries are left for the holder's condition, its own rows and notes, and 600 kB of rows, which are 800 kB in base64. The tables in memory refuse writes beyond the store's limits, as the stand-in over HTTP does with 400; that tests had no such limit is why they missed it.

Not changed: the row of one job that is larger than a row may be (about 1,000 running tasks) still stops its cell.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
@@ -42,9 +42,13 @@
 
 # Conditions, writes and removals that the store takes in one transaction.
 MAX_COMMIT_ENTRIES = 100
-# Below the store's limit of 100 entries per transaction, not counting conditions. The
-# holder adds its lease row to each commit.
-MAX_ROWS_PER_COMMIT = 80
+# Entries left to the holder, which adds its own condition and rows to each commit.
+RESERVED_COMMIT_ENTRIES = 10
+# A job's row takes an entry as a condition and one as a write.
+MAX_ROWS_PER_COMMIT = (MAX_COMMIT_ENTRIES - RESERVED_COMMIT_ENTRIES) // 2
+# Size of the jobs' rows in a commit. The store takes 1 MB, and a third of it is lost to
+# the encoding of the rows.
+MAX_COMMIT_BYTES = 600_000
 # Agents that are contacted at a time and have not reported yet. Each registers with two
 # reports and a connection in both directions, so that a new holder that contacted all
 # at once would reply to none in time.
@@ -292,15 +296,7 @@
         state = self.state
         if state.fenced or state.in_flight is not None or not state.dirty:
             return None
-        jobs = list(state.dirty.values())[:MAX_ROWS_PER_COMMIT]
-        for job in jobs:
-            del state.dirty[job.record.job]
-        rows = tuple(
-            RowChange(
-                RUN_PREFIX + job.record.job, job.version, pack(job_progress_row(job))
-            )
-            for job in jobs
-        )
+        jobs, rows = self._take_dirty_rows()
         starting = tuple(
             unit for job in jobs for unit in job.units if unit.phase is Phase.COMMITTING
         )
@@ -313,9 +309,23 @@
                 for t in state.targets.values()
             )
         job_ids = tuple(job.record.job for job in jobs)
-        state.in_flight = Commit(rows, job_ids, starting, recorded)
+        state.in_flight = Commit(tuple(rows), job_ids, starting, recorded)
         return state.in_flight
 
+    def _take_dirty_rows(self) -> tuple[list[Job], list[RowChange]]:
+        """Return as many changed jobs as one commit can take, with their rows."""
+        dirty = self.state.dirty
+        jobs, rows, size_bytes = [], [], 0
+        for job in list(dirty.values())[:MAX_ROWS_PER_COMMIT]:
+            value = pack(job_progress_row(job))
+            size_bytes += len(value)
+            if rows and size_bytes > MAX_COMMIT_BYTES:
+                break
+            del dirty[job.record.job]
+            jobs.append(job)
+            rows.append(RowChange(RUN_PREFIX + job.record.job, job.version, value))
+        return jobs, rows
+
     def target_speeds(self) -> TargetSpeedsRow:
         """Return what has been learned of the speeds of targets, to be stored."""
         return TargetSpeedsRow(self.state.speeds.estimates())
--- a/packages/standin/src/cicadabank/standin/internal/partitions.py
+++ b/packages/standin/src/cicadabank/standin/internal/partitions.py
@@ -15,10 +15,18 @@
     UnknownOutcomeError,
 )
 
+# Limits of one write: conditions, rows and removals; the size of a row; and the size of
+# all rows, which are sent in base64.
+MAX_ENTRIES = 100
+MAX_ROW_BYTES = 65_536
+MAX_WRITE_BYTES = 1_000_000
+
 
 class MemoryTable:
     """Keeps rows in memory; see `PartitionedTable`. Timeouts are ignored.
 
+    A write beyond the limits of the platform's store is refused for ever.
+
     Attributes
     ----------
     down : bool
@@ -97,6 +105,7 @@
         """Write rows if all expected versions match; return the new version."""
         self._check_available()
         self.writes += 1
+        _check_size(expected, puts, removes)
         if self.delay_writes:
             self._delayed_writes.append(
                 (partition, dict(expected), dict(puts), removes)
@@ -148,3 +157,14 @@
         with self._changed:
             self._changes.clear()
             self._oldest_version = self.version
+
+
+def _check_size(
+    expected: Mapping[str, int], puts: Mapping[str, bytes], removes: tuple[str, ...]
+) -> None:
+    """Raise UnknownOutcomeError if the store would refuse a write of this size."""
+    sizes = [len(value) for value in puts.values()]
+    if len(expected) + len(puts) + len(removes) > MAX_ENTRIES:
+        raise UnknownOutcomeError("the write was refused: too many entries")
+    if max(sizes, default=0) > MAX_ROW_BYTES or sum(sizes) * 4 / 3 > MAX_WRITE_BYTES:
+        raise UnknownOutcomeError("the write was refused: it is too large")
--- a/tests/cover/test_cell_holder.py
+++ b/tests/cover/test_cell_holder.py
@@ -32,12 +32,14 @@
     Resources,
     RouteConfig,
     StepSpec,
+    TargetIncarnation,
     TargetShapeRow,
     Timings,
     pack,
     unpack,
 )
 from cicadabank.scheduling.internal import notes as notes_module
+from cicadabank.scheduling.internal.units import Member, Phase
 from cicadabank.standin import MemoryTable
 from cicadabank.tasks import clock_s, running
 from cicadabank.wire import ChannelPool, fleet_pb2, fleet_pb2_grpc, serve
@@ -261,6 +263,61 @@
         assert table.rows[("cell", TARGET_SPEEDS_KEY)].version == version
 
 
+# Guards against a cell that stands still for ever, under each next holder too: the
+# store refuses a write that is too large, and the holder repeats it.
+class TestLargeCommits:
+    def wait_for_states(self, table, state: str, jobs: list[str]):
+        def all_stored() -> bool:
+            rows = [table.rows.get(("cell", RUN_PREFIX + job)) for job in jobs]
+            return None not in rows and all(
+                unpack(row.value, JobProgressRow).state == state for row in rows
+            )
+
+        wait_for(all_stored, 10.0)
+
+    @pytest.mark.parametrize("count", [48, 49, 60, 130])
+    def test_many_jobs_that_change_at_once_are_stored(self, table, stack, count):
+        jobs = [f"j{number}" for number in range(count)]
+        holder = Holder(table, 1, stack)
+
+        def submit_and_cancel():
+            scheduler = holder.actor.scheduler
+            for job in jobs:
+                scheduler.on_job(RECORD._replace(job=job), clock_s())
+                scheduler.on_cancel(job, clock_s())
+            holder.actor._plan_and_send()
+
+        holder.actor.ask(submit_and_cancel)
+        self.wait_for_states(table, "cancelled", jobs)
+        assert not holder.fenced
+
+    # The rows are of more than 1 MB in all, each below the limit of a row.
+    def test_many_large_rows_are_stored(self, table, stack):
+        target = TargetIncarnation("i-0123456789", "i-0123456789/1783571724642", "a:1")
+        step = StepSpec(600, Resources(1, 1, 0), 1.0)
+        jobs = [f"j{number}" for number in range(30)]
+        holder = Holder(table, 1, stack)
+
+        def change_all():
+            state = holder.actor.scheduler.state
+            for name in jobs:
+                holder.actor.scheduler.on_job(
+                    RECORD._replace(job=name, steps=(step,)), clock_s()
+                )
+                job = state.jobs[name]
+                job.state = "running"
+                for unit in job.units:
+                    unit.phase, unit.run = Phase.RUNNING, 1
+                    unit.members = [Member(target)]
+                state.mark_dirty(job)
+            holder.actor._plan_and_send()
+
+        holder.actor.ask(change_all)
+        self.wait_for_states(table, "running", jobs)
+        sizes = [len(table.rows[("cell", RUN_PREFIX + job)].value) for job in jobs]
+        assert sum(sizes) > 1_000_000
+
+
 # Guards against a new holder that doesn't know a queue which was removed while its jobs
 # were at work.
 class TestNotesOnQueues:
