Give the notes that wait to be stored a class of their own

The holder's actor keeps a queue of notes instead of a dictionary that three of its methods shared with the threads that write. Events are logged by a module of their own, since the queue logs, too.

A target that became known before the load, when the store's clock may not be known yet, counts as absent from the load on; before, it could count as gone. test_absences_count_from_the_load_on_the_clock_of_the_store failed without it.

--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple, Protocol
 
 import grpc
-from cicadabank.control.internal.cell_holder import log_event
+from cicadabank.control.internal.events import log_event
 from cicadabank.control.internal.feed import repeating_thread
 from cicadabank.control.internal.pacing import Backoff
 from cicadabank.control.internal.relay import RelayService
--- a/packages/control/src/cicadabank/control/internal/cell_holder.py
+++ b/packages/control/src/cicadabank/control/internal/cell_holder.py
@@ -13,7 +13,9 @@
     run_id_to_message,
     start_to_message,
 )
+from cicadabank.control.internal.events import log_event
 from cicadabank.control.internal.feed import OperatorView
+from cicadabank.control.internal.note_queue import NoteQueue
 from cicadabank.control.internal.pacing import LatenessMeter, RoundPacer
 from cicadabank.control.internal.replica import Replica
 from cicadabank.scheduling import (
@@ -63,10 +65,6 @@
 SPEEDS_INTERVAL_S = 5.0
 # Time between two searches for targets whose absence is to be stored.
 ABSENCE_INTERVAL_S = 1.0
-# A note with a longer key or value is not stored: a target may have very many labels,
-# and the store would refuse the write, and with it the renewal of the lease.
-MAX_NOTE_KEY_BYTES = 200
-MAX_NOTE_BYTES = 8192
 # Pause before a failed write is retried.
 WRITE_RETRY_PAUSE_S = 0.15
 ORDER_TIMEOUT_S = 0.8
@@ -74,16 +72,6 @@
 REPORT_INTERVAL_S = 1.0
 
 
-def log_event(event: str, **fields: object) -> None:
-    """Log an event with its fields."""
-    logger.bind(event=event, **fields).info(event)
-
-
-def _fits_into_row(key: str, note: Note) -> bool:
-    key_bytes, note_bytes = len(key.encode()), len(pack(note))
-    return key_bytes <= MAX_NOTE_KEY_BYTES and note_bytes <= MAX_NOTE_BYTES
-
-
 class CellActor(Actor):
     """Holds a cell: commits its scheduler's decisions and sends them to agents.
 
@@ -133,8 +121,7 @@
         # What the next write stores of the speeds of targets, if not None.
         self._unstored_speeds: TargetSpeedsRow | None = None
         self._speeds_read_s = clock_s()
-        # What the next writes store for the next holder, by the keys of the rows.
-        self._unstored_notes: dict[str, Note] = {}
+        self._unstored_notes = NoteQueue()
         self._absences_read_s = clock_s()
         self._last_tick_s = clock_s()
         self._is_released = threading.Event()
@@ -282,14 +269,7 @@
 
     def _store_notes(self, notes: dict[str, Note]) -> None:
         """Have notes stored with the next writes, unless they are."""
-        stored = self._replica.cell(self.cell).notes
-        for key, note in notes.items():
-            if note == stored.get(key):
-                self._unstored_notes.pop(key, None)
-            elif _fits_into_row(key, note):
-                self._unstored_notes[key] = note
-            else:
-                log_event("note_too_large", key=key[:MAX_NOTE_KEY_BYTES])
+        self._unstored_notes.add(notes, self._replica.cell(self.cell).notes)
 
     def _renew_until_released(self) -> None:
         """Renew the cell's lease whenever it is due.
@@ -396,13 +376,10 @@
         expected = {HOLDER_KEY: self.version, **expected}
         puts = {**puts, LEASE_KEY: pack(lease)}
         room = max(0, MAX_COMMIT_ENTRIES - len(expected) - len(puts))
-        # The loop adds to the dictionary meanwhile.
-        notes = list(self._unstored_notes.items())[:room]
-        puts.update((key, pack(note)) for key, note in notes)
+        notes = self._unstored_notes.first(room)
+        puts.update((key, pack(note)) for key, note in notes.items())
         version = self._table.commit(self.cell, expected, puts)
-        for key, note in notes:
-            if self._unstored_notes.get(key) is note:
-                self._unstored_notes.pop(key, None)
+        self._unstored_notes.on_stored(notes)
         return version, sent_s
 
     def _on_write_done(self, commit: Commit, future: Future) -> None:
--- a/packages/control/src/cicadabank/control/internal/entry.py
+++ b/packages/control/src/cicadabank/control/internal/entry.py
@@ -12,11 +12,8 @@
 from typing import NamedTuple
 
 import grpc
-from cicadabank.control.internal.cell_holder import (
-    TAKE_IN_LATENESS_S,
-    CellActor,
-    log_event,
-)
+from cicadabank.control.internal.cell_holder import TAKE_IN_LATENESS_S, CellActor
+from cicadabank.control.internal.events import log_event
 from cicadabank.control.internal.feed import (
     UNREAD_VIEW,
     CellsFeed,
--- a/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
@@ -115,6 +115,11 @@
         """
         state = self.state
         state.now_s = now_s
+        # Before the load, the store's clock may not have been known.
+        state.absent_targets = {
+            agent: absent._replace(since_store_s=state.store_now_s)
+            for agent, absent in state.absent_targets.items()
+        }
         notes.restore_notes(state, known)
         if speeds is not None:
             state.speeds.restore(speeds.estimates)
--- a/tests/cover/test_scheduler.py
+++ b/tests/cover/test_scheduler.py
@@ -4,6 +4,7 @@
 
 import pytest
 from cicadabank.scheduling import (
+    CellScheduler,
     Configuration,
     QueueConfig,
     Resources,
@@ -233,6 +234,15 @@
         special.silent = False
         cell.run_until(lambda: cell.state("j") == "completed", 20.0)
 
+    # Guards against a target that counts as gone, since it became known before the
+    # store's clock did.
+    def test_absences_count_from_the_load_on_the_clock_of_the_store(self):
+        scheduler = CellScheduler("cell", 1, 100.0)
+        scheduler.on_agent("a")
+        scheduler.state.store_offset_s = 5000.0
+        scheduler.load([], [], 101.0)
+        assert scheduler.state.absent_targets["a"].since_store_s == 5101.0
+
     # Guards against jobs that wait at each takeover for a target that is gone for good.
     def test_a_target_that_was_never_heard_of_is_waited_for_once(self):
         gone = ModelTarget("s", "d0", "special")
