Void a job that is cancelled before it is stored

Cause: a write without a reply is carried out later if its condition still holds, here that the job has no row. The DELETE only read that there is none.

Change: a DELETE of a job that isn't stored writes a void in place of its row, if there is still none, before it is answered 410. The late write then fails its condition. A later submission replaces the void, since its client asks anew. If the job's row appears meanwhile, it is cancelled as any other. The cost is one write for each DELETE of an unknown job.

--- a/packages/control/src/cicadabank/control/internal/job_service.py
+++ b/packages/control/src/cicadabank/control/internal/job_service.py
@@ -25,6 +25,7 @@
     CANCEL_PREFIX,
     JOB_PREFIX,
     RUN_PREFIX,
+    VOIDED_JOB,
     CancelRow,
     JobProgressRow,
     JobRecord,
@@ -323,7 +324,7 @@
                     request.payload,
                     request.steps,
                 )
-                self._write(queue.cell, {key: 0}, {key: pack(record)}, wait)
+                self._store_job(queue.cell, key, pack(record), wait)
         except RowConflictError as error:
             stored = error.rows.get(key)
             if stored is not None and stored.value is not None:
@@ -346,6 +347,25 @@
             ],
         ).info("job accepted")
 
+    def _store_job(self, cell: str, key: str, value: bytes, wait: RequestWait) -> None:
+        """Write the row of a job that has none, or was cancelled before it had one.
+
+        Raises
+        ------
+        RowConflictError
+            If the job has a row.
+        """
+        version = 0
+        while True:
+            try:
+                self._write(cell, {key: version}, {key: value}, wait)
+                return
+            except RowConflictError as error:
+                stored = error.rows.get(key)
+                if stored is None or stored.value != VOIDED_JOB:
+                    raise
+                version = stored.version
+
     def _log_known(self, job: str, queue: str, timing: RequestTiming) -> None:
         """Log that a submitted job is stored already, as after a lost response."""
         logger.bind(
@@ -452,7 +472,8 @@
                 stored.row if stored else None, job in rows.cancelled
             )
         found = self._read(queue.cell, JOB_PREFIX + job, timeout_s)
-        if found is None or unpack(found, JobRecord).queue != queue.name:
+        is_absent = found is None or found == VOIDED_JOB
+        if is_absent or unpack(found, JobRecord).queue != queue.name:
             raise NoJobError("the job does not exist in this queue")
         run = self._read(queue.cell, RUN_PREFIX + job, timeout_s)
         cancelled = self._read(queue.cell, CANCEL_PREFIX + job, timeout_s) is not None
@@ -469,7 +490,8 @@
     def cancel(self, route: RouteConfig, job: str, timing: RequestTiming) -> None:
         """Cancel a job; the cell's holder then stops its running tasks.
 
-        A job that has ended stays as it is.
+        A job that has ended stays as it is. One that is not stored can't be stored any
+        more by a write of an earlier submission.
 
         Raises
         ------
@@ -479,13 +501,47 @@
             If the store was needed and did not reply.
         """
         with self._waiting(timing) as wait:
-            if self._wait_for_status(route, job, wait).state in ENDED_JOB_STATES:
+            if not self._can_be_cancelled(route, job, wait):
                 return
             cell = self._replica.cell_by_job.get(job, route.queue.cell)
             row = pack(CancelRow(self._replica.store_now_s()))
             self._write(cell, {}, {CANCEL_PREFIX + job: row}, wait)
         logger.bind(event="cancel_accepted", job=job).info("cancellation accepted")
 
+    def _can_be_cancelled(
+        self, route: RouteConfig, job: str, wait: RequestWait
+    ) -> bool:
+        """Return whether a job has not ended; void it if it isn't stored.
+
+        Raises
+        ------
+        NoJobError
+            If the store has no such job in this queue.
+        """
+        while True:
+            try:
+                status = self._wait_for_status(route, job, wait)
+                return status.state not in ENDED_JOB_STATES
+            except NoJobError:
+                if self._void(route, job, wait):
+                    raise
+
+    def _void(self, route: RouteConfig, job: str, wait: RequestWait) -> bool:
+        """Keep a job from being stored; return False if it has been stored meanwhile.
+
+        A job of another queue stays as it is.
+        """
+        queue, key = route.queue, JOB_PREFIX + job
+        try:
+            self._write(queue.cell, {key: 0}, {key: VOIDED_JOB}, wait)
+        except RowConflictError as error:
+            stored = error.rows.get(key)
+            if stored is None or stored.value in (None, VOIDED_JOB):
+                return True
+            return unpack(stored.value, JobRecord).queue != queue.name
+        logger.bind(event="job_voided", job=job).info("the job can't be stored late")
+        return True
+
     def _wait_for_status(
         self, route: RouteConfig, job: str, wait: RequestWait
     ) -> JobStatus:
--- a/packages/control/src/cicadabank/control/internal/replica.py
+++ b/packages/control/src/cicadabank/control/internal/replica.py
@@ -28,6 +28,7 @@
     RUN_PREFIX,
     TARGET_SHAPE_PREFIX,
     TARGET_SPEEDS_KEY,
+    VOIDED_JOB,
     AgentRow,
     EarlierLeasesRow,
     HolderLoadRow,
@@ -175,7 +176,7 @@
                 return False
             self._versions[row_id] = row.version
             try:
-                self._apply_one(row, kind, name)
+                self._apply_one(_without_voided_job(row), kind, name)
             # Any error: one row must not keep the others of its batch back.
             except Exception as error:
                 logger.bind(
@@ -236,6 +237,12 @@
 }
 
 
+def _without_voided_job(row: StoredRow) -> StoredRow:
+    """Return a row; a removed one if it stands for a job that can't be stored."""
+    is_void = row.key.startswith(JOB_PREFIX) and row.value == VOIDED_JOB
+    return row._replace(value=None) if is_void else row
+
+
 def _decode(row: StoredRow, kind: str, name: str) -> Any:
     """Decode and check the value of a row; return None if it needs none.
 
--- a/packages/scheduling/src/cicadabank/scheduling/internal/rows.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/rows.py
@@ -31,6 +31,10 @@
 HOLDER_LOAD_KEY = "holder-load"
 TARGET_SPEEDS_KEY = "target-speeds"
 
+# In place of the row of a job that was cancelled before it was stored: no submission
+# from before the cancellation can take effect any more.
+VOIDED_JOB = msgspec.msgpack.encode(None)
+
 
 class UnitRow(NamedTuple):
     """Stored progress of a unit.
--- a/tests/cover/test_job_service.py
+++ b/tests/cover/test_job_service.py
@@ -483,6 +483,77 @@
         assert time.monotonic() - start_s < 0.1
 
 
+# Guards against a job that runs although its client has cancelled it: the write of its
+# submission, which got no reply, was carried out after the cancellation.
+class TestCancelOfAJobThatMayBeStoredLate:
+    @pytest.fixture
+    def harness(self, harness) -> Harness:
+        harness.table.delay_writes = True
+        with pytest.raises(errors.OutcomeUnknownError):
+            harness.submit(deadline_s=0.2)
+        harness.table.delay_writes = False
+        return harness
+
+    def cancel(self, harness, route=ROUTE):
+        with pytest.raises(errors.NoJobError):
+            harness.service.cancel(route, REQUEST.job, timing(1.0))
+
+    def test_the_late_write_has_no_effect(self, harness):
+        self.cancel(harness)
+        assert harness.table.apply_delayed_writes() == 0
+        harness.update_replica()
+        assert harness.replica.cells["cell"].jobs == {}
+        with pytest.raises(errors.NoJobError):
+            harness.service.status(ROUTE, REQUEST.job)
+
+    def test_the_cancellation_may_be_repeated(self, harness):
+        for _ in range(3):
+            self.cancel(harness)
+            harness.update_replica()
+        assert harness.table.apply_delayed_writes() == 0
+
+    def test_a_job_that_was_stored_meanwhile_is_cancelled(self, harness, monkeypatch):
+        void = harness.service._void
+
+        def store_first(*arguments):
+            harness.table.apply_delayed_writes()
+            return void(*arguments)
+
+        monkeypatch.setattr(harness.service, "_void", store_first)
+        harness.service.cancel(ROUTE, REQUEST.job, timing(1.0))
+        assert harness.stored_row(CANCEL_PREFIX) is not None
+        assert harness.service.status(ROUTE, REQUEST.job).state == "cancelled"
+
+    def test_a_later_submission_is_accepted(self, harness):
+        self.cancel(harness)
+        harness.update_replica()
+        harness.submit()
+        assert unpack(harness.stored_row().value, JobRecord).job == REQUEST.job
+        harness.update_replica()
+        assert harness.service.status(ROUTE, REQUEST.job).state == "pending"
+        version = harness.stored_row().version
+        harness.submit()
+        assert harness.table.apply_delayed_writes() == 0
+        assert harness.stored_row().version == version
+
+    def test_a_job_of_another_queue_is_not_voided(self, harness):
+        harness.table.apply_delayed_writes()
+        self.cancel(harness, CONFIG.routes[1])
+        assert harness.service.status(ROUTE, REQUEST.job).state == "pending"
+
+    def test_a_client_is_told_of_a_store_that_is_away(self, harness):
+        reads = harness.table.read
+
+        def read_then_fail(*arguments):
+            page = reads(*arguments)
+            harness.table.down = True
+            return page
+
+        harness.table.read = read_then_fail
+        with pytest.raises(errors.StoreUnavailableError):
+            harness.service.cancel(ROUTE, REQUEST.job, timing(0.5))
+
+
 class TestWaitingJobs:
     def test_jobs_without_a_started_task_are_counted(self, harness):
         harness.submit()
