Keep the row of a job with very many running tasks within the store's limit

Change: rows above 48 kB are compressed, so that entries of earlier builds can read all rows that they could before. 1,500 running tasks on as many targets, each with a checkpoint of 16 characters, take 46 kB; with 2,000 it is 62 kB. So a job runs 1,500 tasks at a time at most, or one larger gang alone. If checkpoints are long, a row that doesn't fit is stored without them: they are needed only if all VMs lose power. A compressed row is unpacked up to 32 MB.

Tests: four failed with the scheduling of before (a job of 1,600 tasks, and 1,500 running tasks with checkpoints of 0, 16 and 300 characters); all pass.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
@@ -24,8 +24,7 @@
     RUN_PREFIX,
     JobProgressRow,
     TargetSpeedsRow,
-    job_progress_row,
-    pack,
+    pack_progress,
     restore_job,
 )
 from cicadabank.scheduling.internal.state import (
@@ -322,7 +321,7 @@
         dirty = self.state.dirty
         jobs, rows, size_bytes = [], [], 0
         for job in list(dirty.values())[:MAX_ROWS_PER_COMMIT]:
-            value = pack(job_progress_row(job))
+            value = pack_progress(job)
             size_bytes += len(value)
             if rows and size_bytes > MAX_COMMIT_BYTES:
                 break
--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -73,6 +73,8 @@
 # While a smaller share of the cell's resources is in use, a job of which nothing runs
 # is not held back for urgent jobs.
 IDLE_CELL_SHARE = 0.5
+# A job's row, with the target of each task that runs, has to fit into the store.
+MAX_RUNNING_TASKS_OF_JOB = 1500
 # A target that is away for no longer than this is likely to come back, so a job that
 # only lacks it is not infeasible.
 ABSENT_TARGET_RETENTION_S = 30.0
@@ -313,13 +315,25 @@
         if job.cancelled or job.reason:
             continue
         done = job.done_steps()
+        room = MAX_RUNNING_TASKS_OF_JOB - _placed_tasks(job)
         for unit in job.units:
-            if unit.phase is Phase.WAITING and done.issuperset(unit.spec.after):
-                if not unexpected or unexpected.isdisjoint(unit.tasks()):
-                    ready.append(unit)
+            if unit.phase is not Phase.WAITING or not done.issuperset(unit.spec.after):
+                continue
+            if unexpected and not unexpected.isdisjoint(unit.tasks()):
+                continue
+            # A larger gang runs alone, though its row may be too large.
+            if unit.size <= room or room == MAX_RUNNING_TASKS_OF_JOB:
+                ready.append(unit)
+                room -= unit.size
     return ready
 
 
+def _placed_tasks(job: Job) -> int:
+    """Return how many tasks of a job run, or are about to."""
+    idle = (Phase.WAITING, Phase.DONE)
+    return sum(unit.size for unit in job.units if unit.phase not in idle)
+
+
 def guaranteed_units(state: CellState) -> set[int]:
     """Return the units covered by their workspace's guarantee, oldest jobs first.
 
--- a/packages/scheduling/src/cicadabank/scheduling/internal/rows.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/rows.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from typing import NamedTuple
 
 import msgspec
@@ -31,6 +32,15 @@
 HOLDER_LOAD_KEY = "holder-load"
 TARGET_SPEEDS_KEY = "target-speeds"
 
+# The store takes no larger rows.
+MAX_ROW_BYTES = 65_536
+# Entries of earlier builds can't read compressed rows, so that only rows are compressed
+# which may outgrow `MAX_ROW_BYTES`.
+COMPRESS_ABOVE_BYTES = 48_000
+COMPRESSION_LEVEL = 6
+MAX_DECOMPRESSED_BYTES = 32_000_000
+# First byte of compressed rows. In MessagePack, it is a number, which no row is.
+COMPRESSED = b"\x78"
 # In place of the row of a job that was cancelled before it was stored: no submission
 # from before the cancellation can take effect any more.
 VOIDED_JOB = msgspec.msgpack.encode(None)
@@ -180,8 +190,14 @@
 
 
 def pack(row: NamedTuple) -> bytes:
-    """Encode a row as MessagePack; fields are stored by position."""
-    return msgspec.msgpack.encode(row)
+    """Encode a row as MessagePack; fields are stored by position.
+
+    A large row is compressed, as entries of earlier builds can't read it.
+    """
+    value = msgspec.msgpack.encode(row)
+    if len(value) <= COMPRESS_ABOVE_BYTES:
+        return value
+    return zlib.compress(value, COMPRESSION_LEVEL)
 
 
 def unpack(value: bytes, kind: type):
@@ -189,12 +205,39 @@
 
     Raises
     ------
-    msgspec.MsgspecError
-        If the value does not encode a row of this type.
+    msgspec.MsgspecError, zlib.error, ValueError
+        If the value does not encode a row of this type, or one that is too large.
     """
+    if value.startswith(COMPRESSED):
+        value = _decompress(value)
     return msgspec.msgpack.decode(value, type=kind)
 
 
+def _decompress(value: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    row = decompressor.decompress(value, MAX_DECOMPRESSED_BYTES)
+    if not decompressor.eof:
+        raise ValueError("a compressed row is incomplete or too large")
+    return row
+
+
+def pack_progress(job: Job) -> bytes:
+    """Encode the progress of a job, without checkpoints if they don't fit into a row.
+
+    Units that all VMs lose power under then begin anew.
+    """
+    row = job_progress_row(job)
+    value = pack(row)
+    if len(value) <= MAX_ROW_BYTES:
+        return value
+    units = tuple(_without_checkpoint(unit) for unit in row.units)
+    return pack(row._replace(units=units))
+
+
+def _without_checkpoint(row: tuple) -> tuple:
+    return UnitRow(*row)._replace(checkpoint="")[: len(row)]
+
+
 def job_progress_row(job: Job) -> JobProgressRow:
     """Return the row that stores the progress of a job."""
     ended = job.ended
--- a/tests/cover/test_cell_holder.py
+++ b/tests/cover/test_cell_holder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import threading
 import time
 from contextlib import ExitStack
@@ -39,7 +40,8 @@
     unpack,
 )
 from cicadabank.scheduling.internal import notes as notes_module
-from cicadabank.scheduling.internal.units import Member, Phase
+from cicadabank.scheduling.internal.planner import MAX_RUNNING_TASKS_OF_JOB
+from cicadabank.scheduling.internal.units import Job, Member, Phase
 from cicadabank.standin import MemoryTable
 from cicadabank.tasks import clock_s, running
 from cicadabank.wire import ChannelPool, fleet_pb2, fleet_pb2_grpc, serve
@@ -291,6 +293,41 @@
         self.wait_for_states(table, "cancelled", jobs)
         assert not holder.fenced
 
+    # The entries of the job's tasks alone are larger than a row.
+    @pytest.mark.parametrize("checkpoint_characters", [0, 16, 300])
+    def test_a_job_with_many_running_tasks_is_stored(
+        self, table, stack, checkpoint_characters
+    ):
+        source = random.Random(1)
+        tasks = MAX_RUNNING_TASKS_OF_JOB
+        step = StepSpec(tasks, Resources(1, 1, 0), 1.0)
+        holder = Holder(table, 1, stack)
+
+        def start_all():
+            job = holder.actor.scheduler.state.jobs[RECORD.job]
+            job.record = RECORD._replace(steps=(step,))
+            job.units = Job(job.record).units
+            job.state = "running"
+            for unit in job.units:
+                name = f"i-{source.randrange(16**10):010x}"
+                address = (
+                    f"10.0.{unit.first_index // 250}.{unit.first_index % 250}:7000"
+                )
+                target = TargetIncarnation(name, f"{name}/1783571724642", address)
+                unit.phase, unit.run, unit.members = Phase.RUNNING, 1, [Member(target)]
+                digits = source.choices("0123456789abcdef", k=checkpoint_characters)
+                unit.checkpoint = "".join(digits)
+            holder.actor.scheduler.state.mark_dirty(job)
+            holder.actor._plan_and_send()
+
+        holder.actor.ask(start_all)
+        self.wait_for_states(table, "running", [RECORD.job])
+        row = table.rows[("cell", RUN_PREFIX + RECORD.job)]
+        units = unpack(row.value, JobProgressRow).units
+        assert len({unit.target_incarnations for unit in units}) == tasks
+        holder.feed.step()
+        assert holder.replica.cells["cell"].runs[RECORD.job].row.units == units
+
     # The rows are of more than 1 MB in all, each below the limit of a row.
     def test_many_large_rows_are_stored(self, table, stack):
         target = TargetIncarnation("i-0123456789", "i-0123456789/1783571724642", "a:1")
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import zlib
 from contextlib import suppress
 
 import msgspec
@@ -31,6 +32,7 @@
     EARLIER_LEASES_KEY,
     JOB_PREFIX,
     QUEUE_PREFIX,
+    RUN_PREFIX,
     TARGET_SHAPE_PREFIX,
     TARGET_SPEEDS_KEY,
     AgentRow,
@@ -513,6 +515,22 @@
         assert replica.cells["cell"].notes == {}
         assert lines == ["row_unreadable"]
 
+    # Guards against an entry that runs out of memory over one row.
+    @pytest.mark.parametrize(
+        "value",
+        [
+            b"x",
+            zlib.compress(bytes(1000))[:-1],
+            zlib.compress(bytes(1000)),
+            zlib.compress(bytes(100_000_000)),
+        ],
+    )
+    def test_an_odd_compressed_row_is_left_out(self, value):
+        odd = StoredRow("cell", RUN_PREFIX + "j", value, 8)
+        replica, changed, lines = self.apply(odd, self.GOOD)
+        assert "j" not in replica.cells["cell"].runs
+        assert (len(changed), lines) == (1, ["row_unreadable"])
+
     @pytest.mark.parametrize(
         "odd_queue",
         [
--- a/tests/cover/test_scheduler.py
+++ b/tests/cover/test_scheduler.py
@@ -13,6 +13,7 @@
     StepSpec,
     WorkspaceConfig,
 )
+from cicadabank.scheduling.internal.planner import MAX_RUNNING_TASKS_OF_JOB
 from cicadabank.scheduling.internal.units import Phase
 
 from tests.support.in_memory_cell import ModelCell, ModelTarget
@@ -96,6 +97,24 @@
         assert reason in cell.rows["j"][0].reason
 
 
+# Guards against a cell that stands still, since the row of one job is too large.
+class TestJobsOfVeryManyTasks:
+    def test_only_so_many_tasks_run_at_a_time(self):
+        cell = ModelCell(fleet(), QUEUES)
+        cell.run(1.0)
+        count = MAX_RUNNING_TASKS_OF_JOB + 100
+        step = StepSpec(count, Resources(10, 10, 0), 4.0)
+        cell.submit("j", "batch", [step])
+        most = 0
+        while cell.state("j") != "completed":
+            cell.run(0.5)
+            running = sum(len(t.active_runs) for t in cell.targets.values())
+            most = max(most, running)
+            assert cell.now_s < 200.0
+        assert most == MAX_RUNNING_TASKS_OF_JOB
+        assert len(cell.history) == count
+
+
 # Guards against a task that runs beyond the attempts of its queue, or fails before they
 # are used up: a new holder took a removed queue for one of three attempts.
 class TestRemovedQueues:
