--- a/packages/scheduling/src/cicadabank/scheduling/internal/notes.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/notes.py
@@ -9,7 +9,8 @@
 from collections.abc import Mapping
 from functools import singledispatch
 
-from cicadabank.scheduling.internal.jobs import QueueConfig, Resources
+from cicadabank.scheduling.internal.jobs import QueueConfig
+from cicadabank.scheduling.internal.placement import NO_RESOURCES
 from cicadabank.scheduling.internal.planner import ABSENT_TARGET_RETENTION_S
 from cicadabank.scheduling.internal.rows import (
     QUEUE_PREFIX,
@@ -21,7 +22,6 @@
 
 # A shorter absence of a target is not stored.
 STORED_ABSENCE_S = 5.0
-NO_RESOURCES = Resources(0, 0, 0)
 
 Note = TargetShapeRow | QueueConfig
 
--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -321,7 +321,7 @@
                 continue
             if unexpected and not unexpected.isdisjoint(unit.tasks()):
                 continue
-            # A larger gang runs alone, though its row may be too large.
+            # A gang that is larger still runs if nothing else of its job does.
             if unit.size <= room or room == MAX_RUNNING_TASKS_OF_JOB:
                 ready.append(unit)
                 room -= unit.size
--- a/packages/scheduling/src/cicadabank/scheduling/internal/rows.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/rows.py
@@ -34,8 +34,8 @@
 
 # The store takes no larger rows.
 MAX_ROW_BYTES = 65_536
-# Entries of earlier builds can't read compressed rows, so that only rows are compressed
-# which may outgrow `MAX_ROW_BYTES`.
+# Entries of earlier builds can't read compressed rows, so only rows are compressed that
+# may outgrow `MAX_ROW_BYTES`.
 COMPRESS_ABOVE_BYTES = 48_000
 COMPRESSION_LEVEL = 6
 MAX_DECOMPRESSED_BYTES = 32_000_000
@@ -192,7 +192,7 @@
 def pack(row: NamedTuple) -> bytes:
     """Encode a row as MessagePack; fields are stored by position.
 
-    A large row is compressed, as entries of earlier builds can't read it.
+    Large rows are compressed.
     """
     value = msgspec.msgpack.encode(row)
     if len(value) <= COMPRESS_ABOVE_BYTES:
@@ -224,7 +224,8 @@
 def pack_progress(job: Job) -> bytes:
     """Encode the progress of a job, without checkpoints if they don't fit into a row.
 
-    Units that all VMs lose power under then begin anew.
+    Stored checkpoints are needed only after all VMs have lost power: units that were
+    running then begin anew.
     """
     row = job_progress_row(job)
     value = pack(row)
--- a/packages/scheduling/src/cicadabank/scheduling/internal/state.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/state.py
@@ -225,7 +225,7 @@
         # earlier holders granted to it have expired. By removed incarnation that has
         # late starts: when the next run that they may have started has ended.
         self.unreported_lease_until_s: dict[TargetIncarnation, float] = {}
-        # By agent that reports no target with any capacity.
+        # By agent, unless it reports a target that has had any capacity.
         self.absent_targets: dict[str, AbsentTarget] = {}
         # Agents whose targets have got a new shape, which is to be stored.
         self.changed_shapes: set[str] = set()
