--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -79,6 +79,12 @@
         "name, and done while the agent was down; its task was started elsewhere",
         {},
     ),
+    Regression(
+        4023,
+        "a start of a refused run was carried out late on the next incarnation of a "
+        "target of the same name, after its task was done elsewhere",
+        {},
+    ),
     Regression(
         399,
         "a gang that needs all targets was failed while one of them was away",
