--- a/packages/scheduling/src/cicadabank/scheduling/internal/lifecycle.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/lifecycle.py
@@ -218,7 +218,7 @@
 def finish_job(state: CellState, job: Job, outcome: str, reason: str) -> None:
     """Set a job's final state and have it stored."""
     job.state, job.reason = outcome, reason
-    job.ended_s = state.now_s + state.store_offset_s
+    job.ended_s = state.store_now_s
     state.open_jobs.pop(job.record.job, None)
     state.mark_dirty(job)
     age_s = job.ended_s - job.record.accepted_s
--- a/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/planner.py
@@ -404,7 +404,7 @@
 
 def age_s(state: CellState, job: Job) -> float:
     """Return the time since a job was accepted, in seconds."""
-    return state.now_s + state.store_offset_s - job.record.accepted_s
+    return state.store_now_s - job.record.accepted_s
 
 
 def _sort_key(
--- a/tests/cover/test_lists_of_ended_runs.py
+++ b/tests/cover/test_lists_of_ended_runs.py
@@ -27,6 +27,19 @@
     return jobs
 
 
+def cut_off_agents(fleet, duration_s: float) -> None:
+    for agent in fleet.agents.values():
+        agent.is_cut_off = True
+    fleet.run(duration_s)
+
+
+def reconnect_agents(fleet, restarts: bool) -> None:
+    for agent in fleet.agents.values():
+        if restarts:
+            agent.restart()
+        agent.is_cut_off = False
+
+
 def assert_each_runs_once(fleet, jobs):
     fleet.run_until(lambda: all(fleet.state(job) == "completed" for job in jobs))
     fleet.check()
@@ -39,27 +52,15 @@
     @pytest.mark.parametrize("restarts_agents", [False, True])
     def test_none_runs_again(self, fleet, restarts_agents):
         jobs = start_all(fleet)
-        agents = fleet.agents.values()
-        for agent in agents:
-            agent.is_cut_off = True
-        fleet.run(WORK_S + 1.0)
-        for agent in agents:
-            if restarts_agents:
-                agent.restart()
-            agent.is_cut_off = False
+        cut_off_agents(fleet, WORK_S + 1.0)
+        reconnect_agents(fleet, restarts_agents)
         assert_each_runs_once(fleet, jobs)
 
     # A new process of its agent refuses the starts that the holder repeats.
     @pytest.mark.parametrize("restarts_agents", [False, True])
     def test_none_runs_again_because_its_target_drains(self, fleet, restarts_agents):
         jobs = start_all(fleet)
-        agents = fleet.agents.values()
-        for agent in agents:
-            agent.is_cut_off = True
-        fleet.run(WORK_S + 0.5)
+        cut_off_agents(fleet, WORK_S + 0.5)
         fleet.agents["t1"].target.draining = True
-        for agent in agents:
-            if restarts_agents:
-                agent.restart()
-            agent.is_cut_off = False
+        reconnect_agents(fleet, restarts_agents)
         assert_each_runs_once(fleet, jobs)
