A start without a reply waits for the next heartbeat, not for a stop

Cause: the job's record says "running" once the start is committed, and the client's long poll returns at once, before the agent has had its order. If the agent dies in that window, the connection is reset and the holder stopped the gang on the missing reply, although the runner may run it and the restarted agent would report it a second later. Ruled out: leases that lapse while the agent restarts (the reason would be "lost").

Tests: wait_running now waits until each member runs on its worker, as its callers mean (an order that never arrived ends rightly as unknown).

--- a/packages/decisions/src/cicadabank/decisions/internal/gangs.py
+++ b/packages/decisions/src/cicadabank/decisions/internal/gangs.py
@@ -173,16 +173,17 @@
 def on_start_reply(
     state: CellState, attempt: Attempt, worker: str, result: OrderResult, now_s: float
 ) -> None:
-    """Record that a member has started or is held; otherwise stop the whole gang."""
+    """Record that a member has started or is held; stop the whole gang on a refusal.
+
+    An order without a reply may have been carried out by an agent that has restarted
+    since: its next heartbeat decides, or the deadline of the phase if none comes.
+    """
     member = attempt.members.get(worker)
-    if member is None or attempt.phase is not Phase.STARTING:
+    if member is None or attempt.phase is not Phase.STARTING or not result.answered:
         return
     if not result.accepted:
-        if result.answered:
-            member.started = result.started
-            state.jobs[attempt.job].avoid_until_s[worker] = (
-                now_s + REFUSED_WORKER_AVOID_S
-            )
+        member.started = result.started
+        state.jobs[attempt.job].avoid_until_s[worker] = now_s + REFUSED_WORKER_AVOID_S
         stop(state, attempt, f"start-refused: {worker}: {result.reason}", now_s)
         return
     on_member_ready(state, attempt, worker, now_s)
@@ -220,15 +221,17 @@
 def on_begin_reply(
     state: CellState, attempt: Attempt, worker: str, result: OrderResult, now_s: float
 ) -> None:
-    """Record that a member has begun; otherwise stop the whole gang."""
+    """Record that a member has begun; stop the whole gang on a refusal.
+
+    As for a start, an order without a reply is left to the next heartbeat.
+    """
     member = attempt.members.get(worker)
-    if member is None or attempt.phase is not Phase.BEGINNING:
+    if member is None or attempt.phase is not Phase.BEGINNING or not result.answered:
         return
     if result.accepted:
         on_member_ready(state, attempt, worker, now_s)
         return
-    if result.answered:
-        member.started = result.started
+    member.started = result.started
     stop(state, attempt, f"begin-refused: {worker}: {result.reason}", now_s)
 
 
--- a/tests/cover/test_gang_start.py
+++ b/tests/cover/test_gang_start.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from cicadabank.decisions import SendBegin, SendStart
+from cicadabank.decisions import OrderResult, SendBegin, SendStart
 from cicadabank.model import JobState
 
 from tests.support.cells import make_world, spec
@@ -80,6 +80,47 @@
         assert world.runs_by_job[job] <= 1
 
 
+class AgentRestart:
+    """Restarts the agent that has carried out the first order of a type.
+
+    The connection is reset, so the holder learns at once that there is no reply, and
+    long before the agent's first heartbeat.
+    """
+
+    def __init__(self, world, order_type):
+        self.world, self.order_type = world, order_type
+        self.worker = ""
+
+    def __call__(self, order):
+        if not isinstance(order, self.order_type) or self.worker:
+            return
+        self.worker = order.worker
+        agent = self.world.agents[order.worker]
+        agent.disconnected = True
+        agent.restart()
+        self.world.holder.core.on_order_reply(
+            order, OrderResult(answered=False), self.world.now_s
+        )
+        self.world.after(1.0, lambda: setattr(agent, "disconnected", False))
+
+
+class TestAgentRestart:
+    @pytest.mark.parametrize(
+        "order_type, tasks", [(SendStart, 4), (SendStart, 8), (SendBegin, 8)]
+    )
+    def test_gang_continues_on_the_report_of_the_restarted_agent(
+        self, order_type, tasks
+    ):
+        world = make_world()
+        restart = AgentRestart(world, order_type)
+        world.after_order = restart
+        job = submit(world, tasks=tasks, idempotent=False)
+        world.advance(30.0)
+        assert restart.worker
+        assert world.row(job).state is JobState.DONE
+        assert (world.row(job).attempts, world.runs_by_job[job]) == (1, 1)
+
+
 class TestGangBegin:
     def test_gang_begins_once_all_members_are_held(self):
         world = make_world()
--- a/tests/support/deployments.py
+++ b/tests/support/deployments.py
@@ -63,14 +63,18 @@
         spec = {"workspace": "glaze", "payload": payload, **fields}
         return self.client.submit(spec, key)["job"]
 
-    def task_states(self, worker):
-        """Return the states of a worker's tasks, queried from its runner directly."""
+    def tasks(self, worker):
+        """Return a worker's tasks, queried from its runner directly."""
         pool = ChannelPool()
         address = self.deployment.layout.settings[worker]["listen"]
         stub = targets_pb2_grpc.RunnerStub(pool.get(address))
-        states = [task.state for task in stub.Usage(targets_pb2.Empty()).tasks]
+        tasks = list(stub.Usage(targets_pb2.Empty()).tasks)
         pool.close()
-        return states
+        return tasks
+
+    def task_states(self, worker):
+        """Return the states of a worker's tasks, queried from its runner directly."""
+        return [task.state for task in self.tasks(worker)]
 
     def running_attempts(self):
         """Return how many attempts run, counted on each worker that runs a part."""
@@ -83,11 +87,27 @@
         return (client or self.client).wait_for_job(job, ENDED)
 
     def wait_running(self, job, client=None):
+        """Wait until each member of a job runs on its worker; return the job's record.
+
+        The record alone says "running" as soon as the start is committed, before any
+        worker has been told to start.
+        """
         states = ENDED | {"running"}
         record = (client or self.client).wait_for_job(job, states)
         assert record["state"] == "running", record["reason"]
+        workers = [member["worker"] for member in record["members"]]
+        self.wait_until(
+            lambda: all(self._runs(record["attempt"], worker) for worker in workers),
+            "the start of the gang's members",
+        )
         return record
 
+    def _runs(self, attempt, worker):
+        return any(
+            task.attempt == attempt and task.state == "running"
+            for task in self.tasks(worker)
+        )
+
     def set_fault(self, process, name, value):
         """Set a fault of a stand-in; retry while the stand-in is unreachable."""
         address = self.deployment.layout.settings[process]["listen"]
