Check a delayed start in the turn that finds the list current

Cause: a start that has waited for a thread asks for a list until one is current, and is then checked in another turn of the actor. If a call goes unanswered between the two turns, the check rejects the start, and the run queues again behind all repeated ones (up to three rounds of calls). In the failing run the first start_delayed of the fourth round lies between two start_answered, and run 18 is the one without a call. Ruled out: the load (it fails on a machine with free cores), and the order of take_due_calls, which puts runs without a call first, but not before those already queued.

Change: the list is found current and the start checked in one turn.

--- a/packages/control/src/cicadabank/control/internal/agent.py
+++ b/packages/control/src/cicadabank/control/internal/agent.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack, contextmanager
-from typing import NamedTuple, Protocol
+from functools import partial
+from typing import NamedTuple, Protocol, TypeVar
 
 import grpc
 from cicadabank.control.internal.events import log_event
@@ -76,6 +77,8 @@
 SERVER_THREADS = 8
 HEARTBEAT_LIMITS = Limits(body_bytes=4_194_304, open_requests=8, connections=64)
 
+Decision = TypeVar("Decision")
+
 
 class TargetCalls(Protocol):
     """Calls to a target; implemented by an adapter.
@@ -317,11 +320,8 @@
         calls = self.parts.calls
         try:
             if call.kind == "start" and clock_s() - due_s > MAX_START_WAIT_S:
-                self._list_until_confirmed()
-                until_s = self.ask(
-                    self._check_delayed_start,
-                    call,
-                    timeout_s=CALL_ASK_TIMEOUT_S,
+                until_s = self._list_until_confirmed(
+                    partial(self._check_delayed_start, call)
                 )
                 if until_s is None:
                     return
@@ -338,7 +338,7 @@
                 )
                 self.post(self._on_start_reply, call, outcome)
                 if not outcome.known:
-                    self._list_until_confirmed()
+                    self._list_until_confirmed(decide=lambda: None)
                 elif outcome.refused == "old":
                     # A list shows whether the run is done.
                     self.renew_lease(0.0, CALL_ASK_TIMEOUT_S)
@@ -491,25 +491,34 @@
                 self._call_threads.submit(self._list_runs)
         self._make_due_calls()
 
-    def _list_until_confirmed(self) -> None:
-        """Request lists until one shows that the target has not crashed.
+    def _list_until_confirmed(self, decide: Callable[[], Decision]) -> Decision:
+        """Request lists until one shows that the target has not crashed, then decide.
 
-        Runs in a thread of the pool, and gives up after some attempts: a target may be
-        busy, or other calls go on without a reply.
+        Runs in a thread of the pool, and decides after some attempts in any case: a
+        target may be busy, or other calls go on without a reply. `decide` runs in the
+        turn of the actor in which the list is current: between two turns, another call
+        may go unanswered.
         """
         for _ in range(MAX_LISTS_BEFORE_START):
-            if not self.ask(
-                self._may_target_have_crashed, timeout_s=CALL_ASK_TIMEOUT_S
-            ):
-                return
+            confirmed, decision = self.ask(
+                self._decide_if_confirmed, decide, timeout_s=CALL_ASK_TIMEOUT_S
+            )
+            if confirmed:
+                return decision
             try:
                 self.renew_lease(0.0, CALL_ASK_TIMEOUT_S)
             except PlatformError as error:
                 logger.bind(event="list_failed").warning("{}", error)
                 time.sleep(LIST_RETRY_PAUSE_S)
-
-    def _may_target_have_crashed(self) -> bool:
-        return self.controller.may_have_crashed
+        return self.ask(decide, timeout_s=CALL_ASK_TIMEOUT_S)
+
+    def _decide_if_confirmed(
+        self, decide: Callable[[], Decision]
+    ) -> tuple[bool, Decision | None]:
+        """Return whether the latest list is current, and if so what was decided."""
+        if self.controller.may_have_crashed:
+            return False, None
+        return True, decide()
 
     def _list_runs(self) -> None:
         """Request the target's list of runs at once; runs in a thread of the pool."""
--- a/tests/cover/test_agent_calls.py
+++ b/tests/cover/test_agent_calls.py
@@ -148,6 +148,36 @@
         time.sleep(4.0)
         assert set(calls.started) == set(range(4 * TARGET_CALL_THREADS))
 
+    # Guards against a run that queues again, behind all repeated ones, since another
+    # call went unanswered between the list before its delayed start and the check.
+    def test_a_call_that_goes_unanswered_meanwhile_costs_no_turn(
+        self, agent, monkeypatch
+    ):
+        controller, ask = agent.controller, agent.ask
+        check, checks = controller.check_delayed_start, []
+
+        def ask_before_a_call_goes_unanswered(*arguments, **options):
+            answer = ask(*arguments, **options)
+            if threading.current_thread().name.startswith("target"):
+                agent.post(controller.on_no_reply, clock_s())
+            return answer
+
+        def record_check(run, now_s):
+            checks.append(check(run, now_s))
+            return checks[-1]
+
+        monkeypatch.setattr(controller, "check_delayed_start", record_check)
+        ask(order_starts, agent, RUNS)
+        time.sleep(1.0)
+        monkeypatch.setattr(agent, "ask", ask_before_a_call_goes_unanswered)
+        agent.parts.calls.released.set()
+        deadline_s = time.monotonic() + 3.0
+        while len(agent.parts.calls.started) < RUNS:
+            assert time.monotonic() < deadline_s
+            time.sleep(0.05)
+        (lease_end_s,) = checks
+        assert lease_end_s is not None
+
     def wait_for_outcomes(self, agent) -> tuple[list[int], list[str]]:
         """Return the indices of the runs that were started, and reasons of refusals."""
         for _ in range(30):
