A placed job that doesn't begin counts as waiting again

Cause: a job's row says "started" from the commit of its first placement on. That is right as long as the start follows, and saves one write a job, but the order may not arrive, be refused, or go unanswered, and the job may go back to the queue without ever having run.

Change: the holder waits 2 s for a report that shows a task of the job running or ended. Without one it stores the job as not started, and as started again once one begins. A job that begins in time is written as often as before. Not covered: a job that was placed within 2 s before a takeover, and doesn't begin after it.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
@@ -245,6 +245,7 @@
         """Expire leases and probations, move work off draining targets, and plan."""
         self.state.now_s = now_s
         reports.expire_leases(self.state)
+        lifecycle.note_late_starts(self.state)
         crashes.end_probations(self.state)
         drains.stop_work_on_draining_targets(self.state)
         planner.plan(self.state)
@@ -369,6 +370,7 @@
         unit.started_s = unit.checkpointed_s = state.now_s
         unit.is_timed = True
         unit.progress = None
+        lifecycle.await_begin(state, job)
         lost = any(member.released for member in unit.members)
         unexpected = not unit.tasks().isdisjoint(tasks_with_unexpected_runs)
         withdrawn = unit.stop_reason or lost or unexpected
--- a/packages/scheduling/src/cicadabank/scheduling/internal/lifecycle.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/lifecycle.py
@@ -8,9 +8,43 @@
 from cicadabank.scheduling.internal.targets import EndedRun, Target
 from cicadabank.scheduling.internal.units import Job, Phase, Unit
 
+# Time after its placement for which a job that hasn't begun doesn't count as waiting.
+LATE_START_S = 2.0
 OPEN_PHASES = (Phase.CLAIMING, Phase.COMMITTING, Phase.RUNNING, Phase.STOPPING)
 
 
+def await_begin(state: CellState, job: Job) -> None:
+    """Expect one of a job's tasks to begin soon, now that it was placed."""
+    if not job.has_begun:
+        state.start_due_s.setdefault(job.record.job, state.now_s + LATE_START_S)
+
+
+def on_begun(state: CellState, job: Job) -> None:
+    """Record that a target has run one of a job's tasks."""
+    if job.has_begun:
+        return
+    job.has_begun = True
+    state.start_due_s.pop(job.record.job, None)
+    if job.start_is_late:
+        job.start_is_late = False
+        state.mark_dirty(job)
+
+
+def note_late_starts(state: CellState) -> None:
+    """Have jobs count as waiting again that were placed but don't begin.
+
+    A job is stored as started with its placement, which saves a write once it begins.
+    """
+    due = [job for job, due_s in state.start_due_s.items() if due_s <= state.now_s]
+    for job_id in due:
+        del state.start_due_s[job_id]
+        job = state.jobs.get(job_id)
+        if job is not None and not job.ended:
+            job.start_is_late = True
+            state.mark_dirty(job)
+            state.log("start_is_late", job=job_id)
+
+
 def on_run_ended(state: CellState, target: Target, end: EndedRun) -> None:
     """Process the end of a run on a target."""
     run = end.id
@@ -18,6 +52,7 @@
     unit = job.unit_of(run.step, run.index) if job else None
     if unit is None:
         return
+    on_begun(state, job)
     found = state.find_member(run, target.target_incarnation)
     if found is not None:
         state.release_member(*found)
--- a/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/reports.py
@@ -421,6 +421,7 @@
     member = unit.members[member_index]
     if not member.running:
         member.running = True
+        lifecycle.on_begun(state, state.jobs[unit.job])
         if unit.phase is Phase.RUNNING and all(m.running for m in unit.members):
             unit.started_s = unit.checkpointed_s = state.now_s
     if member_index == 0:
--- a/packages/scheduling/src/cicadabank/scheduling/internal/units.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/units.py
@@ -213,10 +213,12 @@
         "cancelled",
         "dirty",
         "ended_s",
+        "has_begun",
         "held_back_steps",
         "measured_by_step",
         "reason",
         "record",
+        "start_is_late",
         "state",
         "units",
         "version",
@@ -230,6 +232,10 @@
         self.ended_s = 0.0
         self.version = 0
         self.dirty = False
+        # Whether a target has run one of its tasks, as far as reports have shown.
+        self.has_begun = False
+        # Whether it was placed, but hasn't begun for so long that it counts as waiting.
+        self.start_is_late = False
         self.measured_by_step: dict[int, MeasuredDurations] = {}
         self.held_back_steps: set[int] = set()  # logged as waiting for headroom
         self.units: list[Unit] = []
