--- a/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/cell.py
@@ -245,7 +245,7 @@
         """Expire leases and probations, move work off draining targets, and plan."""
         self.state.now_s = now_s
         reports.expire_leases(self.state)
-        lifecycle.note_late_starts(self.state)
+        lifecycle.note_unbegun_jobs(self.state)
         crashes.end_probations(self.state)
         drains.stop_work_on_draining_targets(self.state)
         planner.plan(self.state)
--- a/packages/scheduling/src/cicadabank/scheduling/internal/lifecycle.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/lifecycle.py
@@ -8,15 +8,15 @@
 from cicadabank.scheduling.internal.targets import EndedRun, Target
 from cicadabank.scheduling.internal.units import Job, Phase, Unit
 
-# Time after its placement for which a job that hasn't begun doesn't count as waiting.
-LATE_START_S = 2.0
+# Time after its placement in which a job has to begin, or else counts as waiting again.
+MAX_BEGIN_S = 2.0
 OPEN_PHASES = (Phase.CLAIMING, Phase.COMMITTING, Phase.RUNNING, Phase.STOPPING)
 
 
 def await_begin(state: CellState, job: Job) -> None:
     """Expect one of a job's tasks to begin soon, now that it was placed."""
     if not job.has_begun:
-        state.start_due_s.setdefault(job.record.job, state.now_s + LATE_START_S)
+        state.begin_due_s.setdefault(job.record.job, state.now_s + MAX_BEGIN_S)
 
 
 def on_begun(state: CellState, job: Job) -> None:
@@ -24,25 +24,25 @@
     if job.has_begun:
         return
     job.has_begun = True
-    state.start_due_s.pop(job.record.job, None)
-    if job.start_is_late:
-        job.start_is_late = False
+    state.begin_due_s.pop(job.record.job, None)
+    if job.counts_as_waiting:
+        job.counts_as_waiting = False
         state.mark_dirty(job)
 
 
-def note_late_starts(state: CellState) -> None:
+def note_unbegun_jobs(state: CellState) -> None:
     """Have jobs count as waiting again that were placed but don't begin.
 
     A job is stored as started with its placement, which saves a write once it begins.
     """
-    due = [job for job, due_s in state.start_due_s.items() if due_s <= state.now_s]
+    due = [job for job, due_s in state.begin_due_s.items() if due_s <= state.now_s]
     for job_id in due:
-        del state.start_due_s[job_id]
+        del state.begin_due_s[job_id]
         job = state.jobs.get(job_id)
         if job is not None and not job.ended:
-            job.start_is_late = True
+            job.counts_as_waiting = True
             state.mark_dirty(job)
-            state.log("start_is_late", job=job_id)
+            state.log("job_not_begun", job=job_id)
 
 
 def on_run_ended(state: CellState, target: Target, end: EndedRun) -> None:
--- a/packages/scheduling/src/cicadabank/scheduling/internal/rows.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/rows.py
@@ -82,7 +82,7 @@
     ----------
     started : bool
         Whether the job counts as begun: one of its tasks has run, or was placed and is
-        expected to begin within `lifecycle.LATE_START_S`.
+        expected to begin within `lifecycle.MAX_BEGIN_S`.
     """
 
     state: str
@@ -250,7 +250,7 @@
     """Return the row that stores the progress of a job."""
     ended = job.ended
     units = () if ended else tuple(_unit_row(unit) for unit in job.units)
-    started = any(unit.run for unit in job.units) and not job.start_is_late
+    started = any(unit.run for unit in job.units) and not job.counts_as_waiting
     return JobProgressRow(job.state, job.reason, job.ended_s, units, started)
 
 
@@ -302,7 +302,7 @@
     job.version = version
     job.state, job.reason, job.ended_s = row.state, row.reason, row.ended_s
     job.has_begun = row.started
-    job.start_is_late = any(unit.run for unit in row.units) and not row.started
+    job.counts_as_waiting = any(unit.run for unit in row.units) and not row.started
     for unit, stored in zip(job.units, row.units, strict=False):
         unit.run, unit.failed_runs = stored.run, stored.failed_runs
         unit.checkpoint, unit.crashes = stored.checkpoint, stored.crashes
--- a/packages/scheduling/src/cicadabank/scheduling/internal/state.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/state.py
@@ -237,8 +237,8 @@
         self.last_contact_attempt_s: dict[str, float] = {}
         self.started_agents: set[str] = set()  # not told yet which entry holds the cell
         self.dirty: dict[str, Job] = {}
-        # By job that was placed and hasn't begun: when its start counts as late.
-        self.start_due_s: dict[str, float] = {}
+        # By job that was placed and hasn't begun: when it counts as waiting again.
+        self.begin_due_s: dict[str, float] = {}
         self.in_flight: Commit | None = None
         self.orders: dict[str, AgentOrders] = {}
         self.forecast = Forecast()
--- a/packages/scheduling/src/cicadabank/scheduling/internal/units.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/units.py
@@ -211,6 +211,7 @@
 
     __slots__ = (
         "cancelled",
+        "counts_as_waiting",
         "dirty",
         "ended_s",
         "has_begun",
@@ -218,7 +219,6 @@
         "measured_by_step",
         "reason",
         "record",
-        "start_is_late",
         "state",
         "units",
         "version",
@@ -234,8 +234,8 @@
         self.dirty = False
         # Whether a target has run one of its tasks, as far as reports have shown.
         self.has_begun = False
-        # Whether it was placed, but hasn't begun for so long that it counts as waiting.
-        self.start_is_late = False
+        # Whether it counts as waiting although it was placed: it has not begun in time.
+        self.counts_as_waiting = False
         self.measured_by_step: dict[int, MeasuredDurations] = {}
         self.held_back_steps: set[int] = set()  # logged as waiting for headroom
         self.units: list[Unit] = []
