--- a/tests/cover/test_scheduler.py
+++ b/tests/cover/test_scheduler.py
@@ -228,8 +228,7 @@
         cell.run_until(lambda: cell.state("j") == "completed", 20.0)
 
     def test_new_holders_do_not_prolong_the_wait_for_a_target(self):
-        special = ModelTarget("s", "d0", "special")
-        cell = ModelCell([*fleet(), special], QUEUES)
+        cell, special = self.cell_with_special_target()
         cell.run(1.0)
         special.silent = True
         cell.take_over()
@@ -242,9 +241,7 @@
     # Guards against a job that is shown as failed, since the only target that could run
     # it has yet to report for the first time.
     def test_job_waits_for_a_target_that_no_holder_has_heard_of(self):
-        special = ModelTarget("s", "d0", "special")
-        special.silent = True
-        cell = ModelCell([*fleet(), special], QUEUES)
+        cell, special = self.cell_with_special_target(silent=True)
         cell.submit("j", "batch", [tasks(1, label="special")])
         cell.run(12.0)
         cell.take_over()
@@ -264,9 +261,7 @@
 
     # Guards against jobs that wait at each takeover for a target that is gone for good.
     def test_a_target_that_was_never_heard_of_is_waited_for_once(self):
-        gone = ModelTarget("s", "d0", "special")
-        gone.silent = True
-        cell = ModelCell([*fleet(), gone], QUEUES)
+        cell, _ = self.cell_with_special_target(silent=True)
         cell.submit("j", "batch", [tasks(1, label="special")])
         cell.run(29.0)
         assert cell.state("j") == "pending"
@@ -278,8 +273,7 @@
 
     # Guards against a wait that an agent's announcement no longer begins anew.
     def test_a_started_agent_announces_the_return_of_its_target(self):
-        special = ModelTarget("s", "d0", "special")
-        cell = ModelCell([*fleet(), special], QUEUES)
+        cell, special = self.cell_with_special_target()
         cell.run(1.0)
         special.silent = True
         cell.run(60.0)
@@ -289,6 +283,12 @@
         special.silent = False
         cell.run_until(lambda: cell.state("j") == "completed", 20.0)
 
+    def cell_with_special_target(self, silent=False):
+        """Return a cell, and the only one of its targets with the label special."""
+        special = ModelTarget("s", "d0", "special")
+        special.silent = silent
+        return ModelCell([*fleet(), special], QUEUES), special
+
     def report_end(self, cell, target):
         report = target.report()
         ended = report.target_incarnation._replace(incarnation="t/ended")
--- a/tests/cover/test_target_controller.py
+++ b/tests/cover/test_target_controller.py
@@ -1077,7 +1077,9 @@
         "stopped": stop,
     }
 
-    def confirm_stop(self, controller):
+    def give_up(self, controller, way):
+        """Have the run refused or stopped; the target confirms the stop."""
+        self.WAYS[way](self, controller)
         if any(call.kind == "stop" for call in controller.take_due_calls(11.2)):
             controller.on_stopped(RUN, True, 11.3)
 
@@ -1095,8 +1097,7 @@
     # A new process of the agent doesn't know what an earlier one has started.
     @pytest.mark.parametrize("way", WAYS)
     def test_a_run_is_not_given_up_before_its_end_may_be_listed(self, partial, way):
-        self.WAYS[way](self, partial)
-        self.confirm_stop(partial)
+        self.give_up(partial, way)
         later = self.PARTIAL._replace(target_s=50.4)
         list_runs(partial, later, 11.4, 11.5)
         report = partial.report(11.5)
@@ -1109,8 +1110,7 @@
 
     @pytest.mark.parametrize("way", WAYS)
     def test_it_is_given_up_once_a_list_has_all_ended_runs(self, partial, way):
-        self.WAYS[way](self, partial)
-        self.confirm_stop(partial)
+        self.give_up(partial, way)
         list_runs(partial, self.NONE_LEFT, 11.6, 11.7)
         report = partial.report(11.7)
         gone = [r.index for r in report.gone] + [r.id.index for r in report.refused]
