--- a/review/kit2/world.py
+++ b/review/kit2/world.py
@@ -210,11 +210,14 @@
     on_tx : callable or None
         Called with the body of each write before it is applied. Returns ``"lose"`` if
         the write is to be applied and not answered, else None.
+    silent_for : set of str
+        Machines that get no answer, and whose calls are not performed.
     """
 
     def __init__(self, record: Record):
         self.record = record
         self.on_tx = None
+        self.silent_for: set[str] = set()
         self.rows: dict[tuple[str, str, str], tuple[bytes, int]] = {}
         self._changes: list[dict] = []
         self._version = 0
@@ -242,6 +245,19 @@
 
     entry_names: list[str] = []
 
+    def address_for(self, machine: str) -> str:
+        """Return an address of the store of its own for one machine."""
+        port = free_port()
+
+        def answer(*call):
+            if machine in self.silent_for:
+                return None
+            reply = self._answer(*call)
+            return None if machine in self.silent_for else reply
+
+        _Server(port, answer)
+        return f"127.0.0.1:{port}"
+
     def _answer(self, method, path, headers, body):
         parts = urlsplit(path)
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
@@ -697,7 +713,7 @@
             peer=free_port(),
             extra=extra,
             listen=listen,
-            store=self.store.address,
+            store=self.store.address_for(name),
         )
         (self.folder / f"{name}.toml").write_text(text)
 
