Renew the void of an earlier cancellation

Cause: a DELETE that found the void of an earlier one left it. A submission that had arrived between the two, and whose entry still held it, was younger than that void and replaced it. Evidence: two tests of TestCancelOfAJobThatMayBeStoredLate, a submission that an entry holds and a write that is carried out late; both failed before (the job was accepted and stored). Change: each DELETE writes a void of its own, on the condition that the earlier one is still there. A submission that has seen only the earlier one then fails its condition.

--- a/packages/control/src/cicadabank/control/internal/job_service.py
+++ b/packages/control/src/cicadabank/control/internal/job_service.py
@@ -545,20 +545,26 @@
     def _void(self, route: RouteConfig, job: str, wait: RequestWait) -> bool:
         """Keep a job from being stored; return False if it has been stored meanwhile.
 
-        A job of another queue stays as it is.
+        A void of an earlier cancellation is renewed, since a submission that has
+        arrived between the two may replace the earlier one. A job of another queue
+        stays as it is.
         """
-        queue, key = route.queue, JOB_PREFIX + job
-        try:
+        queue, key, version = route.queue, JOB_PREFIX + job, 0
+        while True:
             void = voided_job(self._replica.store_now_s())
-            self._write(queue.cell, {key: 0}, {key: void}, wait)
-        except RowConflictError as error:
-            stored = error.rows.get(key)
+            try:
+                self._write(queue.cell, {key: version}, {key: void}, wait)
+                break
+            except RowConflictError as error:
+                stored = error.rows.get(key)
             if stored is None or stored.value is None:
                 return True
-            if voided_at_s(stored.value) is not None:
-                return True
-            return unpack(stored.value, JobRecord).queue != queue.name
-        logger.bind(event="job_voided", job=job).info("the job can't be stored late")
+            if voided_at_s(stored.value) is None:
+                return unpack(stored.value, JobRecord).queue != queue.name
+            version = stored.version
+        logger.bind(event="job_voided", job=job, earlier_version=version).info(
+            "the job can't be stored late"
+        )
         return True
 
     def _wait_for_status(
--- a/tests/cover/test_job_service.py
+++ b/tests/cover/test_job_service.py
@@ -555,6 +555,48 @@
         harness.update_replica()
         assert harness.replica.cells["cell"].jobs == {}
 
+    # Guards against a job that is submitted between two cancellations and runs after
+    # the second one: its entry replaced the void of the first, which the second left.
+    def test_a_second_cancellation_covers_a_submission_between_the_two(self, harness):
+        self.cancel(harness)
+        harness.update_replica()
+        commit = harness.table.commit
+
+        def cancel_first(*arguments, **options):
+            harness.table.commit = commit
+            self.cancel(harness)
+            raise UnknownOutcomeError("no reply")
+
+        harness.table.commit = cancel_first
+        with pytest.raises(errors.CancelledMeanwhileError):
+            harness.submit(deadline_s=2.0)
+        harness.update_replica()
+        assert harness.replica.cells["cell"].jobs == {}
+
+    # Guards against a late write of such a submission.
+    def test_a_second_cancellation_covers_a_late_write_between_the_two(self, harness):
+        self.cancel(harness)
+        harness.update_replica()
+        commit = harness.table.commit
+
+        def delay_later_writes(*arguments, **options):
+            harness.table.commit = commit
+            harness.table.delay_writes = True
+            return commit(*arguments, **options)
+
+        def meet_the_void(*arguments, **options):
+            harness.table.commit = delay_later_writes
+            return commit(*arguments, **options)
+
+        harness.table.commit = meet_the_void
+        with pytest.raises(errors.OutcomeUnknownError):
+            harness.submit(deadline_s=0.2)
+        harness.table.delay_writes = False
+        self.cancel(harness)
+        assert harness.table.apply_delayed_writes() == 0
+        harness.update_replica()
+        assert harness.replica.cells["cell"].jobs == {}
+
     def test_a_void_of_an_earlier_build_is_replaced(self, harness):
         nil = b"\xc0"
         harness.table.commit("cell", {}, {f"job/{REQUEST.job}": nil})
