Order cancellations and submissions by versions of the store, not by clocks

Cause: an entry compared the time in a void with the time of a submission, both estimates of the store's clock by different processes. Each is late by its latest reply, and a void also by the time that its own write takes, so that a later void could look earlier: the submission replaced it. Change: a submission replaces a void only if its entry knew this version of it before the submission arrived. Otherwise the answer is cancelled-meanwhile (503), and the entry knows the void from then on, so that a client that comes back is accepted. No clocks of two processes are compared. New log line: void_replaced.

--- a/packages/control/src/cicadabank/control/errors.py
+++ b/packages/control/src/cicadabank/control/errors.py
@@ -86,9 +86,9 @@
 
 
 class CancelledMeanwhileError(JobServiceError):
-    """The job was cancelled while its submission waited; it was not stored.
+    """The job was cancelled, perhaps after its submission had arrived; it isn't stored.
 
-    A submission that arrives after the cancellation is accepted.
+    A submission that arrives once its entry knows of the cancellation is accepted.
     """
 
     code = "cancelled-meanwhile"
--- a/packages/control/src/cicadabank/control/internal/job_service.py
+++ b/packages/control/src/cicadabank/control/internal/job_service.py
@@ -328,7 +328,7 @@
                     request.payload,
                     request.steps,
                 )
-                self._store_job(queue.cell, key, record, wait)
+                self._store_job(queue.cell, key, record, timing, wait)
         except RowConflictError as error:
             stored = error.rows.get(key)
             if stored is not None and stored.value is not None:
@@ -352,35 +352,51 @@
         ).info("job accepted")
 
     def _store_job(
-        self, cell: str, key: str, record: JobRecord, wait: RequestWait
+        self,
+        cell: str,
+        key: str,
+        record: JobRecord,
+        timing: RequestTiming,
+        wait: RequestWait,
     ) -> None:
         """Write the row of a job that has none, or was cancelled before it had one.
 
+        A void is replaced only if this process knew it before the submission arrived.
+        Any other may be of a later cancellation. The times of two processes can't tell,
+        since a write takes effect seconds after its call, and each process estimates
+        the store's clock with an error of its own.
+
         Raises
         ------
         RowConflictError
             If the job has a row.
         CancelledMeanwhileError
-            If the job was cancelled after its submission had arrived.
+            If the job may have been cancelled after its submission had arrived.
         """
         value, version = pack(record), 0
         while True:
             try:
                 self._write(cell, {key: version}, {key: value}, wait)
-                return
+                break
             except RowConflictError as error:
                 stored = error.rows.get(key)
                 if stored is None or stored.value is None:
                     raise
-                at_s = voided_at_s(stored.value)
-                if at_s is None:
+                if voided_at_s(stored.value) is None:
                     raise
-                if at_s >= record.accepted_s:
+                is_earlier = self._replica.knew_void(stored, timing.received_s)
+                self._on_written(stored)
+                if not is_earlier:
                     raise CancelledMeanwhileError(
-                        "the job was cancelled while its submission waited",
+                        "the job was cancelled, perhaps after its submission had "
+                        f"arrived (void version {stored.version})",
                         "submit it again if it is still wanted",
                     ) from error
                 version = stored.version
+        if version:
+            logger.bind(event="void_replaced", job=record.job, version=version).info(
+                "submitted again since its cancellation"
+            )
 
     def _log_known(self, job: str, queue: str, timing: RequestTiming) -> None:
         """Log that a submitted job is stored already, as after a lost response."""
--- a/packages/control/src/cicadabank/control/internal/replica.py
+++ b/packages/control/src/cicadabank/control/internal/replica.py
@@ -56,6 +56,20 @@
     version: int
 
 
+class SeenVoid(NamedTuple):
+    """The row of a void job, as this process has seen it.
+
+    Attributes
+    ----------
+    version : int
+    seen_s : float
+        When this process first knew this version, on its own clock.
+    """
+
+    version: int
+    seen_s: float
+
+
 class CellRows:
     """The rows of one cell."""
 
@@ -113,6 +127,8 @@
         self._offset_s = 0.0
         self._last_store_s = float("-inf")
         self._versions: dict[tuple[str, str], int] = {}
+        # Void jobs, by cell and key.
+        self._voids: dict[tuple[str, str], SeenVoid] = {}
         self._lock = threading.Lock()
 
     def cell(self, name: str) -> CellRows:
@@ -179,7 +195,14 @@
                 return False
             self._versions[row_id] = row.version
             try:
-                self._apply_one(_without_voided_job(row), kind, name)
+                is_void = _is_voided_job(row)
+                if is_void:
+                    self._voids[row_id] = SeenVoid(row.version, clock_s())
+                else:
+                    self._voids.pop(row_id, None)
+                # Readers see no job in place of a void one.
+                value = None if is_void else row.value
+                self._apply_one(row._replace(value=value), kind, name)
             # Any error: one row must not keep the others of its batch back.
             except Exception as error:
                 logger.bind(
@@ -188,6 +211,17 @@
                 return False
         return True
 
+    def knew_void(self, row: StoredRow, at_s: float) -> bool:
+        """Return whether this version of a void job's row was known at some time.
+
+        Parameters
+        ----------
+        at_s : float
+            On this process's clock.
+        """
+        seen = self._voids.get((row.partition, row.key))
+        return seen is not None and seen.version == row.version and seen.seen_s <= at_s
+
     def _apply_one(self, row: StoredRow, kind: str, name: str) -> None:
         # Restores the key's prefix; the keys of the holder and the lease have no name.
         kind = kind + "/" if name else kind
@@ -241,12 +275,11 @@
 }
 
 
-def _without_voided_job(row: StoredRow) -> StoredRow:
-    """Return a row; a removed one if it stands for a job that can't be stored."""
+def _is_voided_job(row: StoredRow) -> bool:
+    """Return whether a row stands for a job that was cancelled before it was stored."""
     if row.value is None or not row.key.startswith(JOB_PREFIX):
-        return row
-    is_void = voided_at_s(row.value) is not None
-    return row._replace(value=None) if is_void else row
+        return False
+    return voided_at_s(row.value) is not None
 
 
 def _decode(row: StoredRow, kind: str, name: str) -> Any:
--- a/tests/cover/test_job_service.py
+++ b/tests/cover/test_job_service.py
@@ -60,10 +60,16 @@
 
 
 class Harness:
-    """A job service with a table in memory and a replica that the test updates."""
+    """A job service with a table in memory and a replica that the test updates.
 
-    def __init__(self):
-        self.table = MemoryTable()
+    Parameters
+    ----------
+    table : MemoryTable, optional
+        A table that another entry uses too.
+    """
+
+    def __init__(self, table: MemoryTable | None = None):
+        self.table = table or MemoryTable()
         self.replica = Replica()
         self.operator_view = OperatorView(CONFIG, frozenset())
         self.feed = CellsFeed(self.table, self.replica, lambda *_: None, lambda: None)
@@ -622,6 +628,88 @@
             harness.service.cancel(ROUTE, REQUEST.job, timing(0.5))
 
 
+class TestCancelAtAnotherEntry:
+    """A submission at one entry and the cancellation of its job at another one.
+
+    Guards against a job that runs although its client has cancelled it: the submission,
+    which waited, was taken for a later one.
+    """
+
+    @pytest.fixture
+    def other(self, harness) -> Harness:
+        other = Harness(harness.table)
+        other.update_replica()
+        return other
+
+    def cancel(self, harness):
+        with pytest.raises(errors.NoJobError):
+            harness.service.cancel(ROUTE, REQUEST.job, timing(1.0))
+
+    def submit_with_lost_write(self, harness, meanwhile):
+        """Submit a job; its first write fails, and `meanwhile` is called before."""
+        commit = harness.table.commit
+
+        def fail_once(*arguments, **options):
+            harness.table.commit = commit
+            meanwhile()
+            raise UnknownOutcomeError("no reply")
+
+        harness.table.commit = fail_once
+        harness.submit(deadline_s=2.0)
+
+    def check_not_stored(self, harness):
+        assert voided_at_s(harness.stored_row().value) is not None
+        harness.update_replica()
+        assert harness.replica.cells["cell"].jobs == {}
+
+    # Each entry estimates the store's clock by its latest reply, which may be late.
+    @pytest.mark.parametrize("late_s", [-0.5, 0.5, 5.0])
+    def test_the_entries_clocks_differ(self, harness, other, monkeypatch, late_s):
+        monkeypatch.setattr(other.replica, "set_store_clock", lambda store_s: None)
+        other.replica._offset_s = -late_s
+        with pytest.raises(errors.CancelledMeanwhileError):
+            self.submit_with_lost_write(harness, lambda: self.cancel(other))
+        self.check_not_stored(harness)
+
+    # The time in the void is from before its write, which may take seconds.
+    def test_the_write_of_the_cancellation_is_slow(self, harness, other):
+        commit = harness.table.commit
+        submissions = []
+
+        def submit_first(*arguments, **options):
+            harness.table.commit = commit
+            time.sleep(0.05)
+            submissions.append(timing(2.0))
+            return commit(*arguments, **options)
+
+        harness.table.commit = submit_first
+        self.cancel(other)
+        with pytest.raises(errors.CancelledMeanwhileError):
+            harness.service.submit(ROUTE, REQUEST, submissions[0])
+        self.check_not_stored(harness)
+
+    def test_a_submission_is_accepted_once_its_entry_knows_of_it(self, harness, other):
+        self.cancel(other)
+        harness.update_replica()
+        self.submit_with_lost_write(harness, lambda: None)
+        assert unpack(harness.stored_row().value, JobRecord).job == REQUEST.job
+
+    # Guards against a client that is refused again whenever it comes back, since the
+    # feed of its entry is silent.
+    def test_a_refused_client_may_come_back_to_the_entry(self, harness, other):
+        harness.service = JobService(
+            harness.table,
+            harness.replica,
+            lambda: harness.operator_view,
+            lambda row: harness.replica.apply([row], lambda *_: None),
+        )
+        self.cancel(other)
+        with pytest.raises(errors.CancelledMeanwhileError):
+            harness.submit()
+        harness.submit()
+        assert unpack(harness.stored_row().value, JobRecord).job == REQUEST.job
+
+
 class TestWaitingJobs:
     def test_jobs_without_a_started_task_are_counted(self, harness):
         harness.submit()
