Judge submissions by when they may have arrived, not by when they were read

Cause: a request was taken to have arrived when its entry read it. A frozen or busy entry reads it later, and may hear of a cancellation before; the submission then replaced the void. TestCancelledSubmissions failed before (200 instead of 503).

--- a/packages/control/src/cicadabank/control/internal/job_service.py
+++ b/packages/control/src/cicadabank/control/internal/job_service.py
@@ -107,10 +107,20 @@
         On this process's clock.
     deadline_s : float
         From the receipt.
+    arrived_after_s : float, optional
+        Time after which the request has arrived at this machine, before `received_s` if
+        the process was frozen or busy. By default it arrived when it was received.
     """
 
     received_s: float
     deadline_s: float
+    arrived_after_s: float | None = None
+
+    def earliest_arrival_s(self) -> float:
+        """Return the earliest time at which the request may have arrived."""
+        if self.arrived_after_s is None:
+            return self.received_s
+        return min(self.arrived_after_s, self.received_s)
 
     def held_s(self) -> float:
         """Return the time since the receipt of the request."""
@@ -384,7 +394,9 @@
                     raise
                 if voided_at_s(stored.value) is None:
                     raise
-                is_earlier = self._replica.knew_void(stored, timing.received_s)
+                is_earlier = self._replica.knew_void(
+                    stored, timing.earliest_arrival_s()
+                )
                 self._on_written(stored)
                 if not is_earlier:
                     raise CancelledMeanwhileError(
--- a/tests/cover/test_job_service.py
+++ b/tests/cover/test_job_service.py
@@ -694,6 +694,18 @@
         self.submit_with_lost_write(harness, lambda: None)
         assert unpack(harness.stored_row().value, JobRecord).job == REQUEST.job
 
+    # Guards against a request that a frozen entry reads only after it has heard of a
+    # cancellation that was answered meanwhile.
+    def test_a_submission_that_arrived_before_its_entry_knew(self, harness, other):
+        arrived_s = clock_s()
+        time.sleep(0.01)
+        self.cancel(other)
+        harness.update_replica()
+        read_late = RequestTiming(clock_s(), 2.0, arrived_s)
+        with pytest.raises(errors.CancelledMeanwhileError):
+            harness.service.submit(ROUTE, REQUEST, read_late)
+        self.check_not_stored(harness)
+
     # Guards against a client that is refused again whenever it comes back, since the
     # feed of its entry is silent.
     def test_a_refused_client_may_come_back_to_the_entry(self, harness, other):
--- a/tests/processes/test_platform_path.py
+++ b/tests/processes/test_platform_path.py
@@ -4,6 +4,7 @@
 
 import signal
 import threading
+import time
 
 import pytest
 
@@ -167,3 +168,33 @@
         assert platform.processes.pop(holder).wait(timeout=10.0) == 0
         assert platform.submit(JOB_FORMAT.format(8), 0.2, other) == 200
         wait_for(lambda: platform.state(JOB_FORMAT.format(8), other) == "completed")
+
+
+class TestCancelledSubmissions:
+    # Guards against a job that runs although its DELETE was answered with 410: a frozen
+    # entry read the submission only after it had heard of the cancellation.
+    def test_a_submission_at_a_frozen_entry_does_not_outlive_it(self, platform):
+        holder = platform.holder()
+        (frozen,) = (name for name in platform.fronts if name != holder)
+        for number in range(5):
+            job = f"{0xF0 + number:016x}"
+            process = platform.processes[frozen]
+            process.send_signal(signal.SIGSTOP)
+            statuses: list[int] = []
+            submission = threading.Thread(
+                target=lambda job=job, statuses=statuses: statuses.append(
+                    platform.submit(job, 5.0, frozen)
+                )
+            )
+            try:
+                submission.start()
+                time.sleep(0.3)
+                assert platform.call("DELETE", f"/q/{job}", holder).status_code == 410
+            finally:
+                process.send_signal(signal.SIGCONT)
+            submission.join()
+            assert statuses == [503]
+            assert platform.call("GET", f"/q/{job}", holder).status_code == 410
+            wait_for(lambda job=job: platform.submit(job, 0.1, frozen) == 200)
+            wait_for(lambda job=job: platform.state(job, holder) == "completed")
+            assert platform.start_count(job) == 1
