Bound the wait of suspects whose job has nothing running

Cause: a unit with two unexplained crashes, or three of any kind, started on an empty target only and waited for it without a bound in time. Units that run alone until they end used up the limit of isolated targets meanwhile, and a unit on a lost VM counted as running for its job. Change: while less than half of the cell is in use, a suspect whose job has nothing running waits for 2 s at most. Then it starts on an empty target whatever the limit; else, with two crashes, it shares one, and with three, the targets are emptied for it on which that wastes the least work. Ruled out: all of them share.

--- a/packages/scheduling/src/cicadabank/scheduling/internal/claims.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/claims.py
@@ -23,6 +23,7 @@
         unit, [target.target_incarnation for target in placement.targets], isolated
     )
     unit.phase = Phase.CLAIMING
+    unit.waits_alone_since_s = None
     job = state.jobs[unit.job]
     job.held_back_steps.discard(unit.step)
     state.log(
@@ -59,7 +60,8 @@
 def _commit_claim_if_ready(state: CellState, unit: Unit) -> None:
     """Commit a claimed unit once its targets have enough free resources for it.
 
-    A target with another unit's exclusive task has none.
+    A target with another unit's exclusive task has none. One with any task of another
+    unit has none for a unit that is to run alone.
 
     Releases the claim if a target was lost, is draining, is in a domain that receives
     no new tasks, or has become too small.
@@ -75,6 +77,10 @@
         return
     if not all(target.exclusive_tasks <= unit.tasks() for target in targets):
         return
+    if unit.isolated and any(
+        target.allocations.keys() - unit.tasks() for target in targets
+    ):
+        return
     unit.phase = Phase.COMMITTING
     unit.run += 1
     job = state.jobs[unit.job]
--- a/packages/scheduling/src/cicadabank/scheduling/internal/crashes.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/crashes.py
@@ -16,6 +16,7 @@
 from cicadabank.scheduling.internal.targets import CrashedRun, TargetCrash
 from cicadabank.scheduling.internal.units import (
     Crash,
+    Job,
     Phase,
     TargetIncarnation,
     Unit,
@@ -297,8 +298,22 @@
     """
     if not unit.isolated or unit.phase not in STARTED_PHASES:
         return False
-    if _has_survived(state, unit):
-        return False
+    return not _has_survived(state, unit) and _is_heard_from(state, unit)
+
+
+def is_running(state: CellState, job: Job) -> bool:
+    """Return whether a unit of a job runs, or is about to, as far as is known.
+
+    One whose agent is silent may have been lost.
+    """
+    return any(
+        unit.phase in STARTED_PHASES and _is_heard_from(state, unit)
+        for unit in job.units
+    )
+
+
+def _is_heard_from(state: CellState, unit: Unit) -> bool:
+    """Return whether the agents of a unit's targets have reported lately."""
     oldest_s = state.now_s - MAX_SILENCE_ON_PROBATION_S
     targets = [
         state.targets_by_incarnation.get(member.target_incarnation)
--- a/packages/scheduling/src/cicadabank/scheduling/internal/isolation.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/isolation.py
@@ -2,7 +2,8 @@
 
 A suspect with one unexplained crash prefers an empty target and otherwise shares one.
 One with more starts on an empty target only. Isolation must not make a job have nothing
-running for longer than it would without, so nothing waits for a suspect that waits.
+running for longer than it would without, so nothing waits for a suspect that waits, and
+while the cell is mostly idle, such a wait is short.
 """
 
 from __future__ import annotations
@@ -12,20 +13,26 @@
 from cicadabank.scheduling.internal import reliability
 from cicadabank.scheduling.internal.claims import claim
 from cicadabank.scheduling.internal.crashes import (
-    STARTED_PHASES,
     is_on_probation,
+    is_running,
     is_suspect,
     isolated_units,
     needs_isolation,
+    stays_alone,
+)
+from cicadabank.scheduling.internal.placement import (
+    Placement,
+    Victim,
+    find_placement,
 )
-from cicadabank.scheduling.internal.placement import Placement, find_placement
 from cicadabank.scheduling.internal.selection import (
+    preemptible_units,
     step_tasks_by_target,
     without_avoided,
 )
 from cicadabank.scheduling.internal.state import CellState
 from cicadabank.scheduling.internal.targets import Target
-from cicadabank.scheduling.internal.units import Job, Phase, Unit
+from cicadabank.scheduling.internal.units import Phase, Unit
 
 if TYPE_CHECKING:
     from cicadabank.scheduling.internal.planner import PlanningRound
@@ -34,6 +41,9 @@
 # target. The larger share holds while the cell is mostly idle.
 MAX_ISOLATED_SHARE = 0.1
 MAX_ISOLATED_SHARE_IDLE = 0.5
+# Longest wait for a target of its own of a suspect whose job has nothing running, in a
+# cell that is mostly idle. Such a job must run again within 3 s, including its start.
+MAX_WAIT_ALONE_S = 2.0
 
 
 class IsolationStatus(NamedTuple):
@@ -92,6 +102,7 @@
         self._limit = max(1, int(share * len(targets)))
         self._isolated_targets = 0
         self._jobs: set[str] = set()
+        self._overdue: set[int] = set()  # identities of units
         self._steps_on_probation: set[tuple[str, int]] = set()
         for unit in isolated_units(state):
             self.add(unit)
@@ -113,13 +124,19 @@
             return False
         return self._isolated_targets < self._limit
 
+    def add_overdue(self, unit: Unit) -> None:
+        """Let a suspect that has waited for too long share a target in this round."""
+        self._overdue.add(id(unit))
+
     def may_share(self, unit: Unit) -> bool:
         """Return whether a waiting unit may start beside others in this round.
 
         The tasks of a step run the same program, so they may all crash their targets.
         While one of them is on probation, the others wait for its outcome.
         """
-        if unit.phase is not Phase.WAITING or needs_isolation(unit):
+        if unit.phase is not Phase.WAITING:
+            return False
+        if needs_isolation(unit) and id(unit) not in self._overdue:
             return False
         return (unit.job, unit.step) not in self._steps_on_probation
 
@@ -132,25 +149,49 @@
 def place_suspects(planning: PlanningRound, suspects: list[Unit]) -> None:
     """Place suspects alone on targets, or reserve targets that will be empty.
 
-    Those that need no isolation and find no empty target are left to be placed like
-    other units.
+    Those that find no empty target are left to be placed like other units if they need
+    no isolation. After too long a wait, one with two crashes is too, and for one with
+    more, targets are emptied: it is likely to crash them, and it has few starts left.
     """
     blocked: set[tuple[str, int, bool]] = set()
     for unit in suspects:
-        is_strict = needs_isolation(unit)
-        task_group = (unit.job, unit.step, is_strict)
-        if task_group in blocked or not planning.isolation.admits(unit):
+        task_group = (unit.job, unit.step, needs_isolation(unit))
+        if task_group in blocked:
             continue
-        if not planning.may_start(unit):
-            blocked.add(task_group)
-        elif _place_on_empty(planning, unit) or (
-            is_strict and _wait_for_empty(planning, unit)
-        ):
+        if planning.may_start(unit) and _place_alone(planning, unit):
             planning.isolation.add(unit)
         else:
             blocked.add(task_group)
 
 
+def _place_alone(planning: PlanningRound, unit: Unit) -> bool:
+    """Place a suspect alone or reserve targets for it; return whether this was done."""
+    isolation = planning.isolation
+    is_admitted = isolation.admits(unit)
+    if not needs_isolation(unit):
+        return is_admitted and _place_on_empty(planning, unit)
+    is_overdue = _is_overdue(planning, unit)
+    if (is_admitted or is_overdue) and _place_on_empty(planning, unit):
+        return True
+    if is_overdue and not stays_alone(unit):
+        isolation.add_overdue(unit)
+        return False
+    if is_overdue and _place_by_preemption(planning, unit):
+        return True
+    if is_admitted and _wait_for_empty(planning, unit):
+        return True
+    _note_wait(planning, unit, "any target" if is_admitted else "fewer isolated units")
+    return False
+
+
+def _is_overdue(planning: PlanningRound, unit: Unit) -> bool:
+    """Return whether a suspect has waited alone for as long as its job can bear."""
+    since_s = unit.waits_alone_since_s
+    if since_s is None or planning.state.now_s < since_s + MAX_WAIT_ALONE_S:
+        return False
+    return planning.is_idle and not _is_running(planning, unit)
+
+
 def _place_on_empty(planning: PlanningRound, unit: Unit) -> bool:
     """Place a suspect on targets that are empty now; return whether there are any."""
     state = planning.state
@@ -161,7 +202,7 @@
     )
     # A crash on another VM is better evidence, so a unit that needs isolation waits for
     # one, unless its job would have nothing running meanwhile.
-    may_use_same_vm = not needs_isolation(unit) or not _is_running(state.jobs[unit.job])
+    may_use_same_vm = not needs_isolation(unit) or not _is_running(planning, unit)
     if placement is None and may_use_same_vm:
         placement = find_placement(unit, empty, tasks_by_target, False)
     if placement is None:
@@ -170,6 +211,59 @@
     return True
 
 
+def _place_by_preemption(planning: PlanningRound, unit: Unit) -> bool:
+    """Empty the targets for a suspect on which that wastes the least work.
+
+    Returns False if there are no such targets.
+    """
+    state = planning.state
+    priority = state.queue_of(state.jobs[unit.job].record).priority
+    # Its equals may be stopped, but no more urgent work.
+    victims = preemptible_units(state, planning.guaranteed, priority - 1)
+    options: list[tuple[float, Target]] = []
+    for target in planning.reservations.available_to(unit, planning.targets):
+        waste_core_s = _waste_to_empty(state, target, victims)
+        if waste_core_s is not None:
+            options.append((waste_core_s, target))
+    options.sort(key=lambda option: option[0])
+    cheapest = [target for _, target in options]
+    placement = _place_on_first(planning, unit, without_avoided(unit, cheapest))
+    placement = placement or _place_on_first(planning, unit, cheapest)
+    if placement is None:
+        return False
+    emptied = {target.target_incarnation.target for target in placement.targets}
+    stopped = {id(v.unit): v.unit for name in emptied for v in victims.get(name, ())}
+    placement = placement._replace(victims=list(stopped.values()))
+    _claim_alone(planning, unit, placement)
+    return True
+
+
+def _place_on_first(
+    planning: PlanningRound, unit: Unit, targets: list[Target]
+) -> Placement | None:
+    """Place a unit on the first of some targets on which it fits, or nearly so."""
+    tasks_by_target = step_tasks_by_target(unit, planning.state.jobs[unit.job])
+    count = 1
+    while True:
+        found = find_placement(unit, targets[:count], tasks_by_target, False)
+        if found is not None or count >= len(targets):
+            return found
+        count *= 2
+
+
+def _waste_to_empty(
+    state: CellState, target: Target, victims: dict[str, list[Victim]]
+) -> float | None:
+    """Return what stopping all units on a target wastes; None if not all may be."""
+    found = victims.get(target.target_incarnation.target, [])
+    units = state.members_by_incarnation.get(target.target_incarnation, {}).values()
+    if target.unexpected or target.exclusive_tasks:
+        return None
+    if {id(unit) for unit in units} != {id(victim.unit) for victim in found}:
+        return None
+    return sum(victim.waste_core_s for victim in found)
+
+
 def _wait_for_empty(planning: PlanningRound, unit: Unit) -> bool:
     """Reserve the targets that will be empty first for a suspect.
 
@@ -179,13 +273,13 @@
     if not reservations.can_reserve_empty():
         return False
     if reservations.reserve_empty(unit, without_avoided(unit, planning.targets)):
-        _log_wait(planning, unit, "another VM")
+        _note_wait(planning, unit, "another VM")
         return True
     tasks_by_target = step_tasks_by_target(unit, planning.state.jobs[unit.job])
     empty = _available_empty_targets(planning, unit)
     placement = find_placement(unit, empty, tasks_by_target, False)
     if placement is None and reservations.reserve_empty(unit, planning.targets):
-        _log_wait(planning, unit, "same VM")
+        _note_wait(planning, unit, "same VM")
         return True
     placement = placement or find_placement(unit, empty, tasks_by_target, True)
     if placement is None:
@@ -205,19 +299,18 @@
     planning.headroom.record_placement(unit)
     claim(planning.state, unit, placement, False, isolated=True)
     planning.reservations.on_claimed()
-    unit.waits_alone = False
 
 
-def _is_running(job: Job) -> bool:
-    """Return whether any unit of a job runs, or is about to."""
-    return any(unit.phase in STARTED_PHASES for unit in job.units)
+def _is_running(planning: PlanningRound, unit: Unit) -> bool:
+    """Return whether any unit of a unit's job runs, or is about to."""
+    return is_running(planning.state, planning.state.jobs[unit.job])
 
 
-def _log_wait(planning: PlanningRound, unit: Unit, awaited: str) -> None:
-    """Log that a suspect waits for an empty target, once until it is placed."""
-    if unit.waits_alone:
+def _note_wait(planning: PlanningRound, unit: Unit, awaited: str) -> None:
+    """Note and log that a suspect waits for a target, once until it is placed."""
+    if unit.waits_alone_since_s is not None:
         return
-    unit.waits_alone = True
+    unit.waits_alone_since_s = planning.state.now_s
     planning.state.log(
         "suspect_waits",
         job=unit.job,
@@ -225,5 +318,6 @@
         first=unit.first_index,
         crashes=len(unit.crashes),
         awaited=awaited,
-        job_runs=_is_running(planning.state.jobs[unit.job]),
+        job_runs=_is_running(planning, unit),
+        cell_idle=planning.is_idle,
     )
--- a/packages/scheduling/src/cicadabank/scheduling/internal/selection.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/selection.py
@@ -78,7 +78,7 @@
     if id(unit) in guaranteed:
         if reservations.wait_s(unit, targets) < GUARANTEED_WAIT_S - age_s(state, job):
             return None
-        victims = _preemptible_units(state, guaranteed, -1)
+        victims = preemptible_units(state, guaranteed, -1)
         return find_placement_with_preemption(
             unit, targets, victims, tasks_by_target, True
         )
@@ -146,7 +146,7 @@
     job = state.jobs[unit.job]
     if uneven_targets.best_slack_s(state, job) < 0:
         return None
-    victims = _preemptible_units(
+    victims = preemptible_units(
         state,
         guaranteed,
         state.queue_of(job.record).priority,
@@ -165,7 +165,7 @@
     return placement
 
 
-def _preemptible_units(
+def preemptible_units(
     state: CellState,
     guaranteed: set[int],
     preemptor_priority: int,
--- a/packages/scheduling/src/cicadabank/scheduling/internal/units.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/units.py
@@ -134,7 +134,7 @@
         "started_s",
         "step",
         "stop_reason",
-        "waits_alone",
+        "waits_alone_since_s",
     )
 
     def __init__(
@@ -172,7 +172,8 @@
         # The run after which it was last logged that the unit avoids failing targets.
         self.avoidance_logged_run = -1
         # Whether it was logged as waiting for an empty target.
-        self.waits_alone = False
+        # Since when it has waited for a target of its own; None if it doesn't.
+        self.waits_alone_since_s: float | None = None
 
     @property
     def accelerators(self) -> int:
