Hold signals back until an entry or agent handles them

Cause: the processes listen before they import the rest, and handled SIGTERM and SIGHUP only after that. A signal in between killed the process with the requests that waited in its sockets. Change: SIGTERM, SIGINT and SIGHUP are blocked before a socket listens, and let through once the handlers are installed. The stop then drains as usual.

--- a/packages/tasks/src/cicadabank/tasks/internal/stop.py
+++ b/packages/tasks/src/cicadabank/tasks/internal/stop.py
@@ -51,11 +51,15 @@
 
     @contextmanager
     def on_signals(self) -> Iterator[StopSignal]:
-        """Request a stop on SIGTERM and SIGINT within the block; ignore SIGHUP."""
+        """Request a stop on SIGTERM and SIGINT within the block; ignore SIGHUP.
+
+        Signals that were held back during start-up are delivered now.
+        """
         previous_handlers = {
             s: signal.signal(s, self.request) for s in (signal.SIGTERM, signal.SIGINT)
         }
         previous_handlers[signal.SIGHUP] = signal.signal(signal.SIGHUP, self.on_hangup)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, previous_handlers)
         try:
             yield self
         finally:
--- a/packages/web/src/cicadabank/web/listeners.py
+++ b/packages/web/src/cicadabank/web/listeners.py
@@ -7,12 +7,24 @@
 
 from __future__ import annotations
 
+import signal
 import socket
 
 # Clients that connect during start-up; each takes a file descriptor once accepted.
 MAX_PENDING_CONNECTIONS = 2_000
 
 
+def hold_signals() -> None:
+    """Hold back signals until the process handles them; called before it listens.
+
+    One that arrived during start-up would end the process, and reset the connections of
+    clients that wait. `StopSignal.on_signals` lets them through.
+    """
+    signal.pthread_sigmask(
+        signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    )
+
+
 def listen(address: str) -> socket.socket:
     """Return a non-blocking socket that listens on an address.
 
--- a/tests/processes/test_platform_path.py
+++ b/tests/processes/test_platform_path.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+import socket
 import threading
 import time
 
@@ -198,3 +199,45 @@
             wait_for(lambda job=job: platform.submit(job, 0.1, frozen) == 200)
             wait_for(lambda job=job: platform.state(job, holder) == "completed")
             assert platform.start_count(job) == 1
+
+
+class TestStopsDuringStartUp:
+    # Guards against requests that end with a reset connection: an entry that was told
+    # to stop while it still imported modules, and listened already, was killed by that.
+    @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
+    @pytest.mark.parametrize("after_s", [0.0, 0.05, 0.3])
+    def test_requests_that_wait_are_answered(self, platform, number, after_s):
+        name = list(platform.fronts)[-1]
+        platform.kill(name)
+        platform.start(name)
+        host, _, port = platform.fronts[name].rpartition(":")
+        request = (
+            f"GET /q/{0xE0:016x} HTTP/1.1\r\nHost: h.example\r\n"
+            "Authorization: Bearer key-1\r\nConnection: close\r\n\r\n"
+        ).encode()
+
+        def connected() -> bool:
+            try:
+                clients.append(socket.create_connection((host, int(port)), 5.0))
+            except ConnectionRefusedError:
+                return False
+            return True
+
+        clients: list[socket.socket] = []
+        wait_for(connected)
+        while len(clients) < 5:
+            assert connected()
+        for client in clients:
+            client.sendall(request)
+        time.sleep(after_s)
+        platform.processes[name].send_signal(number)
+        replies = []
+        for client in clients:
+            client.settimeout(9.0)
+            with client:
+                replies.append(client.recv(4096).split(b" ")[1])
+        assert replies == [b"410"] * 5
+        if number == signal.SIGTERM:
+            assert platform.processes.pop(name).wait(9.0) == 0
+            platform.start(name)
+        wait_for(lambda: platform.call("GET", "/q/", name).is_success)
