--- a/packages/control/src/cicadabank/control/internal/job_service.py
+++ b/packages/control/src/cicadabank/control/internal/job_service.py
@@ -315,7 +315,7 @@
         StoreUnavailableError
             If it is certain that the job was not stored and will not be.
         CancelledMeanwhileError
-            If the job was cancelled after the request had arrived.
+            If the job may have been cancelled after the request had arrived.
         OutcomeUnknownError
             If the job may have been stored.
         """
--- a/packages/scheduling/src/cicadabank/scheduling/internal/rows.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/rows.py
@@ -210,12 +210,13 @@
 def voided_job(at_s: float) -> bytes:
     """Encode the row of a job that was cancelled before it was stored.
 
-    No submission from before the cancellation can take effect any more.
+    No submission from before the cancellation can take effect any more. Its version in
+    the store decides which those are; the time is for entries of earlier builds.
 
     Parameters
     ----------
     at_s : float
-        Time of the cancellation by the store's clock.
+        Time of the cancellation by the store's clock, as estimated by its entry.
     """
     return msgspec.msgpack.encode(float(at_s))
 
