--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,6 +1,7 @@
 """Runs the soak: ``python -m soak --seeds 50``.
 
-With ``--deadly 1``, one more caller submits jobs whose tasks crash their targets.
+With ``--deadly 1``, one more caller submits jobs whose tasks crash their targets, and
+with ``--leaving 1``, one cancels its jobs without waiting for their acceptance.
 """
 
 from __future__ import annotations
@@ -38,6 +39,8 @@
         Series of overlapping faults of one target and its agent to draw.
     deadly : int
         Callers whose jobs crash each target that starts them.
+    leaving : int
+        Callers that cancel each job without waiting for its acceptance.
     longest_s : float
         Longest work of a run.
     length_s : float
@@ -50,6 +53,7 @@
     faults: int = 8
     series: int = 2
     deadly: int = 0
+    leaving: int = 0
     longest_s: float = 4.0
     length_s: float = 20.0
 
@@ -90,6 +94,7 @@
             rng,
             options.callers,
             options.deadly,
+            options.leaving,
             options.longest_s,
         ) as caller:
             if not wait_for(
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -50,6 +50,7 @@
         self.accepted_s: float | None = None
         self.refused = False
         self.cancelled_s: float | None = None
+        self.is_void = False  # cancelled before it was stored
         self.state = ""
 
     @property
@@ -170,6 +171,10 @@
                 self.on_acknowledged(*end)
         if job.refused:
             self.report_violation("a refused job never runs", event.task)
+        if job.is_void:
+            self.report_violation(
+                "a job that was cancelled before it was stored never runs", event.task
+            )
         self._check_order(job, int(step), event)
         self._check_times(job, event)
         self._check_crashes(job, event)
--- a/soak/load.py
+++ b/soak/load.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import json
 import random
+import socket
 import threading
 import time
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 
 import httpx
 from cicadabank.standin import TaskProfile
@@ -24,6 +26,9 @@
 POLL_INTERVAL_S = 0.4
 CHANGE_INTERVAL_S = (0.4, 3.0)
 CANCEL_SHARE = 0.15
+# Pause between the jobs of a caller that leaves, and its wait before it cancels one.
+LEAVING_INTERVAL_S = (0.1, 0.6)
+MAX_STAY_S = 0.6
 QUEUES = {"fast": (0, 1.5), "slow": (1, 3.0), "batch": (2, 3.0)}
 
 
@@ -248,6 +253,50 @@
                 return
 
 
+class LeavingCaller(Caller):
+    """Submits jobs and cancels each at an entry without waiting for the response.
+
+    It closes the connection of the submission before or after the cancellation.
+    """
+
+    def run(self, stopping: threading.Event) -> None:
+        """Submit and cancel jobs one by one until told to stop."""
+        while not stopping.wait(self._rng.uniform(*LEAVING_INTERVAL_S)):
+            self._number += 1
+            targets = len(self._deployment.domains)
+            job = self._draw(self._rng, self._number, targets, self._longest_s)
+            path = f"/{self._rng.choice(sorted(QUEUES))}/{job.job}"
+            self._checker.record_submission(job)
+            with suppress(OSError), self._sent(job, path) as connection:
+                stopping.wait(self._rng.uniform(0.0, MAX_STAY_S))
+                if self._rng.random() < 0.5:
+                    connection.close()
+                self._cancel(job, path)
+
+    def _sent(self, job: Job, path: str) -> socket.socket:
+        """Send a submission on a connection of its own; return the connection."""
+        body = {"spec": job.spec, "steps": [step.document for step in job.steps]}
+        content = json.dumps(body)
+        head = (
+            f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer {KEY}\r\n"
+            f"X-Deadline-Ms: {int(DEADLINE_S * 1000)}\r\n"
+            f"Content-Length: {len(content)}\r\n\r\n"
+        )
+        entry = self._rng.choice(sorted(self._deployment.fronts))
+        host, _, port = self._deployment.fronts[entry].rpartition(":")
+        connection = socket.create_connection((host, int(port)), DEADLINE_S)
+        connection.sendall((head + content).encode())
+        return connection
+
+    def _cancel(self, job: Job, path: str) -> None:
+        for _ in range(SUBMIT_ATTEMPTS):
+            status = self.request_status("DELETE", path, None, DEADLINE_S)
+            if status in (200, 410):
+                job.cancelled_s = time.monotonic()
+                job.is_void = status == 410
+                return
+
+
 class Operator:
     """Changes the configuration and evacuates failure domains repeatedly."""
 
@@ -339,12 +388,13 @@
     rng: random.Random,
     callers: int,
     deadly: int,
+    leaving: int,
     longest_s: float,
 ) -> Iterator[Caller]:
     """Run callers, an operator and a prober until the block ends; yield a caller.
 
     The work of a run takes at most `longest_s`. The jobs of `deadly` further callers
-    crash their targets.
+    crash their targets, and `leaving` more cancel theirs before they are accepted.
     """
     stopping = threading.Event()
     operator = Operator(deployment, checker, random.Random(rng.random()))
@@ -366,6 +416,16 @@
         )
         for n in range(deadly)
     ]
+    clients += [
+        LeavingCaller(
+            deployment,
+            checker,
+            random.Random(rng.random()),
+            (callers + deadly + n + 1) << 32,
+            longest_s,
+        )
+        for n in range(leaving)
+    ]
     threads = [
         threading.Thread(target=client.run, args=(stopping,)) for client in clients
     ]
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -21,9 +21,9 @@
 
 
 class TestShortSoak:
-    @pytest.mark.parametrize("seed", [101])
-    def test_no_invariant_is_violated(self, seed, tmp_path):
-        result = run_seed(seed, SHORT_RUN, tmp_path)
+    @pytest.mark.parametrize(("seed", "leaving"), [(101, 0), (102, 2)])
+    def test_no_invariant_is_violated(self, seed, leaving, tmp_path):
+        result = run_seed(seed, SHORT_RUN._replace(leaving=leaving), tmp_path)
         assert not result.violations
         assert not result.error_lines
         assert result.accepted > 0
@@ -80,6 +80,13 @@
         self.play(checker, "started", run=2)
         assert "a target never exceeds its capacity" in self.found(checker)
 
+    @pytest.mark.parametrize("is_void", [False, True])
+    def test_a_job_that_was_never_stored_may_not_run(self, checker, is_void):
+        checker.jobs["a"].is_void = is_void
+        self.play(checker, "started")
+        expected = ["a job that was cancelled before it was stored never runs"]
+        assert self.found(checker) == expected * is_void
+
 
 class TestDeadlyJobs(CheckerTests):
     PROFILE = CheckerTests.PROFILE._replace(crashes_after_s=0.1)
