Review: a late hold acknowledges an end unseen, and its task runs again

A late start and a late hold, whose lastSeen was meant for the incarnation before, are carried out by the next incarnation of the same id before its agent is back. The end is forgotten unseen, and the task is started a second time.

--- a/review/kit3/standins.py
+++ b/review/kit3/standins.py
@@ -42,6 +42,7 @@
 MAX_PAGE_ROWS = 500
 MAX_LISTED_ENDS = 500
 MAX_HOLD_WAIT_S = 2.0
+NO_ANSWER_S = 3.0  # longer than the agent's timeouts
 CAPACITY = {"cpu": 32_000, "memMb": 131_072, "gpu": 8}
 HOST = "bindery.example"
 KEY = "key-of-the-workspace"
@@ -303,6 +304,14 @@
     The spec of a job is a JSON object with `work_s`, the work of a task in seconds, and
     optionally `gang`, the number of members, and `fails_after_s`, the work after which
     each run fails.
+
+    Attributes
+    ----------
+    leaves_unanswered : callable
+        Tells by the path and the document of a call whether it gets no answer. Such
+        calls are kept in `unanswered`, to be carried out late.
+    calls : int
+        Number of the calls that it got.
     """
 
     def __init__(
@@ -320,16 +329,20 @@
         self.rack, self.zone = rack, zone
         self.is_up = False
         self.incarnation = 0
+        self.leaves_unanswered: Callable[[str, dict], bool] = lambda path, call: False
+        self.unanswered: list[tuple[str, dict]] = []
+        self.calls = 0
         self.runs: dict[str, _Run] = {}
         self._web: Web | None = None
         self.start()
         threading.Thread(target=self._send_heartbeats, daemon=True).start()
 
-    def start(self) -> None:
-        """Start a new incarnation, under a new id."""
+    def start(self, same_id: bool = False) -> None:
+        """Start a new incarnation, under a new id or the one that it had."""
         with self.fleet.changed:
             self.incarnation += 1
-            self.id = f"i-{self.name}-{self.incarnation}"
+            if not same_id:
+                self.id = f"i-{self.name}-{self.incarnation}"
             self._born_ms = int(time.time() * 1000)
             self._born_s = time.monotonic()
             self._sequence = self._fence = self._last_end = 0
@@ -340,8 +353,8 @@
         self._web = Web(self.address, self._handle)
         self.is_up = True
 
-    def crash(self, down_s: float) -> None:
-        """End without notice; another incarnation starts after a time."""
+    def crash(self, down_s: float | None) -> None:
+        """End without notice; another incarnation starts after a time, if given."""
         with self.fleet.changed:
             self.is_up = False
             lost, self.runs = self.runs, {}
@@ -350,6 +363,8 @@
             self.fleet.changed.notify_all()
         self.fleet.record.write(f"minion {self.name} crashes, down for {down_s} s")
         self._web.close()
+        if down_s is None:
+            return
         timer = threading.Timer(down_s, self.start)
         timer.daemon = True
         timer.start()
@@ -369,15 +384,32 @@
                 return None
             if headers.get("X-Target-Instance", self.id) != self.id:
                 return 421, {}
-            if document.get("fence", 0) < self._fence:
-                return 409, self._document({"reason": "fence"})
-            self._fence = document.get("fence", 0)
-            if path == "/api/run-start":
-                return self._start_run(document)
-            if path == "/api/run-stop":
-                return self._stop_run(document)
-            if path == "/api/hold":
-                return self._hold(document)
+            self.calls += 1
+            if self.leaves_unanswered(path, document):
+                self.unanswered.append((path, document))
+                self.fleet.record.write(f"minion {self.id}: no answer to {path}")
+                self.fleet.changed.wait_for(lambda: not self.is_up, NO_ANSWER_S)
+                return None
+            return self._carry_out(path, document)
+
+    def carry_out_late(self, path: str, document: dict) -> None:
+        """Carry out a call that got no answer."""
+        with self.fleet.changed:
+            answer = self._carry_out(path, {**document, "waitMs": 0})
+            self.fleet.record.write(
+                f"minion {self.id} carries out late: {path} {document}: {answer}"
+            )
+
+    def _carry_out(self, path: str, document: dict) -> tuple[int, dict] | None:
+        if document.get("fence", 0) < self._fence:
+            return 409, self._document({"reason": "fence"})
+        self._fence = document.get("fence", 0)
+        if path == "/api/run-start":
+            return self._start_run(document)
+        if path == "/api/run-stop":
+            return self._stop_run(document)
+        if path == "/api/hold":
+            return self._hold(document)
         return 404, {}
 
     def _extend_lease(self, document: dict) -> None:
@@ -412,6 +444,9 @@
     def _hold(self, document: dict) -> tuple[int, dict] | None:
         self._extend_lease(document)
         seen, incarnation = document["lastSeen"], self.incarnation
+        for end in self._ended:
+            if end[0] <= seen:
+                self.fleet.seen.append((self.name, incarnation, end[1], end[2], end[3]))
         self._ended = [end for end in self._ended if end[0] > seen]
         self.fleet.changed.wait_for(
             lambda: self._ended or not self.is_up or self.incarnation != incarnation,
@@ -489,6 +524,8 @@
     Attributes
     ----------
     events : list of Event
+    seen : list of tuple
+        Ends that `lastSeen` has reached: minion, incarnation, task, run and how.
     """
 
     def __init__(self, record: Record):
@@ -497,6 +534,7 @@
         self.closing = threading.Event()
         self.minions: dict[str, Minion] = {}
         self.events: list[Event] = []
+        self.seen: list[tuple[str, int, str, int, str]] = []
         threading.Thread(target=self._advance, daemon=True).start()
 
     def emit(self, kind: str, minion: Minion, run: _Run) -> None:
@@ -813,11 +851,15 @@
                 stdin=subprocess.DEVNULL,
             )
 
-    def remove(self, name: str) -> None:
-        """Remove a machine for good: its address does not respond any more."""
+    def kill(self, name: str) -> None:
+        """Kill a process."""
         process = self.processes.pop(name)
         process.send_signal(signal.SIGKILL)
         process.wait(timeout=10.0)
+
+    def remove(self, name: str) -> None:
+        """Remove a machine for good: its address does not respond any more."""
+        self.kill(name)
         ports = [self._peer]
         if name.startswith("edge"):
             ports += [self._front, self._ready]
