--- a/review/13/case.py
+++ b/review/13/case.py
@@ -35,10 +35,8 @@
     if not has_trouble():
         wait_for(lambda: answer is not None and answer[0] == 200, 1.0, "the job is in")
     proxy.breaks = False
-    answer = deployment.call("DELETE", JOB, second)
+    status = deployment.cancel(JOB, second)
     cancelled_s = deployment.record.now_s()
-    if answer is None or answer[0] not in (200, 410):
-        return f"the cancellation was answered {answer}"
     time.sleep(LATE_S)
     deployment.submit(JOB, WORK_S, steps, first)
     time.sleep(WATCH_S)
@@ -52,7 +50,7 @@
         return ""
     return (
         f"UNASKED: {late[0].task} started {late[0].at_s - cancelled_s:.1f} s after "
-        f"the cancellation was acknowledged with {answer[0]}"
+        f"the cancellation was acknowledged with {status}"
     )
 
 
