--- a/review/13/case.py
+++ b/review/13/case.py
@@ -17,6 +17,8 @@
 )
 
 JOB = "c0ffee0000000013"
+# Nobody cancels these: one job of four is cancelled.
+OTHER_JOBS = [f"c0ffee00000013{number:02d}" for number in range(1, 4)]
 WORK_S = 4.0
 # Between the answer to the cancellation and the arrival of the repeated request.
 LATE_S = 4.0
@@ -28,6 +30,8 @@
     first, second = start_small(deployment, entries=2, sides=3)
     proxy = deployment.start_proxy(first)
     steps = [step(1, 1, WORK_S)]
+    for other in OTHER_JOBS:
+        deployment.submit(other, WORK_S, steps, first)
     proxy.breaks = has_trouble()
     answer = deployment.call(
         "POST", JOB, first, {"spec": f'{{"work_s": {WORK_S}}}', "steps": steps}
@@ -44,7 +48,9 @@
     late = [
         event
         for event in deployment.fleet.events
-        if event.kind == "started" and event.at_s > cancelled_s + CANCEL_S
+        if event.kind == "started"
+        and event.job == JOB
+        and event.at_s > cancelled_s + CANCEL_S
     ]
     if not late:
         return ""
