A cancellation is final for its id, also for a submission that arrives later

Cause: an entry that had heard of the cancellation before a submission arrived took it for a new job. No process can tell a late copy from a new submission; an id stands for one job. Change: a DELETE of a job that isn't stored writes the row that cancels it. A submission writes the job on the condition of that row, and is stored as cancelled if there is one (200, "cancelled"); holders learn of the cancellation before the job. Voids, and the comparison of when they were known with when a submission arrived, are gone; voids of earlier builds count as cancellations. The response to a submission shows the state of a job that was stored before.

--- a/packages/control/src/cicadabank/control/errors.py
+++ b/packages/control/src/cicadabank/control/errors.py
@@ -85,17 +85,6 @@
             self.retry_after_s = 0
 
 
-class CancelledMeanwhileError(JobServiceError):
-    """The job was cancelled, perhaps after its submission had arrived; it isn't stored.
-
-    A submission that arrives once its entry knows of the cancellation is accepted.
-    """
-
-    code = "cancelled-meanwhile"
-    status = 503
-    retry_after_s = 1
-
-
 class OutcomeUnknownError(JobServiceError):
     """The store did not confirm a write; the client should retry the request."""
 
--- a/packages/control/src/cicadabank/control/internal/cell_holder.py
+++ b/packages/control/src/cicadabank/control/internal/cell_holder.py
@@ -160,7 +160,7 @@
         ]
         self.scheduler.load(
             jobs,
-            list(rows.cancelled),
+            [record.job for record, _, _ in jobs if rows.is_cancelled(record)],
             now_s,
             lease_expiry_s,
             rows.target_speeds,
@@ -191,12 +191,13 @@
             return
         rows = self._replica.cell(self.cell)
         now_s = clock_s()
-        if kind == "job" and name in rows.jobs:
-            self.scheduler.on_job(rows.jobs[name], now_s)
-            if name in rows.cancelled:
-                self.scheduler.on_cancel(name, now_s)
-        elif kind == "cancel":
-            self.scheduler.on_cancel(name, now_s)
+        if kind in ("job", "cancel"):
+            record = rows.jobs.get(name)
+            if record is not None:
+                self.scheduler.on_job(record, now_s)
+                # Read after the job, whose row is written after its cancellation.
+                if rows.is_cancelled(record):
+                    self.scheduler.on_cancel(name, now_s)
         elif kind == "agent" and name in rows.agents:
             self.scheduler.on_agent_started(name)
             # Attempts to reach it before it listened have left the channel in backoff.
--- a/packages/control/src/cicadabank/control/internal/entry.py
+++ b/packages/control/src/cicadabank/control/internal/entry.py
@@ -27,7 +27,7 @@
 from cicadabank.control.internal.peers import (
     HolderStatus,
     PeerService,
-    forward_row,
+    forward_rows,
     ping,
 )
 from cicadabank.control.internal.relay import (
@@ -200,12 +200,15 @@
         """Return the addresses of agents, which can relay calls to the store."""
         return [a for cell in list(self.replica.cells.values()) for a in cell.agents]
 
-    def on_written(self, row: StoredRow) -> None:
-        """Apply a row that this entry wrote, and forward it to the cell's holder."""
-        self.replica.apply([row], self.on_change)
-        holder = self.replica.cell(row.partition).holder
-        if row.partition not in self.held_cells and holder and holder.address:
-            forward_row(self._pool, holder.address, row)
+    def on_written(self, cell: str, rows: list[StoredRow]) -> None:
+        """Apply rows that this entry wrote, and forward them to the cell's holder.
+
+        They include earlier rows that the holder has to know before those.
+        """
+        self.replica.apply(rows, self.on_change)
+        holder = self.replica.cell(cell).holder
+        if cell not in self.held_cells and holder and holder.address:
+            forward_rows(self._pool, holder.address, rows)
 
     def on_peer_rows(self, rows: list[StoredRow]) -> None:
         """Apply rows that another entry has written."""
--- a/packages/control/src/cicadabank/control/internal/job_service.py
+++ b/packages/control/src/cicadabank/control/internal/job_service.py
@@ -4,13 +4,12 @@
 
 import threading
 import time
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable, Iterator, Mapping, Sequence, Set
+from contextlib import contextmanager, suppress
 from typing import NamedTuple
 
 from cicadabank.control.bounds import check_steps
 from cicadabank.control.errors import (
-    CancelledMeanwhileError,
     InvalidJobError,
     JobServiceError,
     NoConfigError,
@@ -29,12 +28,12 @@
     CancelRow,
     JobProgressRow,
     JobRecord,
+    QueueConfig,
     RouteConfig,
     StepSpec,
     pack,
     unpack,
     voided_at_s,
-    voided_job,
 )
 from cicadabank.store import (
     PartitionedTable,
@@ -194,8 +193,8 @@
     operator_view : callable
         Returns the current settings of the operators.
     on_written : callable
-        Called with each row that was written, so that it can be applied before the feed
-        delivers it.
+        Called with a cell and rows of it that were written, so that they can be applied
+        before the feed delivers them.
     sleep_until_reachable : callable, default=time.sleep
         Waits for up to some seconds; returns early if the store can be reached again.
     """
@@ -205,7 +204,7 @@
         table: PartitionedTable,
         replica: Replica,
         operator_view: Callable[[], OperatorView],
-        on_written: Callable[[StoredRow], None],
+        on_written: Callable[[str, list[StoredRow]], None],
         sleep_until_reachable: Callable[[float], object] = time.sleep,
     ):
         self._table = table
@@ -304,9 +303,17 @@
 
     def submit(
         self, route: RouteConfig, request: JobRequest, timing: RequestTiming
-    ) -> None:
+    ) -> JobStatus:
         """Accept a job; it is stored when this returns.
 
+        An id stands for one job. If the job of this id has been cancelled, it stays so,
+        also if it wasn't stored then.
+
+        Returns
+        -------
+        JobStatus
+            As far as it is known here: a job that was stored before may have gone on.
+
         Raises
         ------
         InvalidJobError
@@ -314,8 +321,6 @@
             id.
         StoreUnavailableError
             If it is certain that the job was not stored and will not be.
-        CancelledMeanwhileError
-            If the job may have been cancelled after the request had arrived.
         OutcomeUnknownError
             If the job may have been stored.
         """
@@ -323,7 +328,7 @@
         queue = route.queue
         if self._is_in_replica(request.job, queue.name):
             self._log_known(request.job, queue.name, timing)
-            return
+            return self._replica_status(request.job)
         key = JOB_PREFIX + request.job
         try:
             with self._waiting(timing) as wait:
@@ -338,7 +343,7 @@
                     request.payload,
                     request.steps,
                 )
-                self._store_job(queue.cell, key, record, timing, wait)
+                is_cancelled = self._store_job(queue.cell, record, wait)
         except RowConflictError as error:
             stored = error.rows.get(key)
             if stored is not None and stored.value is not None:
@@ -347,7 +352,8 @@
                         "another queue already has a job of this id"
                     ) from error
             self._log_known(request.job, queue.name, timing)
-            return
+            is_cancelled = _is_cancelled(error.rows, request.job, queue.name)
+            return _visible_status(None, is_cancelled)
         logger.bind(
             event="job_accepted",
             job=request.job,
@@ -355,60 +361,49 @@
             workspace=request.workspace,
             held_s=round(timing.held_s(), 3),
             config_version=self._operator_view().config.version,
+            cancelled_before=is_cancelled,
             steps=[
                 [s.count, *s.need, s.estimate_s, s.gang, s.same_rack]
                 for s in request.steps
             ],
         ).info("job accepted")
+        return _visible_status(None, is_cancelled)
 
-    def _store_job(
-        self,
-        cell: str,
-        key: str,
-        record: JobRecord,
-        timing: RequestTiming,
-        wait: RequestWait,
-    ) -> None:
-        """Write the row of a job that has none, or was cancelled before it had one.
+    def _store_job(self, cell: str, record: JobRecord, wait: RequestWait) -> bool:
+        """Write the row of a job that has none.
+
+        A submission that arrives after its job was cancelled may be a repeated one, and
+        can't be told from a new one. The write depends on the job's cancellation, so
+        that it is known whether there was one, and holders learn of it before the job.
 
-        A void is replaced only if this process knew it before the submission arrived.
-        Any other may be of a later cancellation. The times of two processes can't tell,
-        since a write takes effect seconds after its call, and each process estimates
-        the store's clock with an error of its own.
+        Returns
+        -------
+        bool
+            Whether the job was cancelled before.
 
         Raises
         ------
         RowConflictError
             If the job has a row.
-        CancelledMeanwhileError
-            If the job may have been cancelled after its submission had arrived.
         """
-        value, version = pack(record), 0
+        job_key, cancel_key = JOB_PREFIX + record.job, CANCEL_PREFIX + record.job
+        puts = {job_key: pack(record)}
+        found: Mapping[str, StoredRow] = {}
+        expected = {job_key: 0, cancel_key: 0}
         while True:
+            earlier = [found[cancel_key]] if expected[cancel_key] else []
             try:
-                self._write(cell, {key: version}, {key: value}, wait)
-                break
+                self._write(cell, expected, puts, wait, earlier)
+                return _is_cancelled(found, record.job, record.queue)
             except RowConflictError as error:
-                stored = error.rows.get(key)
-                if stored is None or stored.value is None:
-                    raise
-                if voided_at_s(stored.value) is None:
+                found, previous = error.rows, expected
+                expected = {key: _version(found, key) for key in previous}
+                if expected == previous or _has_job(found, job_key):
                     raise
-                is_earlier = self._replica.knew_void(
-                    stored, timing.earliest_arrival_s()
-                )
-                self._on_written(stored)
-                if not is_earlier:
-                    raise CancelledMeanwhileError(
-                        "the job was cancelled, perhaps after its submission had "
-                        f"arrived (void version {stored.version})",
-                        "submit it again if it is still wanted",
-                    ) from error
-                version = stored.version
-        if version:
-            logger.bind(event="void_replaced", job=record.job, version=version).info(
-                "submitted again since its cancellation"
-            )
+            if expected[job_key] and not expected[cancel_key]:
+                # An entry of an earlier build has cancelled the job.
+                with suppress(RowConflictError):
+                    self._put_cancel(cell, record.job, {record.queue}, wait, expected)
 
     def _log_known(self, job: str, queue: str, timing: RequestTiming) -> None:
         """Log that a submitted job is stored already, as after a lost response."""
@@ -462,15 +457,22 @@
         expected: dict[str, int],
         puts: dict[str, bytes],
         wait: RequestWait,
+        earlier: Sequence[StoredRow] = (),
     ) -> None:
-        """Retry a write with the same conditions until its outcome is certain."""
+        """Retry a write with the same conditions until its outcome is certain.
+
+        Parameters
+        ----------
+        earlier : sequence of StoredRow, optional
+            Stored rows that have to be known wherever the written ones are applied.
+        """
         uncertain = False
         while True:
             try:
                 timeout_s = wait.call_timeout_s()
                 version = self._table.commit(cell, expected, puts, timeout_s=timeout_s)
-                for row, value in puts.items():
-                    self._on_written(StoredRow(cell, row, value, version))
+                written = [StoredRow(cell, *put, version) for put in puts.items()]
+                self._on_written(cell, [*earlier, *written])
                 return
             except RowConflictError:
                 raise
@@ -510,32 +512,37 @@
         """Return the status of a job from the replica, or else from the store."""
         queue = route.queue
         if self._is_in_replica(job, queue.name):
-            rows = self._replica.cells[self._replica.cell_by_job[job]]
-            stored = rows.runs.get(job)
-            return _visible_status(
-                stored.row if stored else None, job in rows.cancelled
-            )
+            return self._replica_status(job)
         found = self._read(queue.cell, JOB_PREFIX + job, timeout_s)
-        is_absent = found is None or voided_at_s(found) is not None
-        if is_absent or unpack(found, JobRecord).queue != queue.name:
+        if found is None or voided_at_s(found.value) is not None:
+            raise NoJobError("the job does not exist in this queue")
+        if unpack(found.value, JobRecord).queue != queue.name:
             raise NoJobError("the job does not exist in this queue")
         run = self._read(queue.cell, RUN_PREFIX + job, timeout_s)
-        cancelled = self._read(queue.cell, CANCEL_PREFIX + job, timeout_s) is not None
+        cancel = self._read(queue.cell, CANCEL_PREFIX + job, timeout_s)
+        return _visible_status(
+            None if run is None else unpack(run.value, JobProgressRow),
+            cancel is not None and unpack(cancel.value, CancelRow).covers(queue.name),
+        )
+
+    def _replica_status(self, job: str) -> JobStatus:
+        """Return the status of a job in the replica."""
+        rows = self._replica.cells[self._replica.cell_by_job[job]]
+        stored = rows.runs.get(job)
         return _visible_status(
-            None if run is None else unpack(run, JobProgressRow), cancelled
+            stored.row if stored else None, rows.is_cancelled(rows.jobs[job])
         )
 
-    def _read(self, cell: str, key: str, timeout_s: float) -> bytes | None:
+    def _read(self, cell: str, key: str, timeout_s: float) -> StoredRow | None:
         page = self._table.read(cell, key, key + "\x00", timeout_s)
         self._replica.set_store_clock(page.store_s)
-        rows = page.rows
-        return rows[0].value if rows else None
+        return page.rows[0] if page.rows else None
 
     def cancel(self, route: RouteConfig, job: str, timing: RequestTiming) -> None:
         """Cancel a job; the cell's holder then stops its running tasks.
 
-        A job that has ended stays as it is. One that is not stored can't be stored any
-        more by a write of an earlier submission.
+        A job that has ended stays as it is. One that is not stored is cancelled as soon
+        as a submission stores it.
 
         Raises
         ------
@@ -544,57 +551,63 @@
         StoreUnavailableError
             If the store was needed and did not reply.
         """
+        queue = route.queue
         with self._waiting(timing) as wait:
-            if not self._can_be_cancelled(route, job, wait):
+            while True:
+                try:
+                    status = self._wait_for_status(route, job, wait)
+                    break
+                except NoJobError:
+                    if self._cancel_in_advance(queue, job, wait):
+                        raise
+            if status.state in ENDED_JOB_STATES:
                 return
-            cell = self._replica.cell_by_job.get(job, route.queue.cell)
-            row = pack(CancelRow(self._replica.store_now_s()))
-            self._write(cell, {}, {CANCEL_PREFIX + job: row}, wait)
+            cell = self._replica.cell_by_job.get(job, queue.cell)
+            self._put_cancel(cell, job, {queue.name}, wait, {})
         logger.bind(event="cancel_accepted", job=job).info("cancellation accepted")
 
-    def _can_be_cancelled(
-        self, route: RouteConfig, job: str, wait: RequestWait
+    def _cancel_in_advance(
+        self, queue: QueueConfig, job: str, wait: RequestWait
     ) -> bool:
-        """Return whether a job has not ended; void it if it isn't stored.
-
-        Raises
-        ------
-        NoJobError
-            If the store has no such job in this queue.
-        """
-        while True:
-            try:
-                status = self._wait_for_status(route, job, wait)
-                return status.state not in ENDED_JOB_STATES
-            except NoJobError:
-                if self._void(route, job, wait):
-                    raise
+        """Cancel a job that isn't stored; return False if it has been stored meanwhile.
 
-    def _void(self, route: RouteConfig, job: str, wait: RequestWait) -> bool:
-        """Keep a job from being stored; return False if it has been stored meanwhile.
-
-        A void of an earlier cancellation is renewed, since a submission that has
-        arrived between the two may replace the earlier one. A job of another queue
-        stays as it is.
+        Its submission may still be on its way. A job of another queue stays as it is.
         """
-        queue, key, version = route.queue, JOB_PREFIX + job, 0
+        job_key, cancel_key = JOB_PREFIX + job, CANCEL_PREFIX + job
+        expected = {job_key: 0, cancel_key: 0}
+        queues = {queue.name}
         while True:
-            void = voided_job(self._replica.store_now_s())
             try:
-                self._write(queue.cell, {key: version}, {key: void}, wait)
+                self._put_cancel(queue.cell, job, queues, wait, expected)
                 break
             except RowConflictError as error:
-                stored = error.rows.get(key)
-            if stored is None or stored.value is None:
-                return True
-            if voided_at_s(stored.value) is None:
-                return unpack(stored.value, JobRecord).queue != queue.name
-            version = stored.version
-        logger.bind(event="job_voided", job=job, earlier_version=version).info(
-            "the job can't be stored late"
+                found, previous = error.rows, expected
+            if _has_job(found, job_key):
+                record = unpack(found[job_key].value, JobRecord)
+                return record.queue != queue.name
+            expected = {key: _version(found, key) for key in previous}
+            if expected == previous:
+                return True  # the store has a row that can't be read
+            if expected[cancel_key]:
+                earlier = unpack(found[cancel_key].value, CancelRow)
+                queues = queues.union(earlier.queues) if earlier.queues else set()
+        logger.bind(event="cancelled_in_advance", job=job, queue=queue.name).info(
+            "the job is not stored; a submission that still arrives won't run"
         )
         return True
 
+    def _put_cancel(
+        self,
+        cell: str,
+        job: str,
+        queues: Set[str],
+        wait: RequestWait,
+        expected: dict[str, int],
+    ) -> None:
+        """Write the cancellation of the job of this id in these queues."""
+        row = CancelRow(self._replica.store_now_s(), tuple(sorted(queues)))
+        self._write(cell, expected, {CANCEL_PREFIX + job: pack(row)}, wait)
+
     def _wait_for_status(
         self, route: RouteConfig, job: str, wait: RequestWait
     ) -> JobStatus:
@@ -629,7 +642,7 @@
             run = rows.runs.get(job)
             has_started = run is not None and (run.row.started or run.row.ended_s)
             if record.queue == route.queue.name and not has_started:
-                count += job not in rows.cancelled
+                count += not rows.is_cancelled(record)
         return count
 
 
@@ -642,6 +655,25 @@
     )
 
 
+def _version(rows: Mapping[str, StoredRow], key: str) -> int:
+    """Return the version of a row; 0 if it doesn't exist."""
+    row = rows.get(key)
+    return 0 if row is None or row.value is None else row.version
+
+
+def _has_job(rows: Mapping[str, StoredRow], key: str) -> bool:
+    """Return whether the row of a job exists, and not of a void one."""
+    return bool(_version(rows, key)) and voided_at_s(rows[key].value) is None
+
+
+def _is_cancelled(rows: Mapping[str, StoredRow], job: str, queue: str) -> bool:
+    """Return whether one of these rows cancels a job."""
+    key = CANCEL_PREFIX + job
+    return bool(_version(rows, key)) and unpack(rows[key].value, CancelRow).covers(
+        queue
+    )
+
+
 def _visible_status(run: JobProgressRow | None, cancelled: bool) -> JobStatus:
     state = run.state if run else "pending"
     if cancelled and state not in ENDED_JOB_STATES:
--- a/packages/control/src/cicadabank/control/internal/peers.py
+++ b/packages/control/src/cicadabank/control/internal/peers.py
@@ -56,20 +56,21 @@
         return fleet_pb2.PingReply(epoch=self._epoch_of(request.cell))
 
 
-def forward_row(pool: ChannelPool, address: str, row: StoredRow) -> None:
-    """Send a row to another entry without waiting for its reply."""
+def forward_rows(pool: ChannelPool, address: str, rows: list[StoredRow]) -> None:
+    """Send rows to another entry, in this order, without waiting for its reply."""
     stub = fleet_pb2_grpc.PeerStub(pool.get(address))
-    message = fleet_pb2.ChangedRows(rows=[row_to_message(row)])
+    message = fleet_pb2.ChangedRows(rows=[row_to_message(row) for row in rows])
     call = stub.Changed.future(message, timeout=FORWARD_TIMEOUT_S)
+    keys = [row.key for row in rows]
     # The callback also keeps the call alive: gRPC cancels calls without references.
-    call.add_done_callback(lambda done: _log_failed_forward(address, row, done))
+    call.add_done_callback(lambda done: _log_failed_forward(address, keys, done))
 
 
-def _log_failed_forward(address: str, row: StoredRow, call: grpc.Future) -> None:
+def _log_failed_forward(address: str, keys: list[str], call: grpc.Future) -> None:
     error = call.exception()
     if error is not None:
-        logger.bind(event="row_not_handed_over", key=row.key, holder=address).info(
-            "{}; the row will arrive through the feed", error.code().name
+        logger.bind(event="rows_not_handed_over", keys=keys, holder=address).info(
+            "{}; the rows will arrive through the feed", error.code().name
         )
 
 
--- a/packages/control/src/cicadabank/control/internal/replica.py
+++ b/packages/control/src/cicadabank/control/internal/replica.py
@@ -31,6 +31,7 @@
     TARGET_SHAPE_PREFIX,
     TARGET_SPEEDS_KEY,
     AgentRow,
+    CancelRow,
     EarlierLeasesRow,
     HolderLoadRow,
     HolderRow,
@@ -56,22 +57,23 @@
     version: int
 
 
-class SeenVoid(NamedTuple):
-    """The row of a void job, as this process has seen it.
-
-    Attributes
-    ----------
-    version : int
-    seen_s : float
-        When this process first knew this version, on its own clock.
-    """
+class StoredCancel(NamedTuple):
+    """The stored cancellation of a job, and the version of its row."""
 
+    row: CancelRow
     version: int
-    seen_s: float
 
 
 class CellRows:
-    """The rows of one cell."""
+    """The rows of one cell.
+
+    Attributes
+    ----------
+    cancelled : dict of str to StoredCancel
+        By the ids of jobs, which need not be stored.
+    voids : dict of str to StoredCancel
+        Cancellations that earlier builds have stored in place of a job.
+    """
 
     __slots__ = (
         "agents",
@@ -86,12 +88,14 @@
         "notes",
         "runs",
         "target_speeds",
+        "voids",
     )
 
     def __init__(self) -> None:
         self.jobs: dict[str, JobRecord] = {}
         self.runs: dict[str, StoredRun] = {}
-        self.cancelled: set[str] = set()
+        self.cancelled: dict[str, StoredCancel] = {}
+        self.voids: dict[str, StoredCancel] = {}
         self.agents: set[str] = set()
         self.holder: HolderRow | None = None
         self.holder_version = 0
@@ -103,6 +107,11 @@
         self.lease_seen_s = float("-inf")  # on the store's clock
         self.lease_version = 0
 
+    def is_cancelled(self, record: JobRecord) -> bool:
+        """Return whether the client of a job has cancelled it."""
+        stored = self.cancelled.get(record.job)
+        return stored is not None and stored.row.covers(record.queue)
+
     @property
     def holder_lateness_s(self) -> float:
         """How much later than usual the holder's lease renewals may be."""
@@ -127,8 +136,6 @@
         self._offset_s = 0.0
         self._last_store_s = float("-inf")
         self._versions: dict[tuple[str, str], int] = {}
-        # Void jobs, by cell and key.
-        self._voids: dict[tuple[str, str], SeenVoid] = {}
         self._lock = threading.Lock()
 
     def cell(self, name: str) -> CellRows:
@@ -195,14 +202,7 @@
                 return False
             self._versions[row_id] = row.version
             try:
-                is_void = _is_voided_job(row)
-                if is_void:
-                    self._voids[row_id] = SeenVoid(row.version, clock_s())
-                else:
-                    self._voids.pop(row_id, None)
-                # Readers see no job in place of a void one.
-                value = None if is_void else row.value
-                self._apply_one(row._replace(value=value), kind, name)
+                self._apply_one(row, kind, name)
             # Any error: one row must not keep the others of its batch back.
             except Exception as error:
                 logger.bind(
@@ -211,17 +211,6 @@
                 return False
         return True
 
-    def knew_void(self, row: StoredRow, at_s: float) -> bool:
-        """Return whether this version of a void job's row was known at some time.
-
-        Parameters
-        ----------
-        at_s : float
-            On this process's clock.
-        """
-        seen = self._voids.get((row.partition, row.key))
-        return seen is not None and seen.version == row.version and seen.seen_s <= at_s
-
     def _apply_one(self, row: StoredRow, kind: str, name: str) -> None:
         # Restores the key's prefix; the keys of the holder and the lease have no name.
         kind = kind + "/" if name else kind
@@ -231,12 +220,11 @@
         if row.value is None:
             _remove(cell, kind, name)
         elif kind == JOB_PREFIX:
-            cell.jobs[name] = value
-            self.cell_by_job[name] = row.partition
+            self._apply_job(value, row, name)
         elif kind == RUN_PREFIX:
             cell.runs[name] = StoredRun(value, row.version)
         elif kind == CANCEL_PREFIX:
-            cell.cancelled.add(name)
+            cell.cancelled[name] = StoredCancel(value, row.version)
         elif kind == AGENT_PREFIX:
             cell.agents.add(value.address)
         elif kind in NOTE_KINDS:
@@ -251,9 +239,22 @@
             cell.lease_seen_s = self._last_store_s
             cell.lease_version = row.version
 
+    def _apply_job(
+        self, value: JobRecord | CancelRow, row: StoredRow, name: str
+    ) -> None:
+        """Apply the row of a job, or of a void one, which is no job to readers."""
+        cell = self.cell(row.partition)
+        if isinstance(value, JobRecord):
+            cell.voids.pop(name, None)
+            cell.jobs[name] = value
+            self.cell_by_job[name] = row.partition
+        else:
+            cell.jobs.pop(name, None)
+            cell.voids[name] = StoredCancel(value, row.version)
+
 
 # Kinds of rows whose values are not read.
-PLAIN_KINDS = (CANCEL_PREFIX, LEASE_KEY)
+PLAIN_KINDS = (LEASE_KEY,)
 NOTE_KINDS = (TARGET_SHAPE_PREFIX, QUEUE_PREFIX, INCIDENTS_PREFIX)
 # Kinds of rows of which a cell has one, with the attributes of `CellRows` for them.
 ATTRIBUTES = {
@@ -264,6 +265,7 @@
 ROW_TYPES = {
     JOB_PREFIX: JobRecord,
     RUN_PREFIX: JobProgressRow,
+    CANCEL_PREFIX: CancelRow,
     AGENT_PREFIX: AgentRow,
     TARGET_SHAPE_PREFIX: TargetShapeRow,
     QUEUE_PREFIX: QueueConfig,
@@ -275,16 +277,11 @@
 }
 
 
-def _is_voided_job(row: StoredRow) -> bool:
-    """Return whether a row stands for a job that was cancelled before it was stored."""
-    if row.value is None or not row.key.startswith(JOB_PREFIX):
-        return False
-    return voided_at_s(row.value) is not None
-
-
 def _decode(row: StoredRow, kind: str, name: str) -> Any:
     """Decode and check the value of a row; return None if it needs none.
 
+    The row of a void job is decoded as the cancellation of a job that isn't stored.
+
     Raises
     ------
     msgspec.MsgspecError, ValueError
@@ -294,6 +291,8 @@
         raise ValueError("rows of this kind are not used")
     if row.value is None or kind in PLAIN_KINDS:
         return None
+    if kind == JOB_PREFIX and (voided_s := voided_at_s(row.value)) is not None:
+        return CancelRow(voided_s)
     value = unpack(row.value, ROW_TYPES[kind])
     _check(value, name)
     return value
@@ -311,6 +310,12 @@
     check_steps(value.steps)
 
 
+@_check.register
+def _(value: CancelRow, name: str) -> None:
+    if not math.isfinite(value.at_s):
+        raise ValueError(f"the job {name!r} is cancelled at {value.at_s} s")
+
+
 @_check.register
 def _(value: AgentRow, name: str) -> None:
     if value.address != name or not is_address(name):
@@ -369,10 +374,11 @@
 def _remove(cell: CellRows, kind: str, name: str) -> None:
     if kind == JOB_PREFIX:
         cell.jobs.pop(name, None)
+        cell.voids.pop(name, None)
     elif kind == RUN_PREFIX:
         cell.runs.pop(name, None)
     elif kind == CANCEL_PREFIX:
-        cell.cancelled.discard(name)
+        cell.cancelled.pop(name, None)
     elif kind == AGENT_PREFIX:
         cell.agents.discard(name)
     elif kind in NOTE_KINDS:
--- a/packages/scheduling/src/cicadabank/scheduling/__init__.py
+++ b/packages/scheduling/src/cicadabank/scheduling/__init__.py
@@ -53,7 +53,6 @@
     pack,
     unpack,
     voided_at_s,
-    voided_job,
 )
 from cicadabank.scheduling.internal.speeds import RANGE_PREFIX, SpeedEstimate
 from cicadabank.scheduling.internal.state import AgentOrders, Commit, Start, Timings
@@ -129,5 +128,4 @@
     "pack",
     "unpack",
     "voided_at_s",
-    "voided_job",
 ]
--- a/packages/scheduling/src/cicadabank/scheduling/internal/rows.py
+++ b/packages/scheduling/src/cicadabank/scheduling/internal/rows.py
@@ -42,7 +42,8 @@
 MAX_DECOMPRESSED_BYTES = 32_000_000
 # First byte of compressed rows. In MessagePack, it is a number, which no row is.
 COMPRESSED = b"\x78"
-# First bytes of the rows that stand for void jobs: a number, and of earlier builds nil.
+# First bytes of rows in which earlier builds noted, in place of a job, that it was
+# cancelled before it was stored: the time of the cancellation, or nil.
 VOID_NUMBER, VOID_NIL = b"\xcb", b"\xc0"
 
 
@@ -185,9 +186,23 @@
 
 
 class CancelRow(NamedTuple):
-    """A client's request to cancel a job."""
+    """A client's request to cancel a job, which may not be stored yet.
+
+    Attributes
+    ----------
+    at_s : float
+        Time of the request by the store's clock, as estimated by its entry.
+    queues : tuple of str
+        Queues whose job of this id is cancelled. Empty in rows of earlier builds, which
+        cancel it in any queue.
+    """
 
     at_s: float
+    queues: tuple[str, ...] = ()
+
+    def covers(self, queue: str) -> bool:
+        """Return whether the job of this id is cancelled in a queue."""
+        return not self.queues or queue in self.queues
 
 
 class AgentRow(NamedTuple):
@@ -207,24 +222,11 @@
     return zlib.compress(value, COMPRESSION_LEVEL)
 
 
-def voided_job(at_s: float) -> bytes:
-    """Encode the row of a job that was cancelled before it was stored.
-
-    No submission from before the cancellation can take effect any more. Its version in
-    the store decides which those are; the time is for entries of earlier builds.
-
-    Parameters
-    ----------
-    at_s : float
-        Time of the cancellation by the store's clock, as estimated by its entry.
-    """
-    return msgspec.msgpack.encode(float(at_s))
-
-
 def voided_at_s(value: bytes) -> float | None:
     """Return when a job was voided, or None if the row is not of a void job.
 
-    Minus infinity if an entry of an earlier build voided it, which stored no time.
+    Entries of earlier builds void a job that is cancelled before it is stored. Minus
+    infinity if the time is not known.
     """
     if value == VOID_NIL:
         return float("-inf")
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -41,6 +41,7 @@
         self.submitted = []
         self.error = None
         self.job_status = JobStatus("running")
+        self.submitted_status = JobStatus("pending")
         self.refused = []
 
     def route(self, host, path, timing):
@@ -57,6 +58,7 @@
 
     def submit(self, route, request, timing):
         self.submitted.append((request, timing.deadline_s))
+        return self.submitted_status
 
     def status(self, route, job):
         if self.error is not None:
@@ -144,6 +146,15 @@
         assert api.dispatch(call("GET", "/q/short")).status == 404
         assert api.dispatch(call("GET", "/other/")).status == 404
 
+    # Guards against a caller who is told that a cancelled job is pending.
+    @pytest.mark.parametrize("state", ["pending", "cancelled", "completed"])
+    def test_a_submitted_job_is_shown_as_it_is(self, state):
+        service = FakeJobService()
+        service.submitted_status = JobStatus(state)
+        body = {"spec": "s", "steps": [STEP]}
+        reply = JobApi(service).dispatch(call("POST", "/q/" + "a" * 16, body))
+        assert (reply.status, json.loads(reply.body)) == (200, {"state": state})
+
     # Guards against a caller who can't learn why a job has failed.
     def test_a_failed_job_has_a_reason(self):
         service = FakeJobService()
