--- a/packages/control/src/cicadabank/control/internal/entry.py
+++ b/packages/control/src/cicadabank/control/internal/entry.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 import grpc
+from cicadabank.control.internal.cancellation_sweep import CancellationSweep
 from cicadabank.control.internal.cell_holder import TAKE_IN_LATENESS_S, CellActor
 from cicadabank.control.internal.cell_view import OperatorApi
 from cicadabank.control.internal.events import log_event
@@ -562,6 +563,9 @@
     client_server = HttpActor(
         parts.front_socket, parts.dispatch_for(job_service), CLIENT_LIMITS
     )
+    sweep = CancellationSweep(
+        actor.cells_table, actor.replica, lambda: actor.held_cells, actor.on_written
+    )
     metrics = _entry_metrics(actor)
     operator_api = OperatorApi(actor.held_cells, actor.replica, metrics)
     readiness_server = HttpActor(
@@ -588,6 +592,7 @@
         pause = actor.store_path.sleep_until_reachable
         stack.enter_context(repeating_thread("cells", cells_feed.step, pause))
         stack.enter_context(repeating_thread("operator", operator_feed.step, pause))
+        stack.enter_context(repeating_thread("cancellations", sweep.step, pause))
         stack.enter_context(serve(parts.peer_listen, services, SERVER_THREADS))
         stack.enter_context(running(readiness_server))
         stack.enter_context(running(client_server))
--- a/packages/control/src/cicadabank/control/internal/feed.py
+++ b/packages/control/src/cicadabank/control/internal/feed.py
@@ -152,6 +152,10 @@
             self._replica.apply(
                 sorted(page.rows, key=lambda row: row.version), self._on_change
             )
+            keys = {row.key for row in page.rows}
+            self._replica.remove_missing(
+                name.partition, keys, page.version, self._on_change
+            )
         self._replica.on_contact(names.store_s, CONTACT_GAP_S)
         self._version = names.version
         self._replica.loaded = True
--- a/packages/control/src/cicadabank/control/internal/replica.py
+++ b/packages/control/src/cicadabank/control/internal/replica.py
@@ -4,7 +4,8 @@
 
 import math
 import threading
-from collections.abc import Callable, Iterable
+from collections import deque
+from collections.abc import Callable, Iterable, Set
 from functools import singledispatch
 from typing import Any, NamedTuple
 
@@ -49,6 +50,10 @@
 from cicadabank.tasks import clock_s
 from loguru import logger
 
+# Rows written before a removal may arrive after it, forwarded by another entry. They do
+# within the timeout of the call that forwards them.
+REMOVAL_MEMORY_S = 60.0
+
 
 class StoredRun(NamedTuple):
     """The stored `JobProgressRow` of a job, and the version of its row."""
@@ -64,6 +69,14 @@
     version: int
 
 
+class RemovedRow(NamedTuple):
+    """A removed row: its partition and key, the version, and when it was applied."""
+
+    row_id: tuple[str, str]
+    version: int
+    applied_s: float
+
+
 class CellRows:
     """The rows of one cell.
 
@@ -112,6 +125,16 @@
         stored = self.cancelled.get(record.job)
         return stored is not None and stored.row.covers(record.queue)
 
+    def removable(self) -> dict[str, StoredCancel]:
+        """Return the cancellations of jobs that aren't stored, by their rows' keys."""
+        voids = list(self.voids.items())
+        found = {JOB_PREFIX + job: stored for job, stored in voids}
+        for job in self.cancelled.keys() - self.jobs.keys() - self.voids.keys():
+            stored = self.cancelled.get(job)
+            if stored is not None:
+                found[CANCEL_PREFIX + job] = stored
+        return found
+
     @property
     def holder_lateness_s(self) -> float:
         """How much later than usual the holder's lease renewals may be."""
@@ -136,6 +159,8 @@
         self._offset_s = 0.0
         self._last_store_s = float("-inf")
         self._versions: dict[tuple[str, str], int] = {}
+        # Removals whose versions are still kept, the oldest first.
+        self._removed: deque[RemovedRow] = deque()
         self._lock = threading.Lock()
 
     def cell(self, name: str) -> CellRows:
@@ -201,6 +226,8 @@
             if row.version <= self._versions.get(row_id, 0):
                 return False
             self._versions[row_id] = row.version
+            if row.value is None:
+                self._on_removed(RemovedRow(row_id, row.version, clock_s()))
             try:
                 self._apply_one(row, kind, name)
             # Any error: one row must not keep the others of its batch back.
@@ -211,6 +238,44 @@
                 return False
         return True
 
+    def _on_removed(self, removed: RemovedRow) -> None:
+        """Keep the version of a removed row for some time only."""
+        self._removed.append(removed)
+        while removed.applied_s - self._removed[0].applied_s > REMOVAL_MEMORY_S:
+            row_id, version, _ = self._removed.popleft()
+            if self._versions.get(row_id) == version:
+                del self._versions[row_id]
+
+    def remove_missing(
+        self,
+        partition: str,
+        keys: Set[str],
+        version: int,
+        notify: Callable[[str, str, str], None],
+    ) -> None:
+        """Remove cancellations that all rows of a partition, read anew, don't include.
+
+        Only cancellations of jobs that aren't stored are ever removed from the store.
+
+        Parameters
+        ----------
+        keys : set of str
+            Keys of the rows that were read.
+        version : int
+            Version of the store when the read began. Rows that changed later stay as
+            they are, since the feed delivers their changes.
+        """
+        rows = self.cells.get(partition)
+        if rows is None:
+            return
+        with self._lock:
+            missing = [
+                StoredRow(partition, key, None, version)
+                for key in rows.removable()
+                if key not in keys and self._versions[(partition, key)] < version
+            ]
+        self.apply(missing, notify)
+
     def _apply_one(self, row: StoredRow, kind: str, name: str) -> None:
         # Restores the key's prefix; the keys of the holder and the lease have no name.
         kind = kind + "/" if name else kind
