Don't note when requests may have arrived, which decides nothing any more

Cause: the HTTP server's poller noted since when a socket may have been readable, so that an entry could tell a submission that had waited from one that came after a cancellation. Both are stored as cancelled now. Change: the server of circuits is used as it is; RequestTiming has no time of arrival.

--- a/packages/control/src/cicadabank/control/internal/job_service.py
+++ b/packages/control/src/cicadabank/control/internal/job_service.py
@@ -106,20 +106,10 @@
         On this process's clock.
     deadline_s : float
         From the receipt.
-    arrived_after_s : float, optional
-        Time after which the request has arrived at this machine, before `received_s` if
-        the process was frozen or busy. By default it arrived when it was received.
     """
 
     received_s: float
     deadline_s: float
-    arrived_after_s: float | None = None
-
-    def earliest_arrival_s(self) -> float:
-        """Return the earliest time at which the request may have arrived."""
-        if self.arrived_after_s is None:
-            return self.received_s
-        return min(self.arrived_after_s, self.received_s)
 
     def held_s(self) -> float:
         """Return the time since the receipt of the request."""
--- a/packages/web/src/cicadabank/web/guard.py
+++ b/packages/web/src/cicadabank/web/guard.py
@@ -135,22 +135,12 @@
     """Bytes of a connection that have not been forwarded yet.
 
     `busy` is set while a request is being answered. `waiting_since_s` is when the
-    connection became idle or the first bytes of the present request were read.
-    `arrived_after_s` is a time after which the first bytes in the buffer have arrived,
-    and `request_after_s` is that of the request being answered.
+    connection became idle or the first bytes of the present request arrived.
     """
 
-    __slots__ = (
-        "arrived_after_s",
-        "buffer",
-        "busy",
-        "continue_sent",
-        "request_after_s",
-        "waiting_since_s",
-    )
+    __slots__ = ("buffer", "busy", "continue_sent", "waiting_since_s")
 
     def __init__(self, now_s: float):
-        self.arrived_after_s = self.request_after_s = float("-inf")
         self.buffer = bytearray()
         self.busy = False
         self.continue_sent = False
@@ -158,10 +148,7 @@
 
 
 class RequestFilter(BaseComponent):
-    """Filters the requests on the channel of circuits.web.
-
-    Takes the events of an `ArrivalServer`.
-    """
+    """Filters the requests on the channel of circuits.web."""
 
     channel = "web"
 
@@ -179,11 +166,6 @@
         """Return whether a connection is still open."""
         return sock in self._connections
 
-    def arrived_after_s(self, sock) -> float:
-        """Return a time after which the request being answered has arrived."""
-        connection = self._connections.get(sock)
-        return connection.request_after_s if connection else float("-inf")
-
     @property
     def is_busy(self) -> bool:
         """Whether a request is being received or answered."""
@@ -210,10 +192,8 @@
         connection = self._connections.get(sock)
         if connection is None:
             return
-        if not connection.buffer:
-            connection.arrived_after_s = event.arrived_after_s
-            if not connection.busy:
-                connection.waiting_since_s = clock_s()
+        if not connection.buffer and not connection.busy:
+            connection.waiting_since_s = clock_s()
         connection.buffer += data
         self._process_buffer(sock, connection)
 
@@ -250,7 +230,6 @@
         data = bytes(connection.buffer[:size])
         del connection.buffer[:size]
         connection.busy = True
-        connection.request_after_s = connection.arrived_after_s
         connection.continue_sent = False
         self.fire(complete_request(sock, data), self.channel)
 
--- a/packages/web/src/cicadabank/web/http_server.py
+++ b/packages/web/src/cicadabank/web/http_server.py
@@ -4,8 +4,8 @@
 
 import socket
 
-from cicadabank.web.arrivals import ArrivalPoll, ArrivalServer
 from circuits import handler
+from circuits.net.sockets import TCPServer
 from circuits.web.http import HTTP
 from circuits.web.servers import BaseServer
 
@@ -22,8 +22,7 @@
     def __init__(self, listener: socket.socket):
         # BaseServer.__init__ opens its own socket, so it is skipped.
         super(BaseServer, self).__init__(channel=self.channel)
-        ArrivalPoll().register(self)
-        self.server = ArrivalServer(listener, channel=self.channel).register(self)
+        self.server = TCPServer(listener, channel=self.channel).register(self)
         self.http = HTTP(self, channel=self.channel).register(self)
 
     @handler("ready", override=True)
--- a/packages/web/src/cicadabank/web/messages.py
+++ b/packages/web/src/cicadabank/web/messages.py
@@ -9,23 +9,13 @@
 
 
 class ApiCall(NamedTuple):
-    """One complete HTTP request.
-
-    Attributes
-    ----------
-    headers : dict of str to str
-        With names in lower case.
-    arrived_after_s : float
-        Time after which its first bytes have arrived, on this process's clock. Minus
-        infinity if nothing is known of it.
-    """
+    """One complete HTTP request."""
 
     method: str
     path: str
     query: dict[str, str]
-    headers: dict[str, str]
+    headers: dict[str, str]  # with names in lower case
     body: bytes
-    arrived_after_s: float = float("-inf")
 
     def document(self) -> dict[str, Any]:
         """Return the JSON object in the body.
--- a/packages/web/src/cicadabank/web/server.py
+++ b/packages/web/src/cicadabank/web/server.py
@@ -75,7 +75,7 @@
         # the response would be sent twice.
         event.stop()
         event.success = False
-        call = _read_call(req, self._filter.arrived_after_s(req.sock))
+        call = _read_call(req)
         try:
             reply = self._dispatch_at_once(call)
         except Exception:
@@ -176,8 +176,7 @@
     )
 
 
-def _read_call(req, arrived_after_s: float) -> ApiCall:
+def _read_call(req) -> ApiCall:
     headers = {name.lower(): value for name, value in req.headers.items()}
     query = dict(parse_qsl(req.qs or ""))
-    body = req.body.read()
-    return ApiCall(req.method, req.path, query, headers, body, arrived_after_s)
+    return ApiCall(req.method, req.path, query, headers, req.body.read())
--- a/tests/cover/test_job_service.py
+++ b/tests/cover/test_job_service.py
@@ -772,13 +772,12 @@
 
     # Guards against a request that a frozen entry reads only after it has heard of a
     # cancellation that was answered meanwhile.
-    def test_a_submission_that_arrived_before_its_entry_knew(self, harness, other):
-        arrived_s = clock_s()
+    def test_a_submission_that_was_received_before_its_entry_knew(self, harness, other):
+        received = timing(2.0)
         time.sleep(0.01)
         other.cancel_in_advance()
         harness.update_replica()
-        read_late = RequestTiming(clock_s(), 2.0, arrived_s)
-        status = harness.service.submit(ROUTE, REQUEST, read_late)
+        status = harness.service.submit(ROUTE, REQUEST, received)
         assert status == JobStatus("cancelled")
         harness.check_cancelled()
 
