Soak: copies of submissions that arrive after their cancellation was acknowledged

Cause: callers of the soak never handed a job in again once its cancellation was answered, so that no run could meet a late copy (docs/incidents/repeated-submission.md).

--- a/soak/checker.py
+++ b/soak/checker.py
@@ -58,6 +58,10 @@
         """Whether a task of the job crashes its targets."""
         return any(step.profile.crashes_after_s < float("inf") for step in self.steps)
 
+    def body(self) -> dict:
+        """Return the body of the job's submission."""
+        return {"spec": self.spec, "steps": [step.document for step in self.steps]}
+
     def tasks(self, step: int) -> list[str]:
         """Return the names of a step's tasks."""
         count = self.steps[step].document["count"]
@@ -294,6 +298,14 @@
                     "all tasks of a completed job are done", f"{unfinished}"
                 )
 
+    def on_repeated(self, job: Job, status: int, state: str) -> None:
+        """Check the answer to a submission that repeats that of a cancelled job."""
+        if status == 200 and state != "cancelled":
+            self.report_violation(
+                "a cancelled job that is submitted again stays cancelled",
+                f"{job.job} is {state}",
+            )
+
     def _may_fail(self, job: Job, units: list[str]) -> bool:
         """Whether a unit has used up its attempts, or a deadly task was given up.
 
--- a/soak/load.py
+++ b/soak/load.py
@@ -29,6 +29,10 @@
 # Pause between the jobs of a caller that leaves, and its wait before it cancels one.
 LEAVING_INTERVAL_S = (0.1, 0.6)
 MAX_STAY_S = 0.6
+# Share of the jobs that were cancelled before they were stored and are submitted again,
+# and the longest time after which they are.
+REPEAT_SHARE = 0.7
+MAX_REPEAT_AFTER_S = 2.0
 QUEUES = {"fast": (0, 1.5), "slow": (1, 3.0), "batch": (2, 3.0)}
 
 
@@ -173,7 +177,7 @@
 
     def submit(self, job: Job, queue: str) -> None:
         """Submit a job, with retries; record whether it was accepted or refused."""
-        body = {"spec": job.spec, "steps": [step.document for step in job.steps]}
+        body = job.body()
         deadline_s = time.monotonic() + DEADLINE_S
         unknown = False
         for _ in range(SUBMIT_ATTEMPTS):
@@ -256,7 +260,8 @@
 class LeavingCaller(Caller):
     """Submits jobs and cancels each at an entry without waiting for the response.
 
-    It closes the connection of the submission before or after the cancellation.
+    It closes the connection of the submission before or after the cancellation. Copies
+    of submissions may arrive again after the cancellation was acknowledged.
     """
 
     def run(self, stopping: threading.Event) -> None:
@@ -272,11 +277,14 @@
                 if self._rng.random() < 0.5:
                     connection.close()
                 self._cancel(job, path)
+            if job.is_void and self._rng.random() < REPEAT_SHARE:
+                stopping.wait(self._rng.uniform(0.0, MAX_REPEAT_AFTER_S))
+                status, state = self.request("POST", path, job.body(), DEADLINE_S)
+                self._checker.on_repeated(job, status, state)
 
     def _sent(self, job: Job, path: str) -> socket.socket:
         """Send a submission on a connection of its own; return the connection."""
-        body = {"spec": job.spec, "steps": [step.document for step in job.steps]}
-        content = json.dumps(body)
+        content = json.dumps(job.body())
         head = (
             f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer {KEY}\r\n"
             f"X-Deadline-Ms: {int(DEADLINE_S * 1000)}\r\n"
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -87,6 +87,14 @@
         expected = ["a job that was cancelled before it was stored never runs"]
         assert self.found(checker) == expected * is_void
 
+    @pytest.mark.parametrize("status", [0, 200, 503, 504])
+    @pytest.mark.parametrize("state", ["pending", "running", "cancelled"])
+    def test_a_repeated_job_stays_cancelled(self, checker, status, state):
+        checker.on_repeated(checker.jobs["a"], status, state)
+        expected = ["a cancelled job that is submitted again stays cancelled"]
+        is_broken = status == 200 and state != "cancelled"
+        assert self.found(checker) == expected * is_broken
+
 
 class TestDeadlyJobs(CheckerTests):
     PROFILE = CheckerTests.PROFILE._replace(crashes_after_s=0.1)
