Acknowledge nothing if a conflict is with a row that can't be read

Callers could be told that a job is accepted, or that a cancellation is, and neither was stored. Cause: the adapter leaves rows out of the reply to a conflict that it can't decode; a submission then counted as stored already, and a cancellation as one of a job that can't be stored (by reading). Change: both get 503, and may come back. Failed before: test_nothing_is_acknowledged_beside_an_unreadable_row, both cases.

--- a/packages/control/src/cicadabank/control/internal/job_service.py
+++ b/packages/control/src/cicadabank/control/internal/job_service.py
@@ -310,7 +310,8 @@
             If a number in a step is out of range, or another queue has a job of this
             id.
         StoreUnavailableError
-            If it is certain that the job was not stored and will not be.
+            If it is certain that the job was not stored and will not be: the store did
+            not take it, or has a row of this id that can't be read.
         OutcomeUnknownError
             If the job may have been stored.
         """
@@ -335,12 +336,12 @@
                 )
                 is_cancelled = self._store_job(queue.cell, record, wait)
         except RowConflictError as error:
-            stored = error.rows.get(key)
-            if stored is not None and stored.value is not None:
-                if unpack(stored.value, JobRecord).queue != queue.name:
-                    raise InvalidJobError(
-                        "another queue already has a job of this id"
-                    ) from error
+            if not _version(error.rows, key):
+                raise _unreadable_row(request.job) from error
+            if unpack(error.rows[key].value, JobRecord).queue != queue.name:
+                raise InvalidJobError(
+                    "another queue already has a job of this id"
+                ) from error
             self._log_known(request.job, queue.name, timing)
             is_cancelled = _is_cancelled(error.rows, request.job, queue.name)
             return _visible_status(None, is_cancelled)
@@ -539,7 +540,7 @@
         NoJobError
             If the store has no such job in this queue.
         StoreUnavailableError
-            If the store was needed and did not reply.
+            If the store was needed and did not reply, or has a row that can't be read.
         """
         queue = route.queue
         with self._waiting(timing) as wait:
@@ -572,12 +573,12 @@
                 break
             except RowConflictError as error:
                 found, previous = error.rows, expected
+                expected = {key: _version(found, key) for key in previous}
+                if expected == previous:
+                    raise _unreadable_row(job) from error
             if _has_job(found, job_key):
                 record = unpack(found[job_key].value, JobRecord)
                 return record.queue != queue.name
-            expected = {key: _version(found, key) for key in previous}
-            if expected == previous:
-                return True  # the store has a row that can't be read
             if expected[cancel_key]:
                 earlier = unpack(found[cancel_key].value, CancelRow)
                 queues = queues.union(earlier.queues) if earlier.queues else set()
@@ -664,6 +665,11 @@
     )
 
 
+def _unreadable_row(job: str) -> StoreUnavailableError:
+    """Return the error for a conflict with a row that the store's reply leaves out."""
+    return StoreUnavailableError(f"the store has an unreadable row of the job {job!r}")
+
+
 def _visible_status(run: JobProgressRow | None, cancelled: bool) -> JobStatus:
     state = run.state if run else "pending"
     if cancelled and state not in ENDED_JOB_STATES:
--- a/tests/cover/test_job_service.py
+++ b/tests/cover/test_job_service.py
@@ -35,7 +35,7 @@
     unpack,
 )
 from cicadabank.standin import MemoryTable
-from cicadabank.store import UnavailableError, UnknownOutcomeError
+from cicadabank.store import RowConflictError, UnavailableError, UnknownOutcomeError
 from cicadabank.tasks import clock_s
 from loguru import logger
 
@@ -656,6 +656,28 @@
         harness.written.clear()
         harness.check_cancelled()
 
+    # Guards against an acknowledgement of what was not stored.
+    @pytest.mark.parametrize("key", [JOB_PREFIX, CANCEL_PREFIX])
+    def test_nothing_is_acknowledged_beside_an_unreadable_row(self, harness, key):
+        commit = harness.table.commit
+
+        def leave_out_rows(*arguments, **options):
+            try:
+                return commit(*arguments, **options)
+            except RowConflictError as error:
+                raise RowConflictError("a row is left out", {}) from error
+
+        harness.table.commit("cell", {}, {key + REQUEST.job: b"\xc1"})
+        harness.table.commit = leave_out_rows
+        harness.service._find_status = self.find_no_job
+        with pytest.raises(errors.StoreUnavailableError):
+            harness.service.cancel(ROUTE, REQUEST.job, timing(1.0))
+        with pytest.raises(errors.StoreUnavailableError):
+            harness.submit()
+
+    def find_no_job(self, *arguments):
+        raise errors.NoJobError("no such job")
+
     def test_a_job_of_another_queue_is_not_cancelled(self, harness):
         harness.table.apply_delayed_writes()
         self.cancel(harness, OTHER_ROUTE)
